--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,667 @@
+// Package balance decides where a proxy sends its lookups. It does no input or output and keeps no clock.
+//
+// New makes the Balancer of one proxy. Take hands it a lookup and gives back a handle; what happens to the
+// lookup later is a call on that handle: Ended, Started, Left, Wake. Listed and ListFailed tell what the list
+// of backends says. Every call takes the present time and returns Orders: what to do now, in that order.
+// The interface is in types.go, the reasons are in docs/design.md.
+package balance
+
+import (
+	"fmt"
+	"math"
+)
+
+// Every constant of the decisions. Shares and payoffs are plain numbers from 0 to 1.
+const (
+	roundInterval   = 15.0 // s; the source's: counts older than this say little of now
+	recoverInterval = 5.0  // s; the source's: long enough that a dead backend costs few lookups
+	recoverSpread   = 0.5  // of recoverInterval, by chance, so that shared pauses do not lapse together
+	minCheck        = 5    // results; the source's: fewer are chance
+	cbkErrRate      = 0.5  // share; the source's: a backend failing more than it serves
+	temperature     = 0.1  // payoff; a backend 0.2 worse is drawn an eighth as often
+	smoothing       = 0.1  // of the old payoff replaced a result: about ten results are remembered
+	forget          = 10.0 // s; unheard this long, a payoff has gone most of the way back to the mean
+	haste           = 0.4  // payoff an answer loses by using its whole due time up
+	latePayoff      = 0.3  // payoff of a late answer: better than none, worse than any in time
+	crowdMultiple   = 2.0  // of the mean in flight, the design's redraw bound
+	firstLimit      = 2.0  // legs; in flight at a backend not yet heard
+	mostLimit       = 64.0 // legs; no backend is known to take more from one proxy
+	limitGain       = 0.1  // legs; growth an answer in good time, slow so that a crowd is not rebuilt at once
+	limitCut        = 0.9  // factor on a slow answer
+	limitFull       = 0.7  // factor on no room, a plain sign
+	slowShare       = 0.5  // of the due time: an answer slower than this was kept waiting
+	patienceFactor  = 1.5  // of the tariff's high quantile: a leg older than this is overdue
+	sparePart       = 0.2  // legs a lookup; further legs are bounded so they cannot hold an overload up
+	spareMost       = 10.0 // legs; saved up for a short trouble
+	answerEarly     = 0.01 // s before the hard stop, more than two of any proxy's ticks
+	windowMargin    = 0.01 // s before a dedup window closes, for the way to the backend
+	coldMargin      = 0.3  // of the fall budget; the bucket may pass twice this in one window
+	pumpEvery       = 0.02 // s between looks at held lookups when nothing else happens
+	askFirst        = 0.25 // s; first pause before asking the list again
+	askMost         = 4.0  // s; longest such pause
+	meanPart        = 0.02 // smoothing of fleet-wide means: about fifty results
+	binsPerDoubling = 2.0  // bins; a factor of 1.4 tells slow from fast
+	bins            = 28   // bins from 1 ms to 16 s
+	halveAt         = 200  // results; older ones then weigh half
+)
+
+// Balancer decides for one proxy. It is not safe for concurrent use.
+type Balancer struct {
+	d         Deployment
+	chance    uint64
+	now       float64
+	servers   []*server // by Backend.Index, nil where there is none
+	rows      []row     // one a tariff
+	held      []*Lookup // waiting with nothing out, by value, then by age
+	cands     []cand    // scratch
+	orders    Orders
+	out       int     // legs in flight
+	failShare float64 // share of all results that were failures, smoothed
+	spare     float64 // further legs saved up
+	askPause  float64
+	askAt     float64
+}
+
+// row holds what differs by tariff.
+type row struct {
+	Tariff
+	times latencies
+	work  float64 // mean hint, s
+}
+
+// server is one backend as this proxy knows it.
+type server struct {
+	Backend
+	tracked, paused       bool // the breaker's row exists; it is paused
+	errCount, totalCount  int
+	roundLast, accessLast float64
+	cooldown              float64
+	pay, heard            float64 // smoothed payoff, when last heard; 0: never
+	inFlight              int
+	limit                 float64
+	level, levelAt        float64 // cold budget spent, s of work
+}
+
+type cand struct {
+	s     *server
+	score float64
+}
+
+type leg struct {
+	s                       *server
+	pod, zone               int
+	sent                    float64
+	out, neverRan, countdUp bool
+}
+
+// Lookup is the handle of one lookup.
+type Lookup struct {
+	Arrival
+	b               *Balancer
+	row             *row
+	taken           float64
+	legs            []leg
+	out             int
+	over, isHeld    bool
+	moving          bool // its leg is being called off to make way for another
+	heavy, priority float64
+}
+
+// New refuses a deployment it cannot decide on.
+func New(d Deployment, now float64) (*Balancer, error) {
+	if len(d.Tariffs) == 0 {
+		return nil, fmt.Errorf("no tariffs")
+	}
+	for _, f := range []struct {
+		name  string
+		value float64
+	}{{"cold time", d.ColdFor}, {"fall time", d.FallFor}, {"fall multiple", d.FallMultiple},
+		{"cold share", d.ColdShare}, {"ask time", d.AskEvery}, {"longest advice", d.MaxAdvice}} {
+		if !(f.value >= 0) {
+			return nil, fmt.Errorf("%s is negative or no number: %v", f.name, f.value)
+		}
+	}
+	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
+	b := &Balancer{d: d, chance: d.Seed, now: now, spare: spareMost, askPause: askFirst}
+	for _, t := range d.Tariffs {
+		if !(t.Due >= 0 && t.HardStop > 0 && t.Window >= 0 && t.Value >= 0) {
+			return nil, fmt.Errorf("tariff %q: a time or value is negative or missing", t.Name)
+		}
+		if t.Due == 0 { // no due time set: half of what the client waits
+			t.Due = t.HardStop / 2
+		}
+		b.rows = append(b.rows, row{Tariff: t})
+	}
+	return b, nil
+}
+
+// Take accepts a lookup; it will get exactly one answer.
+func (b *Balancer) Take(now float64, a Arrival) (*Lookup, *Orders) {
+	b.begin(now)
+	r := &b.rows[a.Tariff]
+	l := &Lookup{Arrival: a, b: b, row: r, taken: now, heavy: 1, priority: r.Value}
+	if a.Work > 0 {
+		if r.work == 0 {
+			r.work = a.Work
+		}
+		l.heavy = a.Work / r.work
+		r.work += meanPart * (a.Work - r.work)
+	}
+	b.spare = min(b.spare+sparePart, spareMost)
+	b.step(Step{Ref: a.Ref, Wake: a.HardStop - answerEarly})
+	b.next(l)
+	return l, &b.orders
+}
+
+// Done says that nothing more will happen to the lookup or its legs.
+func (l *Lookup) Done() bool { return l.over && l.out == 0 }
+
+// Started tells that a streamed answer began: the lookup now belongs to that leg.
+func (l *Lookup) Started(now float64, i int) *Orders {
+	b := l.b.begin(now)
+	if !l.over && i < len(l.legs) {
+		g := &l.legs[i]
+		b.learn(l, g, Honoured, now-g.sent)
+		g.countdUp = true
+		b.close(l, i)
+	}
+	return &b.orders
+}
+
+// Left tells that the client has gone; no answer is owed.
+func (l *Lookup) Left(now float64) *Orders {
+	b := l.b.begin(now)
+	if !l.over {
+		b.close(l, -1)
+	}
+	return &b.orders
+}
+
+// Ended tells how a leg ended, and whether the lookup is over by it or was before.
+func (l *Lookup) Ended(now float64, i int, o Outcome, latency float64, over bool) *Orders {
+	b := l.b.begin(now)
+	if i >= len(l.legs) || !l.legs[i].out {
+		return &b.orders
+	}
+	g := &l.legs[i]
+	g.out, g.neverRan = false, o == NoRoom || o == NoRoute || o == NeverSent
+	l.out--
+	b.out--
+	g.s.inFlight--
+	b.learn(l, g, o, latency)
+	switch {
+	case l.over:
+	case over:
+		b.close(l, -1)
+	case l.out > 0: // another copy may still answer
+	case g.neverRan || l.moving:
+		l.moving = false
+		b.next(l)
+	case b.spare >= 1:
+		b.spare--
+		b.next(l)
+	default:
+		b.giveUp(l)
+	}
+	b.pump()
+	return &b.orders
+}
+
+// Wake is the lookup's own timer: for an overdue leg, and for the answer before the hard stop.
+func (l *Lookup) Wake(now float64) *Orders {
+	b := l.b.begin(now)
+	if l.over {
+		return &b.orders
+	}
+	if now >= l.HardStop-answerEarly {
+		b.giveUp(l) // danger: a leg's own end may come after the hard stop
+		return &b.orders
+	}
+	for i := range l.legs {
+		g := &l.legs[i]
+		if !g.out || g.countdUp || now < g.sent+b.patience(l)-1e-6 {
+			continue
+		}
+		g.countdUp = true // danger: a hanging backend would be known only a hard stop later
+		b.result(g.s, false)
+		g.s.payoff(b, 0)
+		b.further(l, i)
+	}
+	b.pump()
+	return &b.orders
+}
+
+// Wake is the balancer's own timer.
+func (b *Balancer) Wake(now float64) *Orders {
+	b.begin(now)
+	if b.askAt > 0 && now >= b.askAt-1e-6 {
+		b.askAt = 0
+		b.orders.Subscribe = true
+	}
+	b.pump()
+	return &b.orders
+}
+
+// Listed takes in the list of backends or, unless full, the changed entries. The first one also subscribes.
+func (b *Balancer) Listed(now float64, full, first bool, list []Backend) *Orders {
+	b.begin(now)
+	if full {
+		for _, s := range b.servers {
+			if s != nil {
+				s.State = Gone // unless the list still has it, below
+			}
+		}
+	}
+	for _, e := range list {
+		for len(b.servers) <= e.Index {
+			b.servers = append(b.servers, nil)
+		}
+		s := b.servers[e.Index]
+		if s == nil || s.UpSince != e.UpSince && e.State == Ready { // danger: a restart is a cold backend
+			s = &server{limit: firstLimit}
+			b.servers[e.Index] = s
+		}
+		s.Backend = e
+	}
+	for i, s := range b.servers {
+		if s != nil && s.State == Gone {
+			b.servers[i] = nil // legs still out keep their own hold on it
+		}
+	}
+	if !first {
+		b.askPause = askFirst
+	}
+	b.orders.Subscribe = first && b.d.AsksList
+	b.pump()
+	return &b.orders
+}
+
+// ListFailed tells that asking failed or the subscription dropped.
+func (b *Balancer) ListFailed(now float64) *Orders {
+	b.begin(now)
+	if b.d.AsksList { // danger: unsubscribed, this proxy soon counts as told of what it never heard
+		b.askAt = now + b.askPause*(0.5+b.random())
+		b.askPause = min(2*b.askPause, askMost, max(b.d.AskEvery/4, askFirst))
+		b.orders.Wake = b.askAt
+	}
+	return &b.orders
+}
+
+func (b *Balancer) begin(now float64) *Balancer {
+	b.now = now
+	b.orders = Orders{Steps: b.orders.Steps[:0]}
+	return b
+}
+
+func (b *Balancer) step(s Step) { b.orders.Steps = append(b.orders.Steps, s) }
+
+// next sends a lookup that has nothing out, holds it for a place, or answers it.
+func (b *Balancer) next(l *Lookup) {
+	s, full := b.pick(l)
+	switch {
+	case s != nil:
+		b.send(l, s)
+	case full && b.worthHolding(l, len(b.held)):
+		b.hold(l)
+	default:
+		b.giveUp(l)
+	}
+}
+
+func (b *Balancer) send(l *Lookup, s *server) {
+	l.legs = append(l.legs, leg{s: s, pod: s.Pod, zone: s.Zone, sent: b.now, out: true})
+	l.out++
+	b.out++
+	s.inFlight++
+	if b.cold(s) {
+		s.level += b.cost(l)
+	}
+	b.step(Step{Ref: l.Ref, Send: true, Backend: s.Index, Until: l.HardStop,
+		Wake: min(b.now+b.patience(l), l.HardStop-answerEarly)})
+}
+
+// further gives an overdue leg a second copy, or takes its place, while that can still be in time.
+func (b *Balancer) further(l *Lookup, i int) {
+	if b.spare < 1 || l.out > 1 || len(l.legs) >= b.d.MaxLegs || !b.d.SecondCopies && !b.d.CallOff ||
+		b.now+b.typical(l) > l.taken+l.row.Due && l.row.LateValue == 0 || len(b.held) > 0 {
+		return
+	}
+	s, _ := b.pick(l)
+	if s == nil {
+		return
+	}
+	b.spare--
+	if b.d.SecondCopies {
+		b.send(l, s)
+		return
+	}
+	l.moving = true
+	b.step(Step{Ref: l.Ref, CallOff: i + 1})
+}
+
+// may says whether another leg of l at s is harmless.
+func (b *Balancer) may(l *Lookup, s *server) bool {
+	for i := range l.legs {
+		g := &l.legs[i]
+		if g.neverRan || l.row.Kind == Replayable {
+			continue
+		}
+		if l.row.Kind == SingleUse || b.now > g.sent+l.row.Window-windowMargin ||
+			l.row.Scope == ScopeZone && s.Zone != g.zone || l.row.Scope == ScopePod && s.Pod != g.pod {
+			return false
+		}
+	}
+	return true
+}
+
+// giveUp answers a lookup at once: dismissed where trying again is harmless, else forfeited.
+func (b *Balancer) giveUp(l *Lookup) {
+	ans := Dismissed
+	for i := range l.legs {
+		if !l.legs[i].neverRan && (l.row.Kind == SingleUse || l.row.Kind == Referenced && l.row.Scope != ScopeAll) {
+			ans = Forfeited // danger: it may have run, so trying again is not harmless
+		}
+	}
+	st := Step{Ref: l.Ref, Answer: ans}
+	if ans == Dismissed && b.d.RetryAdvice {
+		st.Advice = min(l.row.Due, b.d.MaxAdvice)
+	}
+	b.step(st)
+	b.close(l, -1)
+}
+
+// close ends a lookup, calling off every leg but the kept one.
+func (b *Balancer) close(l *Lookup, kept int) {
+	l.over = true
+	if l.isHeld {
+		b.unhold(l)
+	}
+	for i := range l.legs {
+		if l.legs[i].out && i != kept && b.d.CallOff {
+			b.step(Step{Ref: l.Ref, CallOff: i + 1})
+		}
+	}
+}
+
+// typical is what an answer of this lookup usually takes.
+func (b *Balancer) typical(l *Lookup) float64 {
+	return l.row.times.quantile(0.5, l.row.Due/4) * max(l.heavy, 0.5)
+}
+
+// patience is the age at which a leg of this lookup is overdue.
+func (b *Balancer) patience(l *Lookup) float64 {
+	return patienceFactor * l.row.times.quantile(0.9, l.row.Due/2) * max(l.heavy, 1)
+}
+
+// worthHolding says whether a lookup with n held before it can still be answered in time.
+func (b *Balancer) worthHolding(l *Lookup, n int) bool {
+	wait := float64(n+1) * b.typical(l) / float64(max(b.out, 1))
+	return b.now+wait+b.typical(l) <= min(l.taken+l.row.Due, l.HardStop-answerEarly)
+}
+
+func (b *Balancer) hold(l *Lookup) {
+	i := len(b.held)
+	for i > 0 && b.held[i-1].priority < l.priority {
+		i--
+	}
+	b.held = append(b.held, nil)
+	copy(b.held[i+1:], b.held[i:])
+	b.held[i], l.isHeld = l, true
+	b.orders.Wake = b.now + pumpEvery
+}
+
+func (b *Balancer) unhold(l *Lookup) {
+	for i, h := range b.held {
+		if h == l {
+			b.held = append(b.held[:i], b.held[i+1:]...)
+			break
+		}
+	}
+	l.isHeld = false
+}
+
+// pump sends held lookups where there is room again and answers those that can no longer be in time.
+func (b *Balancer) pump() {
+	stuck := false
+	for i := 0; i < len(b.held); {
+		l := b.held[i]
+		var s *server
+		full := true
+		if !stuck || len(l.legs) > 0 {
+			s, full = b.pick(l)
+			stuck = stuck || s == nil && len(l.legs) == 0
+		}
+		switch {
+		case s != nil:
+			b.unhold(l)
+			b.send(l, s)
+		case full && b.worthHolding(l, i):
+			i++
+		default:
+			b.giveUp(l)
+		}
+	}
+	if len(b.held) > 0 {
+		b.orders.Wake = b.now + pumpEvery
+	}
+	if b.askAt > 0 && (b.orders.Wake == 0 || b.askAt < b.orders.Wake) {
+		b.orders.Wake = b.askAt
+	}
+}
+
+// pick draws a server for a leg by the softmax of payoffs, in Gumbel's form: the greatest of payoff/temperature
+// plus noise. A crowded one is redrawn, without putting it back; the last choice is the least crowded drawn.
+// It also tells whether some server would do if it had room.
+func (b *Balancer) pick(l *Lookup) (*server, bool) {
+	if len(l.legs) >= b.d.MaxLegs {
+		return nil, false
+	}
+	b.cands = b.cands[:0]
+	full, admitted, mean := false, 0, b.meanPay()
+	for _, s := range b.servers {
+		if s == nil || s.State != Ready || !b.admitted(s) {
+			continue
+		}
+		admitted++
+		if !b.may(l, s) || l.tried(s) {
+			continue
+		}
+		full = true
+		if float64(s.inFlight) >= s.limit || b.cold(s) && !b.coldRoom(l, s) {
+			continue
+		}
+		b.cands = append(b.cands, cand{s, b.payNow(s, mean)/temperature + b.noise(l, s)})
+	}
+	bound := crowdMultiple * float64(b.out) / float64(max(admitted, 1))
+	var last *server
+	for range b.cands {
+		top := 0
+		for i := range b.cands {
+			if b.cands[i].score > b.cands[top].score {
+				top = i
+			}
+		}
+		s := b.cands[top].s
+		if float64(s.inFlight) <= bound {
+			return s, true
+		}
+		if last == nil || s.inFlight < last.inFlight {
+			last = s
+		}
+		b.cands[top].score = math.Inf(-1)
+	}
+	return last, full
+}
+
+// tried: a further leg goes elsewhere.
+func (l *Lookup) tried(s *server) bool {
+	for i := range l.legs {
+		if l.legs[i].s == s {
+			return true
+		}
+	}
+	return false
+}
+
+// admitted is the source's access query.
+func (b *Balancer) admitted(s *server) bool {
+	return !s.paused || b.now >= s.accessLast+s.cooldown && s.inFlight == 0
+}
+
+// noise is Gumbel noise: by chance or, where backends stay warm for a key, by key and server, so that over all
+// keys the draw is the same and a key lands alike at every proxy.
+func (b *Balancer) noise(l *Lookup, s *server) float64 {
+	u := b.random
+	if b.d.WarmKeys && l.Key != 0 {
+		u = func() float64 { return float64(mix(l.Key^mix(s.Mark))>>11) / (1 << 53) }
+	}
+	return -math.Log(-math.Log(u() + 1e-12))
+}
+
+// learn takes in how a leg ended.
+func (b *Balancer) learn(l *Lookup, g *leg, o Outcome, latency float64) {
+	s, due := g.s, l.row.Due*max(l.heavy, 1)
+	switch o {
+	case CalledOff, NeverSent: // these count neither way
+	case NoRoom: // a busy backend is not a broken one: its row stays
+		s.limit = max(1, s.limit*limitFull)
+		s.payoff(b, 0)
+	case Honoured:
+		if g.countdUp && l.row.times.n > 0 && latency <= 0 {
+			return
+		}
+		b.result(s, true)
+		l.row.times.add(latency / max(l.heavy, 0.5))
+		if latency <= due {
+			s.payoff(b, 1-haste*latency/due)
+		} else {
+			s.payoff(b, latePayoff)
+		}
+		if latency > slowShare*due {
+			s.limit = max(1, s.limit*limitCut)
+		} else if float64(s.inFlight)+2 > s.limit {
+			s.limit = min(s.limit+limitGain, mostLimit)
+		}
+	default:
+		if !g.countdUp {
+			b.result(s, false)
+			s.payoff(b, 0)
+		}
+	}
+}
+
+// result keeps the breaker's row of a server.
+func (b *Balancer) result(s *server, ok bool) {
+	fail := 0.0
+	if !ok {
+		fail = 1
+	}
+	b.failShare += meanPart * (fail - b.failShare)
+	if ok && !s.tracked {
+		return
+	}
+	if !s.tracked || b.now-s.roundLast > roundInterval {
+		s.tracked, s.errCount, s.totalCount, s.roundLast = true, 0, 0, b.now
+	}
+	s.totalCount++
+	s.accessLast = b.now
+	if ok {
+		s.paused = false
+		return
+	}
+	s.errCount++
+	// danger: when all fail alike, pausing them all helps nobody, so the bar rises with the fleet's own share
+	bar := cbkErrRate + (1-cbkErrRate)*b.failShare
+	if s.totalCount > minCheck && float64(s.errCount)/float64(s.totalCount) > bar {
+		s.paused = true
+		s.cooldown = recoverInterval * (1 + recoverSpread*b.random())
+	}
+}
+
+func (s *server) payoff(b *Balancer, p float64) {
+	old := b.payNow(s, b.meanPay())
+	s.pay, s.heard = old+smoothing*(p-old), b.now
+}
+
+// payNow is a server's payoff; unheard, it goes back to the mean.
+func (b *Balancer) payNow(s *server, mean float64) float64 {
+	if s.heard == 0 {
+		return mean
+	}
+	return mean + (s.pay-mean)*math.Exp(-(b.now-s.heard)/forget)
+}
+
+func (b *Balancer) meanPay() float64 {
+	sum, n := 0.0, 0.0
+	for _, s := range b.servers {
+		if s != nil && s.heard != 0 {
+			sum += s.pay
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / n
+}
+
+// cold says whether a server may still be warming up.
+func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.d.ColdFor }
+
+// coldRoom is a leaky bucket: this proxy's part of what pushes a cold server over, at the least capacity it
+// can have by now. A service time counts for the work, so one core is taken for granted and no more.
+func (b *Balancer) coldRoom(l *Lookup, s *server) bool {
+	part := b.d.ColdShare + (1-b.d.ColdShare)*max(b.now-s.UpSince, 0)/max(b.d.ColdFor, 1e-9)
+	rate := coldMargin * b.d.FallMultiple * part / float64(b.d.Proxies)
+	s.level, s.levelAt = max(0, s.level-(b.now-s.levelAt)*rate), b.now
+	return s.level == 0 || s.level+b.cost(l) <= rate*b.d.FallFor
+}
+
+func (b *Balancer) cost(l *Lookup) float64 {
+	return l.row.times.quantile(0.5, l.row.Due/4) * max(l.heavy, 0.5)
+}
+
+// latencies is a coarse histogram.
+type latencies struct {
+	count [bins]float64
+	n     float64
+}
+
+func (h *latencies) add(x float64) {
+	i := int(binsPerDoubling * math.Log2(max(x, 0.001)/0.001))
+	h.count[min(i, bins-1)]++
+	if h.n++; h.n >= halveAt {
+		for i := range h.count {
+			h.count[i] /= 2
+		}
+		h.n /= 2
+	}
+}
+
+// quantile is the upper edge of the bin that holds it, or the given value before enough is known.
+func (h *latencies) quantile(q, unknown float64) float64 {
+	if h.n < minCheck {
+		return unknown
+	}
+	sum := 0.0
+	for i, c := range h.count {
+		if sum += c; sum >= q*h.n {
+			return 0.001 * math.Exp2(float64(i+1)/binsPerDoubling)
+		}
+	}
+	return unknown
+}
+
+// random is the next number from 0 to 1 of a permuted congruential generator.
+func (b *Balancer) random() float64 {
+	b.chance = b.chance*6364136223846793005 + 1442695040888963407
+	x := uint32((b.chance>>18 ^ b.chance) >> 27)
+	r := uint(b.chance >> 59)
+	return (float64(x>>r|x<<(-r&31)) + 0.5) / (1 << 32)
+}
+
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/balance/types.go
@@ -0,0 +1,132 @@
+package balance
+
+// Kind says whether a tariff's lookups may run more than once.
+type Kind uint8
+
+const (
+	Replayable Kind = iota // may run again
+	Referenced             // carries a mark by which a group of backends knows a repeat
+	SingleUse              // must never run twice
+)
+
+// Scope is the group of backends that drops a referenced lookup's repeats.
+type Scope uint8
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopePod
+)
+
+// Outcome says how a leg ended.
+type Outcome uint8
+
+const (
+	Honoured  Outcome = iota
+	Fault             // the backend returned an error; it may have run
+	NoRoom            // turned away unseen; it never ran
+	TooSlow           // no answer in time; it may have run, or be running
+	NoRoute           // no connection in time; it never ran
+	Cut               // the connection dropped; it may have run
+	CalledOff         // we stopped waiting; it may have run
+	NeverSent         // it never left; it never ran
+)
+
+// Answer is a final answer this proxy gives by itself. An honoured lookup
+// needs none: the first honoured leg is passed on to the client as it comes.
+type Answer uint8
+
+const (
+	NoAnswer  Answer = iota
+	Dismissed        // turned away; trying again is harmless
+	Forfeited        // failed; nothing is promised about its effect
+)
+
+// Deployment is what a proxy is told when it starts. Times are in seconds.
+type Deployment struct {
+	Seed         uint64
+	Proxies      int // proxies in the bank, this one included
+	Zone         int // the zone this proxy stands in
+	Tariffs      []Tariff
+	Customers    []Customer
+	BeyondShare  float64 // value of a lookup past its customer's share, as a fraction
+	MaxLegs      int     // legs a lookup may have
+	SecondCopies bool    // two legs of a lookup may be out at once
+	CallOff      bool    // legs may be called off
+	RetryAdvice  bool    // clients are told when to come back
+	MaxAdvice    float64 // the longest advice a client keeps to
+	WarmKeys     bool    // a backend that served a key lately serves it again with less work
+	AsksList     bool    // the list of backends comes only after asking
+	AskEvery     float64 // unsubscribed for this long, the proxy counts as told
+	ColdShare    float64 // a backend starts at this share of its capacity or more
+	ColdFor      float64 // and is warm after this long
+	FallMultiple float64 // sent more than this many times what it can do
+	FallFor      float64 // for this long, a cold backend falls over
+}
+
+// Tariff is a class of lookups.
+type Tariff struct {
+	Name      string
+	Kind      Kind
+	Scope     Scope   // for Referenced
+	Window    float64 // for Referenced: how long repeats are known
+	Due       float64 // an answer within this time earns the full value; 0: none set
+	HardStop  float64 // the client waits no longer
+	Value     float64
+	LateValue float64 // fraction of the value an answer past the due time earns
+}
+
+// Customer is a tenant with a share of the service.
+type Customer struct {
+	Name  string
+	Quota float64 // lookups a second, over all proxies, within its share; 0: no limit
+}
+
+// State is what the list says of a backend.
+type State uint8
+
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Backend is an entry of the list of backends.
+type Backend struct {
+	Index   int    // small number, the same for this backend as long as the proxy runs
+	Mark    uint64 // hash of its name, alike at every proxy
+	Zone    int
+	Pod     int
+	State   State
+	UpSince float64 // when it last started; 0: long ago
+}
+
+// Arrival is a lookup as it reaches the proxy.
+type Arrival struct {
+	Ref      int // the caller's number for it, handed back in each Step
+	Tariff   int
+	Customer int     // -1: none
+	Key      uint64  // hash of its subject, alike at every proxy; 0: none
+	HardStop float64 // the clock time at which the client gives up
+	Work     float64 // expected work, roughly, in seconds; 0: not told
+	Again    bool    // the client is known to be trying again
+}
+
+// Step is one thing to do for a lookup. Fields at rest mean nothing to do.
+type Step struct {
+	Ref     int
+	Send    bool    // send a further leg
+	Backend int     // to this backend
+	Until   float64 // abandoned at this clock time
+	CallOff int     // call off this leg, counted from 1
+	Answer  Answer
+	Advice  float64 // with Dismissed: come back after this long; 0: no advice
+	Wake    float64 // call the lookup's Wake at this clock time
+}
+
+// Orders is what to do after a call. It is valid until the next call.
+type Orders struct {
+	Steps     []Step  // in this order
+	Subscribe bool    // ask the list of backends for its changes from now on
+	Wake      float64 // call the balancer's Wake at this clock time; 0: no need
+}
--- /dev/null
+++ b/cmd/benchlink/host.go
@@ -0,0 +1,267 @@
+package main
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+
+	"lockloom/balance"
+	"lockloom/internal/benchwire"
+)
+
+// host keeps the instances of this process apart; they share nothing but the clock.
+type host struct {
+	w         *benchwire.Writer
+	now       float64
+	number    string
+	instances map[int]*instance
+	at        int // the instance spoken of
+	written   int // the instance last written of, -1 for none in this reply
+}
+
+// instance is one balancer with the names the bench knows things by.
+type instance struct {
+	b         *balance.Balancer
+	tariffs   map[string]int
+	customers map[string]int
+	zones     map[string]int
+	backends  map[string]int
+	names     []string // of backends
+	lookups   map[string]int
+	slots     []slot // by Arrival.Ref; a timer's label is one more, that of the balancer's own is 0
+	free      []int
+}
+
+type slot struct {
+	id     string
+	lookup *balance.Lookup
+}
+
+func newHost(out io.Writer) *host {
+	return &host{w: benchwire.NewWriter(out), instances: map[int]*instance{}, at: -1, written: -1}
+}
+
+func (h *host) Batch(now float64, number string) {
+	h.now, h.number, h.at, h.written = now, number, -1, -1
+}
+
+func (h *host) Finish() error { return h.w.Ready(h.number) }
+
+func (h *host) Instance(n int) error {
+	h.at = n
+	return nil
+}
+
+func (h *host) Launched(l benchwire.Launch) error {
+	if h.at < 0 {
+		return fmt.Errorf("Proxy: no instance named")
+	}
+	b, err := balance.New(l.Deployment, h.now)
+	if err != nil {
+		return err
+	}
+	in := &instance{b: b, tariffs: map[string]int{}, customers: map[string]int{}, zones: map[string]int{},
+		backends: map[string]int{}, lookups: map[string]int{}}
+	for i, t := range l.Tariffs {
+		in.tariffs[t.Name] = i
+	}
+	for i, c := range l.Customers {
+		in.customers[c.Name] = i
+	}
+	for i, z := range l.Zones {
+		in.zones[z] = i
+	}
+	h.instances[h.at] = in
+	return nil
+}
+
+func (h *host) Stopped() error {
+	_, err := h.instance()
+	delete(h.instances, h.at)
+	return err
+}
+
+func (h *host) Listed(kind benchwire.ListKind, entries []benchwire.Entry) error {
+	in, err := h.instance()
+	if err != nil {
+		return err
+	}
+	if kind == benchwire.Failed {
+		return h.decide(in, in.b.ListFailed)
+	}
+	list := make([]balance.Backend, len(entries))
+	for i, e := range entries {
+		n, ok := in.backends[e.Name]
+		if !ok {
+			n = len(in.names)
+			in.backends[e.Name] = n
+			in.names = append(in.names, e.Name)
+		}
+		list[i] = e.Backend
+		list[i].Index, list[i].Mark, list[i].Zone = n, hash(e.Name), -1
+		if z, ok := in.zones[e.ZoneName]; ok {
+			list[i].Zone = z
+		}
+	}
+	full, first := kind != benchwire.Changes, kind == benchwire.Remembered
+	return h.decide(in, func(now float64) *balance.Orders { return in.b.Listed(now, full, first, list) })
+}
+
+func (h *host) Order(o benchwire.Order) error {
+	in, err := h.instance()
+	if err != nil {
+		return err
+	}
+	a := o.Arrival
+	var ok bool
+	if a.Tariff, ok = in.tariffs[o.TariffName]; !ok {
+		return fmt.Errorf("Class: unknown: %q", o.TariffName)
+	}
+	if a.Customer, ok = in.customers[o.CustomerName]; !ok {
+		a.Customer = -1
+	}
+	if _, ok = in.lookups[o.ID]; ok {
+		return fmt.Errorf("Job: used before: %q", o.ID)
+	}
+	if o.KeyName != "" {
+		a.Key = hash(o.KeyName)
+	}
+	if n := len(in.free); n > 0 {
+		a.Ref, in.free = in.free[n-1], in.free[:n-1]
+	} else {
+		a.Ref = len(in.slots)
+		in.slots = append(in.slots, slot{})
+	}
+	in.lookups[o.ID] = a.Ref
+	in.slots[a.Ref].id = o.ID
+	return h.decide(in, func(now float64) *balance.Orders {
+		l, orders := in.b.Take(now, a)
+		in.slots[a.Ref].lookup = l
+		return orders
+	})
+}
+
+func (h *host) Started(id string, leg int) error {
+	return h.tell(id, func(l *balance.Lookup, now float64) *balance.Orders { return l.Started(now, leg) })
+}
+
+func (h *host) Ended(e benchwire.End) error {
+	return h.tell(e.ID, func(l *balance.Lookup, now float64) *balance.Orders {
+		return l.Ended(now, e.Leg, e.Outcome, e.Latency, e.Over)
+	})
+}
+
+func (h *host) Left(id string) error {
+	return h.tell(id, func(l *balance.Lookup, now float64) *balance.Orders { return l.Left(now) })
+}
+
+func (h *host) Fired(label int) error {
+	in, err := h.instance()
+	if err != nil {
+		return err
+	}
+	if label == 0 {
+		return h.decide(in, in.b.Wake)
+	}
+	if label < 0 || label > len(in.slots) {
+		return fmt.Errorf("Label: never set: %d", label)
+	}
+	if l := in.slots[label-1].lookup; l != nil { // a slot's later lookup may hear its earlier one's timer
+		return h.decide(in, l.Wake)
+	}
+	return nil
+}
+
+func (h *host) Ignored() error {
+	_, err := h.instance()
+	return err
+}
+
+func (h *host) instance() (*instance, error) {
+	in, ok := h.instances[h.at]
+	if !ok {
+		return nil, fmt.Errorf("Proxy: unknown instance %d", h.at)
+	}
+	return in, nil
+}
+
+// tell calls a lookup that is still kept; of one that has wholly ended there is nothing to say.
+func (h *host) tell(id string, call func(*balance.Lookup, float64) *balance.Orders) error {
+	in, err := h.instance()
+	if err != nil {
+		return err
+	}
+	ref, ok := in.lookups[id]
+	if !ok {
+		return nil
+	}
+	l := in.slots[ref].lookup
+	err = h.decide(in, func(now float64) *balance.Orders { return call(l, now) })
+	in.release(ref)
+	return err
+}
+
+// decide makes one call on the decisions and writes what they order.
+func (h *host) decide(in *instance, call func(now float64) *balance.Orders) error {
+	defer func() {
+		if p := recover(); p != nil {
+			h.context()
+			h.w.Broken(fmt.Sprint(p))
+		}
+	}()
+	o := call(h.now)
+	if len(o.Steps) > 0 || o.Subscribe || o.Wake > 0 {
+		h.context()
+	}
+	for i := range o.Steps {
+		s := &o.Steps[i]
+		id := in.slots[s.Ref].id
+		if s.Send {
+			h.w.Send(id, in.names[s.Backend], s.Until)
+		}
+		if s.CallOff > 0 {
+			h.w.CallOff(id, s.CallOff-1)
+		}
+		switch s.Answer {
+		case balance.Dismissed:
+			h.w.Dismiss(id, s.Advice)
+		case balance.Forfeited:
+			h.w.Forfeit(id)
+		}
+		if s.Wake > 0 {
+			h.w.Wake(max(0, s.Wake-h.now), s.Ref+1)
+		}
+	}
+	if o.Subscribe {
+		h.w.Subscribe()
+	}
+	if o.Wake > 0 {
+		h.w.Wake(max(0, o.Wake-h.now), 0)
+	}
+	for i := range o.Steps { // free what has wholly ended
+		in.release(o.Steps[i].Ref)
+	}
+	return nil
+}
+
+func (in *instance) release(ref int) {
+	s := &in.slots[ref]
+	if s.lookup != nil && s.lookup.Done() {
+		delete(in.lookups, s.id)
+		*s = slot{}
+		in.free = append(in.free, ref)
+	}
+}
+
+func (h *host) context() {
+	if h.written != h.at {
+		h.w.Instance(h.at)
+		h.written = h.at
+	}
+}
+
+func hash(s string) uint64 {
+	f := fnv.New64a()
+	f.Write([]byte(s))
+	return f.Sum64()
+}
--- /dev/null
+++ b/internal/benchwire/reader.go
@@ -0,0 +1,258 @@
+// Package benchwire is the text codec of the bench's wire. The wire's names end here: Read turns its lines
+// into calls on a Receiver, Writer turns calls into its lines.
+package benchwire
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+
+	"lockloom/balance"
+)
+
+// Receiver is told what the wire says. Times are in seconds.
+type Receiver interface {
+	Batch(now float64, number string) // a batch begins
+	Finish() error                    // and ends: its reply is due
+	Instance(n int) error             // the calls below are for this one
+	Launched(Launch) error
+	Stopped() error
+	Listed(kind ListKind, entries []Entry) error
+	Order(Order) error
+	Started(id string, leg int) error
+	Ended(End) error
+	Left(id string) error
+	Fired(label int) error
+	Ignored() error // an event that means nothing to this project
+}
+
+// ListKind says what a list of backends holds.
+type ListKind uint8
+
+const (
+	Changes ListKind = iota
+	Whole
+	Remembered // the whole list, perhaps stale
+	Failed     // none: asking failed
+)
+
+// Launch is a new instance. The zones are numbered as they are listed.
+type Launch struct {
+	balance.Deployment
+	Zones []string
+}
+
+// Entry is a backend with its names; the rest is as the module takes it, but for Index, Mark and Zone.
+type Entry struct {
+	balance.Backend
+	Name, ZoneName string
+}
+
+// Order is a lookup with its names; the rest is as the module takes it, but for Ref, Tariff, Customer and Key.
+type Order struct {
+	balance.Arrival
+	ID, TariffName, CustomerName, KeyName string
+}
+
+// End is the end of a leg.
+type End struct {
+	ID      string
+	Leg     int
+	Outcome balance.Outcome
+	Latency float64
+	Over    bool
+}
+
+var (
+	outcomes = map[string]balance.Outcome{"pass": balance.Honoured, "fault": balance.Fault,
+		"no_room": balance.NoRoom, "too_slow": balance.TooSlow, "no_route": balance.NoRoute,
+		"cut": balance.Cut, "undone": balance.CalledOff, "stale_send": balance.NeverSent}
+	states = map[string]balance.State{"Ready": balance.Ready, "Terminating": balance.Draining, "Gone": balance.Gone}
+	lists  = map[string]ListKind{"D": Changes, "F": Whole, "C": Remembered, "X": Failed}
+	kinds  = map[string]balance.Kind{"retryable": balance.Replayable, "dedup": balance.Referenced,
+		"fragile": balance.SingleUse}
+	scopes = map[string]balance.Scope{"all": balance.ScopeAll, "zone": balance.ScopeZone, "cell": balance.ScopePod}
+)
+
+// line is one message: its name, its fields, and the first thing found wrong with them.
+type line struct {
+	number int
+	name   string
+	rest   string
+	err    error
+}
+
+func (l *line) fail(field, what string) {
+	if l.err == nil {
+		l.err = fmt.Errorf("line %d: %s: %s: %s", l.number, l.name, field, what)
+	}
+}
+
+// text finds a field of the line. Fields are few, so looking is cheaper than a map.
+func (l *line) text(field string) (string, bool) {
+	for rest := l.rest; rest != ""; {
+		var part string
+		part, rest, _ = strings.Cut(rest, " ")
+		if name, value, ok := strings.Cut(part, "="); ok && name == field {
+			return value, true
+		}
+	}
+	return "", false
+}
+
+func (l *line) must(field string) string {
+	v, ok := l.text(field)
+	if !ok || v == "" {
+		l.fail(field, "missing")
+	}
+	return v
+}
+
+// maybe returns the field's number, or 0 where it is absent.
+func (l *line) maybe(field string) float64 {
+	v, ok := l.text(field)
+	if !ok {
+		return 0
+	}
+	x, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+		l.fail(field, fmt.Sprintf("not a number: %q", v))
+	}
+	return x
+}
+
+func (l *line) num(field string) float64 {
+	l.must(field)
+	return l.maybe(field)
+}
+
+func (l *line) whole(field string) int {
+	x := l.num(field)
+	if x != math.Trunc(x) || math.Abs(x) > 1<<62 {
+		l.fail(field, "not a whole number")
+	}
+	return int(x)
+}
+
+func (l *line) bool(field string) bool {
+	v, ok := l.text(field)
+	if ok && v != "0" && v != "1" {
+		l.fail(field, fmt.Sprintf("not 0 or 1: %q", v))
+	}
+	return v == "1"
+}
+
+func word[T any](l *line, field string, words map[string]T) T {
+	v := l.must(field)
+	w, ok := words[v]
+	if !ok {
+		l.fail(field, fmt.Sprintf("unknown: %q", v))
+	}
+	return w
+}
+
+// Read hands on all messages of in until its end, which is no error.
+func Read(in io.Reader, to Receiver) error {
+	src := bufio.NewReaderSize(in, 1<<20)
+	pages := map[int][]Entry{}
+	page, left, inBatch := 0, 0, false
+	for n := 1; ; n++ {
+		raw, err := src.ReadString('\n')
+		if err == io.EOF && raw == "" {
+			if left > 0 || inBatch {
+				return fmt.Errorf("line %d: input ends within a batch", n)
+			}
+			return nil
+		}
+		if err != nil && err != io.EOF {
+			return fmt.Errorf("line %d: %w", n, err)
+		}
+		l := &line{number: n}
+		l.name, l.rest, _ = strings.Cut(strings.TrimRight(raw, "\r\n"), " ")
+		if (l.name == "entry") != (left > 0) {
+			return fmt.Errorf("line %d: %s: an entry is due, or none is", n, l.name)
+		}
+		if !inBatch && l.name != "sync" || inBatch && l.name == "sync" {
+			return fmt.Errorf("line %d: %s: outside its place in a batch", n, l.name)
+		}
+		var call func() error
+		switch l.name {
+		case "sync":
+			inBatch = true
+			now, number := l.num("MomentMs")/1000, l.must("frame")
+			call = func() error { to.Batch(now, number); return nil }
+		case "go":
+			inBatch = false
+			call = to.Finish
+		case "instance":
+			i := l.whole("Proxy")
+			call = func() error { return to.Instance(i) }
+		case "launch":
+			d := launch(l)
+			call = func() error { return to.Launched(d) }
+		case "down":
+			call = to.Stopped
+		case "page":
+			page, left = l.whole("List"), l.whole("NodesList")
+			if left < 0 {
+				l.fail("NodesList", "negative")
+			}
+			pages[page] = nil
+		case "entry":
+			left--
+			e := Entry{Name: l.must("Backend")}
+			e.ZoneName, _ = l.text("Az")
+			e.State = word(l, "StageState", states)
+			e.UpSince = l.maybe("UpSinceMs") / 1000
+			e.Pod = int(l.maybe("Pack"))
+			pages[page] = append(pages[page], e)
+		case "view":
+			kind := word(l, "How", lists)
+			var entries []Entry
+			if kind != Failed {
+				i := l.whole("List")
+				var ok bool
+				if entries, ok = pages[i]; !ok {
+					l.fail("List", "no such list")
+				}
+			}
+			call = func() error { return to.Listed(kind, entries) }
+		case "order":
+			o := Order{ID: l.must("Job"), TariffName: l.must("Class")}
+			o.CustomerName, _ = l.text("Realm")
+			o.KeyName, _ = l.text("Entity")
+			o.HardStop = l.num("DeadlineMs") / 1000
+			o.Work = l.maybe("ExpectedMs") / 1000
+			o.Again = l.bool("AgainByClient")
+			call = func() error { return to.Order(o) }
+		case "first":
+			id, leg := l.must("Job"), l.whole("Leg")
+			call = func() error { return to.Started(id, leg) }
+		case "finished":
+			e := End{ID: l.must("Job"), Leg: l.whole("Leg"), Outcome: word(l, "Status", outcomes),
+				Latency: l.num("LatencyMs") / 1000, Over: l.bool("Over")}
+			call = func() error { return to.Ended(e) }
+		case "client_left":
+			id := l.must("Job")
+			call = func() error { return to.Left(id) }
+		case "fired":
+			label := l.whole("Label")
+			call = func() error { return to.Fired(label) }
+		case "check_result", "peer_data":
+			call = to.Ignored
+		default:
+			l.fail("message", "unknown")
+		}
+		if l.err != nil {
+			return l.err
+		}
+		if call != nil {
+			if err := call(); err != nil {
+				return fmt.Errorf("line %d: %s: %w", n, l.name, err)
+			}
+		}
+	}
+}
