--- a/balance/balance.go
+++ b/balance/balance.go
@@ -60,6 +60,7 @@
 	spare     float64 // further legs saved up
 	askPause  float64
 	askAt     float64
+	pumpAt    float64
 }
 
 // row holds what differs by tariff.
@@ -407,7 +408,7 @@
 	b.held = append(b.held, nil)
 	copy(b.held[i+1:], b.held[i:])
 	b.held[i], l.isHeld = l, true
-	b.orders.Wake = b.now + pumpEvery
+	b.rearm()
 }
 
 func (b *Balancer) unhold(l *Lookup) {
@@ -441,11 +442,15 @@
 			b.giveUp(l)
 		}
 	}
-	if len(b.held) > 0 {
-		b.orders.Wake = b.now + pumpEvery
-	}
-	if b.askAt > 0 && (b.orders.Wake == 0 || b.askAt < b.orders.Wake) {
-		b.orders.Wake = b.askAt
+	b.rearm()
+}
+
+// rearm keeps one timer of the balancer's own running while lookups are held. Danger: a timer asked for at
+// every call breeds one at each firing, without end.
+func (b *Balancer) rearm() {
+	if len(b.held) > 0 && b.pumpAt <= b.now {
+		b.pumpAt = b.now + pumpEvery
+		b.orders.Wake = b.pumpAt
 	}
 }
 
