--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,7 +26,9 @@
 	crowdMultiple   = 2.0  // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0  // legs; in flight at a backend not yet heard
 	mostLimit       = 64.0 // legs; no backend is known to take more from one proxy
-	limitGain       = 0.1  // legs; growth an answer in good time, slow so that a crowd is not rebuilt at once
+	leastLimit      = 0.4  // legs; several proxies together then still leave a backend idle at times
+	limitGain       = 0.02 // legs an answer in good time; slow, so that a crowd is not rebuilt at once
+	limitStart      = 0.2  // legs an answer, until the first cut
 	limitCut        = 0.9  // factor on a slow answer
 	limitFull       = 0.7  // factor on no room, a plain sign
 	slowShare       = 0.5  // of the due time: an answer slower than this was kept waiting
@@ -79,7 +81,8 @@
 	cooldown              float64
 	pay, heard            float64 // smoothed payoff, when last heard; 0: never
 	inFlight              int
-	limit                 float64
+	limit                 float64 // legs it bears from this proxy; below one, only some of the time
+	wasCut                bool
 	level, levelAt        float64 // cold budget spent, s of work
 }
 
@@ -302,7 +305,7 @@
 	switch {
 	case s != nil:
 		b.send(l, s)
-	case full && b.worthHolding(l, len(b.held)):
+	case full && b.worthHolding(l, b.place(l)):
 		b.hold(l)
 	default:
 		b.giveUp(l)
@@ -400,11 +403,17 @@
 	return b.now+wait+b.typical(l) <= min(l.taken+l.row.Due, l.HardStop-answerEarly)
 }
 
-func (b *Balancer) hold(l *Lookup) {
+// place is how many held lookups go before this one.
+func (b *Balancer) place(l *Lookup) int {
 	i := len(b.held)
 	for i > 0 && b.held[i-1].priority < l.priority {
 		i--
 	}
+	return i
+}
+
+func (b *Balancer) hold(l *Lookup) {
+	i := b.place(l)
 	b.held = append(b.held, nil)
 	copy(b.held[i+1:], b.held[i:])
 	b.held[i], l.isHeld = l, true
@@ -462,21 +471,25 @@
 		return nil, false
 	}
 	b.cands = b.cands[:0]
-	full, admitted, mean := false, 0, b.meanPay()
+	full, admitted, room, mean := false, 0, 0.0, b.meanPay()
 	for _, s := range b.servers {
 		if s == nil || s.State != Ready || !b.admitted(s) {
 			continue
 		}
 		admitted++
+		room += s.limit
 		if !b.may(l, s) || l.tried(s) {
 			continue
 		}
 		full = true
-		if float64(s.inFlight) >= s.limit || b.cold(s) && !b.coldRoom(l, s) {
+		if float64(s.inFlight) >= max(s.limit, 1) || b.cold(s) && !b.coldRoom(l, s) {
 			continue
 		}
 		b.cands = append(b.cands, cand{s, b.payNow(s, mean)/temperature + b.noise(l, s)})
 	}
+	if float64(b.out) >= max(room, 1) { // danger: limits below one must hold for all backends together
+		return nil, full
+	}
 	bound := crowdMultiple * float64(b.out) / float64(max(admitted, 1))
 	var last *server
 	for range b.cands {
@@ -529,7 +542,7 @@
 	switch o {
 	case CalledOff, NeverSent: // these count neither way
 	case NoRoom: // a busy backend is not a broken one: its row stays
-		s.limit = max(1, s.limit*limitFull)
+		s.cut(limitFull)
 		s.payoff(b, 0)
 	case Honoured:
 		if g.countdUp && l.row.times.n > 0 && latency <= 0 {
@@ -543,9 +556,13 @@
 			s.payoff(b, latePayoff)
 		}
 		if latency > slowShare*due {
-			s.limit = max(1, s.limit*limitCut)
+			s.cut(limitCut)
 		} else if float64(s.inFlight)+2 > s.limit {
-			s.limit = min(s.limit+limitGain, mostLimit)
+			gain := limitStart
+			if s.wasCut {
+				gain = limitGain
+			}
+			s.limit = min(s.limit+gain, mostLimit)
 		}
 	default:
 		if !g.countdUp {
@@ -555,6 +572,8 @@
 	}
 }
 
+func (s *server) cut(factor float64) { s.limit, s.wasCut = max(leastLimit, s.limit*factor), true }
+
 // result keeps the breaker's row of a server.
 func (b *Balancer) result(s *server, ok bool) {
 	fail := 0.0
