--- a/balance/balance.go
+++ b/balance/balance.go
@@ -7,8 +7,11 @@
 package balance
 
 import (
-	"fmt"
 	"math"
+	"slices"
+
+	"lockloom/internal/chance"
+	"lockloom/internal/measure"
 )
 
 // Every constant of the decisions. Shares and payoffs are plain numbers from 0 to 1.
@@ -42,15 +45,12 @@
 	askFirst        = 0.25 // s; first pause before asking the list again
 	askMost         = 4.0  // s; longest such pause
 	meanPart        = 0.02 // smoothing of fleet-wide means: about fifty results
-	binsPerDoubling = 2.0  // bins; a factor of 1.4 tells slow from fast
-	bins            = 28   // bins from 1 ms to 16 s
-	halveAt         = 200  // results; older ones then weigh half
 )
 
 // Balancer decides for one proxy. It is not safe for concurrent use.
 type Balancer struct {
 	d         Deployment
-	chance    uint64
+	chance    chance.Source
 	now       float64
 	servers   []*server // by Backend.Index, nil where there is none
 	rows      []row     // one a tariff
@@ -68,7 +68,7 @@
 // row holds what differs by tariff.
 type row struct {
 	Tariff
-	times latencies
+	times measure.Times
 	work  float64 // mean hint, s
 }
 
@@ -92,10 +92,10 @@
 }
 
 type leg struct {
-	s                       *server
-	pod, zone               int
-	sent                    float64
-	out, neverRan, countdUp bool
+	s                               *server
+	pod, zone                       int
+	sent                            float64
+	out, neverRan, started, counted bool
 }
 
 // Lookup is the handle of one lookup.
@@ -113,24 +113,12 @@
 
 // New refuses a deployment it cannot decide on.
 func New(d Deployment, now float64) (*Balancer, error) {
-	if len(d.Tariffs) == 0 {
-		return nil, fmt.Errorf("no tariffs")
-	}
-	for _, f := range []struct {
-		name  string
-		value float64
-	}{{"cold time", d.ColdFor}, {"fall time", d.FallFor}, {"fall multiple", d.FallMultiple},
-		{"cold share", d.ColdShare}, {"ask time", d.AskEvery}, {"longest advice", d.MaxAdvice}} {
-		if !(f.value >= 0) {
-			return nil, fmt.Errorf("%s is negative or no number: %v", f.name, f.value)
-		}
+	if err := d.check(); err != nil {
+		return nil, err
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
-	b := &Balancer{d: d, chance: d.Seed, now: now, spare: spareMost, askPause: askFirst}
+	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, spare: spareMost, askPause: askFirst}
 	for _, t := range d.Tariffs {
-		if !(t.Due >= 0 && t.HardStop > 0 && t.Window >= 0 && t.Value >= 0) {
-			return nil, fmt.Errorf("tariff %q: a time or value is negative or missing", t.Name)
-		}
 		if t.Due == 0 { // no due time set: half of what the client waits
 			t.Due = t.HardStop / 2
 		}
@@ -164,9 +152,8 @@
 func (l *Lookup) Started(now float64, i int) *Orders {
 	b := l.b.begin(now)
 	if !l.over && i < len(l.legs) {
-		g := &l.legs[i]
-		b.learn(l, g, Honoured, now-g.sent)
-		g.countdUp = true
+		b.learn(l, &l.legs[i], Honoured, now-l.legs[i].sent)
+		l.legs[i].started = true
 		b.close(l, i)
 	}
 	return &b.orders
@@ -192,7 +179,9 @@
 	l.out--
 	b.out--
 	g.s.inFlight--
-	b.learn(l, g, o, latency)
+	if !(g.started && o == Honoured) { // its time to the end is the client's
+		b.learn(l, g, o, latency)
+	}
 	switch {
 	case l.over:
 	case over:
@@ -223,10 +212,10 @@
 	}
 	for i := range l.legs {
 		g := &l.legs[i]
-		if !g.out || g.countdUp || now < g.sent+b.patience(l)-1e-6 {
+		if !g.out || g.counted || now < g.sent+b.patience(l)-1e-6 {
 			continue
 		}
-		g.countdUp = true // danger: a hanging backend would be known only a hard stop later
+		g.counted = true // danger: a hanging backend would be known only a hard stop later
 		b.result(g.s, false)
 		g.s.payoff(b, 0)
 		b.further(l, i)
@@ -284,7 +273,7 @@
 func (b *Balancer) ListFailed(now float64) *Orders {
 	b.begin(now)
 	if b.d.AsksList { // danger: unsubscribed, this proxy soon counts as told of what it never heard
-		b.askAt = now + b.askPause*(0.5+b.random())
+		b.askAt = now + b.askPause*(0.5+b.chance.Float())
 		b.askPause = min(2*b.askPause, askMost, max(b.d.AskEvery/4, askFirst))
 		b.orders.Wake = b.askAt
 	}
@@ -318,7 +307,7 @@
 	b.out++
 	s.inFlight++
 	if b.cold(s) {
-		s.level += b.cost(l)
+		s.level += b.typical(l)
 	}
 	b.step(Step{Ref: l.Ref, Send: true, Backend: s.Index, Until: l.HardStop,
 		Wake: min(b.now+b.patience(l), l.HardStop-answerEarly)})
@@ -343,10 +332,13 @@
 	b.step(Step{Ref: l.Ref, CallOff: i + 1})
 }
 
-// may says whether another leg of l at s is harmless.
+// may says whether another leg of l at s is harmless and goes somewhere new.
 func (b *Balancer) may(l *Lookup, s *server) bool {
 	for i := range l.legs {
 		g := &l.legs[i]
+		if g.s == s && (!g.neverRan || i == len(l.legs)-1) {
+			return false
+		}
 		if g.neverRan || l.row.Kind == Replayable {
 			continue
 		}
@@ -389,12 +381,12 @@
 
 // typical is what an answer of this lookup usually takes.
 func (b *Balancer) typical(l *Lookup) float64 {
-	return l.row.times.quantile(0.5, l.row.Due/4) * max(l.heavy, 0.5)
+	return l.row.times.Quantile(0.5, l.row.Due/4) * max(l.heavy, 0.5)
 }
 
 // patience is the age at which a leg of this lookup is overdue.
 func (b *Balancer) patience(l *Lookup) float64 {
-	return patienceFactor * l.row.times.quantile(0.9, l.row.Due/2) * max(l.heavy, 1)
+	return patienceFactor * l.row.times.Quantile(0.9, l.row.Due/2) * max(l.heavy, 1)
 }
 
 // worthHolding says whether a lookup with n held before it can still be answered in time.
@@ -413,20 +405,13 @@
 }
 
 func (b *Balancer) hold(l *Lookup) {
-	i := b.place(l)
-	b.held = append(b.held, nil)
-	copy(b.held[i+1:], b.held[i:])
-	b.held[i], l.isHeld = l, true
+	b.held, l.isHeld = slices.Insert(b.held, b.place(l), l), true
 	b.rearm()
 }
 
 func (b *Balancer) unhold(l *Lookup) {
-	for i, h := range b.held {
-		if h == l {
-			b.held = append(b.held[:i], b.held[i+1:]...)
-			break
-		}
-	}
+	i := slices.Index(b.held, l)
+	b.held = slices.Delete(b.held, i, i+1)
 	l.isHeld = false
 }
 
@@ -463,8 +448,8 @@
 	}
 }
 
-// pick draws a server for a leg by the softmax of payoffs, in Gumbel's form: the greatest of payoff/temperature
-// plus noise. A crowded one is redrawn, without putting it back; the last choice is the least crowded drawn.
+// pick draws a server for a leg by the softmax of payoffs, in Gumbel form: greatest payoff/temperature plus
+// noise. A crowded one is redrawn, without putting it back; the last choice is the least crowded drawn.
 // It also tells whether some server would do if it had room.
 func (b *Balancer) pick(l *Lookup) (*server, bool) {
 	if len(l.legs) >= b.d.MaxLegs {
@@ -478,7 +463,7 @@
 		}
 		admitted++
 		room += s.limit
-		if !b.may(l, s) || l.tried(s) {
+		if !b.may(l, s) {
 			continue
 		}
 		full = true
@@ -511,29 +496,19 @@
 	return last, full
 }
 
-// tried: a further leg goes elsewhere.
-func (l *Lookup) tried(s *server) bool {
-	for i := range l.legs {
-		if l.legs[i].s == s {
-			return true
-		}
-	}
-	return false
-}
-
 // admitted is the source's access query.
 func (b *Balancer) admitted(s *server) bool {
 	return !s.paused || b.now >= s.accessLast+s.cooldown && s.inFlight == 0
 }
 
-// noise is Gumbel noise: by chance or, where backends stay warm for a key, by key and server, so that over all
-// keys the draw is the same and a key lands alike at every proxy.
+// noise is Gumbel noise: by chance or, where backends stay warm for a key, by key and server, so that over
+// all keys the draw is the same and a key lands alike at every proxy.
 func (b *Balancer) noise(l *Lookup, s *server) float64 {
-	u := b.random
+	u := b.chance.Float()
 	if b.d.WarmKeys && l.Key != 0 {
-		u = func() float64 { return float64(mix(l.Key^mix(s.Mark))>>11) / (1 << 53) }
+		u = chance.Of(l.Key, s.Mark)
 	}
-	return -math.Log(-math.Log(u() + 1e-12))
+	return -math.Log(-math.Log(u))
 }
 
 // learn takes in how a leg ended.
@@ -545,11 +520,8 @@
 		s.cut(limitFull)
 		s.payoff(b, 0)
 	case Honoured:
-		if g.countdUp && l.row.times.n > 0 && latency <= 0 {
-			return
-		}
 		b.result(s, true)
-		l.row.times.add(latency / max(l.heavy, 0.5))
+		l.row.times.Add(latency / max(l.heavy, 0.5))
 		if latency <= due {
 			s.payoff(b, 1-haste*latency/due)
 		} else {
@@ -565,7 +537,7 @@
 			s.limit = min(s.limit+gain, mostLimit)
 		}
 	default:
-		if !g.countdUp {
+		if !g.counted {
 			b.result(s, false)
 			s.payoff(b, 0)
 		}
@@ -576,12 +548,10 @@
 
 // result keeps the breaker's row of a server.
 func (b *Balancer) result(s *server, ok bool) {
-	fail := 0.0
+	b.failShare -= meanPart * b.failShare
 	if !ok {
-		fail = 1
-	}
-	b.failShare += meanPart * (fail - b.failShare)
-	if ok && !s.tracked {
+		b.failShare += meanPart
+	} else if !s.tracked {
 		return
 	}
 	if !s.tracked || b.now-s.roundLast > roundInterval {
@@ -598,7 +568,7 @@
 	bar := cbkErrRate + (1-cbkErrRate)*b.failShare
 	if s.totalCount > minCheck && float64(s.errCount)/float64(s.totalCount) > bar {
 		s.paused = true
-		s.cooldown = recoverInterval * (1 + recoverSpread*b.random())
+		s.cooldown = recoverInterval * (1 + recoverSpread*b.chance.Float())
 	}
 }
 
@@ -629,7 +599,6 @@
 	return sum / n
 }
 
-// cold says whether a server may still be warming up.
 func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.d.ColdFor }
 
 // coldRoom is a leaky bucket: this proxy's part of what pushes a cold server over, at the least capacity it
@@ -638,54 +607,9 @@
 	part := b.d.ColdShare + (1-b.d.ColdShare)*max(b.now-s.UpSince, 0)/max(b.d.ColdFor, 1e-9)
 	rate := coldMargin * b.d.FallMultiple * part / float64(b.d.Proxies)
 	s.level, s.levelAt = max(0, s.level-(b.now-s.levelAt)*rate), b.now
-	return s.level == 0 || s.level+b.cost(l) <= rate*b.d.FallFor
+	return s.level == 0 || s.level+b.typical(l) <= rate*b.d.FallFor
 }
 
 func (b *Balancer) cost(l *Lookup) float64 {
-	return l.row.times.quantile(0.5, l.row.Due/4) * max(l.heavy, 0.5)
-}
-
-// latencies is a coarse histogram.
-type latencies struct {
-	count [bins]float64
-	n     float64
-}
-
-func (h *latencies) add(x float64) {
-	i := int(binsPerDoubling * math.Log2(max(x, 0.001)/0.001))
-	h.count[min(i, bins-1)]++
-	if h.n++; h.n >= halveAt {
-		for i := range h.count {
-			h.count[i] /= 2
-		}
-		h.n /= 2
-	}
-}
-
-// quantile is the upper edge of the bin that holds it, or the given value before enough is known.
-func (h *latencies) quantile(q, unknown float64) float64 {
-	if h.n < minCheck {
-		return unknown
-	}
-	sum := 0.0
-	for i, c := range h.count {
-		if sum += c; sum >= q*h.n {
-			return 0.001 * math.Exp2(float64(i+1)/binsPerDoubling)
-		}
-	}
-	return unknown
-}
-
-// random is the next number from 0 to 1 of a permuted congruential generator.
-func (b *Balancer) random() float64 {
-	b.chance = b.chance*6364136223846793005 + 1442695040888963407
-	x := uint32((b.chance>>18 ^ b.chance) >> 27)
-	r := uint(b.chance >> 59)
-	return (float64(x>>r|x<<(-r&31)) + 0.5) / (1 << 32)
-}
-
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return l.row.times.Quantile(0.5, l.row.Due/4) * max(l.heavy, 0.5)
 }
