--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,14 +27,14 @@
 	haste           = 0.4  // payoff an answer loses by using its whole due time up
 	latePayoff      = 0.3  // payoff of a late answer: better than none, worse than any in time
 	crowdMultiple   = 2.0  // of the mean in flight, the design's redraw bound
-	firstLimit      = 2.0  // legs; in flight at a backend not yet heard
+	firstLimit      = 1.0  // legs; in flight at a backend not yet heard, as every other proxy does the same
 	mostLimit       = 64.0 // legs; no backend is known to take more from one proxy
 	leastLimit      = 0.4  // legs; several proxies together then still leave a backend idle at times
 	limitGain       = 0.02 // legs an answer in good time; slow, so that a crowd is not rebuilt at once
-	limitStart      = 0.2  // legs an answer, until the first cut
+	limitStart      = 0.05 // legs an answer, until the first cut
 	limitCut        = 0.9  // factor on a slow answer
 	limitFull       = 0.7  // factor on no room, a plain sign
-	slowShare       = 0.5  // of the due time: an answer slower than this was kept waiting
+	slowShare       = 0.35 // of the due time: an answer slower than this was kept waiting
 	patienceFactor  = 1.5  // of the tariff's high quantile: a leg older than this is overdue
 	sparePart       = 0.2  // legs a lookup; further legs are bounded so they cannot hold an overload up
 	spareMost       = 10.0 // legs; saved up for a short trouble
