--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,6 +26,7 @@
 	forget          = 10.0 // s; unheard this long, a payoff has gone most of the way back to the mean
 	haste           = 0.4  // payoff an answer loses by using its whole due time up
 	latePayoff      = 0.3  // payoff of a late answer: better than none, worse than any in time
+	busyShare       = 0.7  // of the room there is: with more in flight there is none for second legs
 	crowdMultiple   = 2.0  // of the mean in flight, the design's redraw bound
 	firstLimit      = 1.0  // legs; in flight at a backend not yet heard, as every other proxy does the same
 	mostLimit       = 64.0 // legs; no backend is known to take more from one proxy
@@ -36,7 +37,7 @@
 	limitFull       = 0.7  // factor on no room, a plain sign
 	slowShare       = 0.35 // of the due time: an answer slower than this was kept waiting
 	patienceFactor  = 1.5  // of the tariff's high quantile: a leg older than this is overdue
-	sparePart       = 0.2  // legs a lookup; further legs are bounded so they cannot hold an overload up
+	sparePart       = 0.1  // legs a lookup; further legs are bounded so they cannot hold an overload up
 	spareMost       = 10.0 // legs; saved up for a short trouble
 	answerEarly     = 0.01 // s before the hard stop, more than two of any proxy's ticks
 	windowMargin    = 0.01 // s before a dedup window closes, for the way to the backend
@@ -58,6 +59,7 @@
 	cands     []cand    // scratch
 	orders    Orders
 	out       int     // legs in flight
+	room      float64 // legs all admitted servers bear, as of the last pick
 	failShare float64 // share of all results that were failures, smoothed
 	spare     float64 // further legs saved up
 	askPause  float64
@@ -316,11 +318,11 @@
 // further gives an overdue leg a second copy, or takes its place, while that can still be in time.
 func (b *Balancer) further(l *Lookup, i int) {
 	if b.spare < 1 || l.out > 1 || len(l.legs) >= b.d.MaxLegs || !b.d.SecondCopies && !b.d.CallOff ||
-		b.now+b.typical(l) > l.taken+l.row.Due && l.row.LateValue == 0 || len(b.held) > 0 {
+		b.now+b.typical(l) > l.taken+l.row.Due && l.row.LateValue == 0 {
 		return
 	}
 	s, _ := b.pick(l)
-	if s == nil {
+	if s == nil || float64(b.out) > busyShare*b.room { // danger: in overload these legs feed it
 		return
 	}
 	b.spare--
@@ -456,13 +458,14 @@
 		return nil, false
 	}
 	b.cands = b.cands[:0]
-	full, admitted, room, mean := false, 0, 0.0, b.meanPay()
+	full, admitted, mean := false, 0, b.meanPay()
+	b.room = 0
 	for _, s := range b.servers {
 		if s == nil || s.State != Ready || !b.admitted(s) {
 			continue
 		}
 		admitted++
-		room += s.limit
+		b.room += s.limit
 		if !b.may(l, s) {
 			continue
 		}
@@ -472,7 +475,7 @@
 		}
 		b.cands = append(b.cands, cand{s, b.payNow(s, mean)/temperature + b.noise(l, s)})
 	}
-	if float64(b.out) >= max(room, 1) { // danger: limits below one must hold for all backends together
+	if float64(b.out) >= max(b.room, 1) { // danger: limits below one must hold for all backends together
 		return nil, full
 	}
 	bound := crowdMultiple * float64(b.out) / float64(max(admitted, 1))
