Held lookups ordered by what they add to the goal; customer shares kept

Cause: in overload the proxies served whatever came, late repeats and over-share traffic included, and starved one tariff. State types moved to their own file.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -11,7 +11,6 @@
 	"slices"
 
 	"lockloom/internal/chance"
-	"lockloom/internal/measure"
 )
 
 // Every constant of the decisions. Shares and payoffs are plain numbers from 0 to 1.
@@ -39,6 +38,9 @@
 	patienceFactor  = 1.5  // of the tariff's high quantile: a leg older than this is overdue
 	sparePart       = 0.1  // legs a lookup; further legs are bounded so they cannot hold an overload up
 	spareMost       = 10.0 // legs; saved up for a short trouble
+	quotaSlack      = 1.2  // of this proxy's even part of a customer's share: clients do not spread evenly
+	quotaBurst      = 1.0  // s of that part, saved up
+	againPart       = 0.7  // of the priority, for a client's further try: part of its due time is gone
 	answerEarly     = 0.01 // s before the hard stop, more than two of any proxy's ticks
 	windowMargin    = 0.01 // s before a dedup window closes, for the way to the backend
 	coldMargin      = 0.3  // of the fall budget; the bucket may pass twice this in one window
@@ -48,71 +50,6 @@
 	meanPart        = 0.02 // smoothing of fleet-wide means: about fifty results
 )
 
-// Balancer decides for one proxy. It is not safe for concurrent use.
-type Balancer struct {
-	d         Deployment
-	chance    chance.Source
-	now       float64
-	servers   []*server // by Backend.Index, nil where there is none
-	rows      []row     // one a tariff
-	held      []*Lookup // waiting with nothing out, by value, then by age
-	cands     []cand    // scratch
-	orders    Orders
-	out       int     // legs in flight
-	room      float64 // legs all admitted servers bear, as of the last pick
-	failShare float64 // share of all results that were failures, smoothed
-	spare     float64 // further legs saved up
-	askPause  float64
-	askAt     float64
-	pumpAt    float64
-}
-
-// row holds what differs by tariff.
-type row struct {
-	Tariff
-	times measure.Times
-	work  float64 // mean hint, s
-}
-
-// server is one backend as this proxy knows it.
-type server struct {
-	Backend
-	tracked, paused       bool // the breaker's row exists; it is paused
-	errCount, totalCount  int
-	roundLast, accessLast float64
-	cooldown              float64
-	pay, heard            float64 // smoothed payoff, when last heard; 0: never
-	inFlight              int
-	limit                 float64 // legs it bears from this proxy; below one, only some of the time
-	wasCut                bool
-	level, levelAt        float64 // cold budget spent, s of work
-}
-
-type cand struct {
-	s     *server
-	score float64
-}
-
-type leg struct {
-	s                               *server
-	pod, zone                       int
-	sent                            float64
-	out, neverRan, started, counted bool
-}
-
-// Lookup is the handle of one lookup.
-type Lookup struct {
-	Arrival
-	b               *Balancer
-	row             *row
-	taken           float64
-	legs            []leg
-	out             int
-	over, isHeld    bool
-	moving          bool // its leg is being called off to make way for another
-	heavy, priority float64
-}
-
 // New refuses a deployment it cannot decide on.
 func New(d Deployment, now float64) (*Balancer, error) {
 	if err := d.check(); err != nil {
@@ -120,11 +57,14 @@
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, spare: spareMost, askPause: askFirst}
+	for _, c := range d.Customers {
+		b.purses = append(b.purses, purse{c.Quota, now})
+	}
 	for _, t := range d.Tariffs {
 		if t.Due == 0 { // no due time set: half of what the client waits
 			t.Due = t.HardStop / 2
 		}
-		b.rows = append(b.rows, row{Tariff: t})
+		b.rows = append(b.rows, row{Tariff: t, share: 1 / float64(len(d.Tariffs)), served: 1})
 	}
 	return b, nil
 }
@@ -133,7 +73,7 @@
 func (b *Balancer) Take(now float64, a Arrival) (*Lookup, *Orders) {
 	b.begin(now)
 	r := &b.rows[a.Tariff]
-	l := &Lookup{Arrival: a, b: b, row: r, taken: now, heavy: 1, priority: r.Value}
+	l := &Lookup{Arrival: a, b: b, row: r, taken: now, heavy: 1}
 	if a.Work > 0 {
 		if r.work == 0 {
 			r.work = a.Work
@@ -141,15 +81,17 @@
 		l.heavy = a.Work / r.work
 		r.work += meanPart * (a.Work - r.work)
 	}
+	for i := range b.rows {
+		b.rows[i].share -= meanPart * b.rows[i].share
+	}
+	r.share += meanPart
+	l.priority = b.priority(l)
 	b.spare = min(b.spare+sparePart, spareMost)
 	b.step(Step{Ref: a.Ref, Wake: a.HardStop - answerEarly})
 	b.next(l)
 	return l, &b.orders
 }
 
-// Done says that nothing more will happen to the lookup or its legs.
-func (l *Lookup) Done() bool { return l.over && l.out == 0 }
-
 // Started tells that a streamed answer began: the lookup now belongs to that leg.
 func (l *Lookup) Started(now float64, i int) *Orders {
 	b := l.b.begin(now)
@@ -187,6 +129,9 @@
 	switch {
 	case l.over:
 	case over:
+		if o == Honoured && now <= l.taken+l.row.Due {
+			l.row.served += meanPart
+		}
 		b.close(l, -1)
 	case l.out > 0: // another copy may still answer
 	case g.neverRan || l.moving:
@@ -282,14 +227,6 @@
 	return &b.orders
 }
 
-func (b *Balancer) begin(now float64) *Balancer {
-	b.now = now
-	b.orders = Orders{Steps: b.orders.Steps[:0]}
-	return b
-}
-
-func (b *Balancer) step(s Step) { b.orders.Steps = append(b.orders.Steps, s) }
-
 // next sends a lookup that has nothing out, holds it for a place, or answers it.
 func (b *Balancer) next(l *Lookup) {
 	s, full := b.pick(l)
@@ -371,6 +308,7 @@
 // close ends a lookup, calling off every leg but the kept one.
 func (b *Balancer) close(l *Lookup, kept int) {
 	l.over = true
+	l.row.served -= meanPart * l.row.served
 	if l.isHeld {
 		b.unhold(l)
 	}
@@ -397,6 +335,50 @@
 	return b.now+wait+b.typical(l) <= min(l.taken+l.row.Due, l.HardStop-answerEarly)
 }
 
+// priority is what answering this lookup in time adds to the operators' figure for its work: its part of all
+// value and, for the worst-served tariff, its part of that tariff.
+func (b *Balancer) priority(l *Lookup) float64 {
+	total, worst := 0.0, l.row
+	for i := range b.rows {
+		r := &b.rows[i]
+		total += r.share * b.worth(r)
+		if r.served < worst.served {
+			worst = r
+		}
+	}
+	p := b.d.WholeWeight * b.worth(l.row) / max(total, 1e-9)
+	if worst == l.row {
+		p += b.d.WorstWeight / max(l.row.share, meanPart)
+	}
+	p /= l.row.times.Quantile(0.5, l.row.Due/4)
+	if l.Again {
+		p *= againPart
+	}
+	if l.Customer >= 0 && !b.withinShare(l) {
+		p *= b.d.BeyondShare
+	}
+	return p
+}
+
+// worth is a typical lookup's value.
+func (b *Balancer) worth(r *row) float64 {
+	if b.d.ValueByWork {
+		return r.Value * r.times.Quantile(0.5, r.Due/4)
+	}
+	return r.Value
+}
+
+// withinShare takes a lookup from its customer's purse, a client's further try excepted.
+func (b *Balancer) withinShare(l *Lookup) bool {
+	rate, p := b.d.Customers[l.Customer].Quota*quotaSlack/float64(b.d.Proxies), &b.purses[l.Customer]
+	p.left, p.at = min(p.left+(b.now-p.at)*rate, max(1, rate*quotaBurst)), b.now
+	within := rate == 0 || p.left >= 1
+	if within && !l.Again {
+		p.left--
+	}
+	return within
+}
+
 // place is how many held lookups go before this one.
 func (b *Balancer) place(l *Lookup) int {
 	i := len(b.held)
--- /dev/null
+++ b/balance/state.go
@@ -0,0 +1,88 @@
+package balance
+
+import (
+	"lockloom/internal/chance"
+	"lockloom/internal/measure"
+)
+
+// Balancer decides for one proxy. It is not safe for concurrent use.
+type Balancer struct {
+	d         Deployment
+	chance    chance.Source
+	now       float64
+	servers   []*server // by Backend.Index, nil where there is none
+	rows      []row     // one a tariff
+	purses    []purse   // one a customer
+	held      []*Lookup // waiting with nothing out, by value, then by age
+	cands     []cand    // scratch
+	orders    Orders
+	out       int     // legs in flight
+	room      float64 // legs all admitted servers bear, as of the last pick
+	failShare float64 // share of all results that were failures, smoothed
+	spare     float64 // further legs saved up
+	askPause  float64
+	askAt     float64
+	pumpAt    float64
+}
+
+// row holds what differs by tariff.
+type row struct {
+	Tariff
+	times  measure.Times
+	work   float64 // mean hint, s
+	share  float64 // of all lookups
+	served float64 // share answered in time
+}
+
+// purse is what a customer's share still allows, in lookups.
+type purse struct{ left, at float64 }
+
+// server is one backend as this proxy knows it.
+type server struct {
+	Backend
+	tracked, paused       bool // the breaker's row exists; it is paused
+	errCount, totalCount  int
+	roundLast, accessLast float64
+	cooldown              float64
+	pay, heard            float64 // smoothed payoff, when last heard; 0: never
+	inFlight              int
+	limit                 float64 // legs it bears from this proxy; below one, only some of the time
+	wasCut                bool
+	level, levelAt        float64 // cold budget spent, s of work
+}
+
+type cand struct {
+	s     *server
+	score float64
+}
+
+type leg struct {
+	s                               *server
+	pod, zone                       int
+	sent                            float64
+	out, neverRan, started, counted bool
+}
+
+// Lookup is the handle of one lookup.
+type Lookup struct {
+	Arrival
+	b               *Balancer
+	row             *row
+	taken           float64
+	legs            []leg
+	out             int
+	over, isHeld    bool
+	moving          bool // its leg is being called off to make way for another
+	heavy, priority float64
+}
+
+// Done says that nothing more will happen to the lookup or its legs.
+func (l *Lookup) Done() bool { return l.over && l.out == 0 }
+
+func (b *Balancer) begin(now float64) *Balancer {
+	b.now = now
+	b.orders = Orders{Steps: b.orders.Steps[:0]}
+	return b
+}
+
+func (b *Balancer) step(s Step) { b.orders.Steps = append(b.orders.Steps, s) }
--- a/balance/types.go
+++ b/balance/types.go
@@ -49,6 +49,9 @@
 	Zone         int // the zone this proxy stands in
 	Tariffs      []Tariff
 	Customers    []Customer
+	ValueByWork  bool    // a lookup's value is its tariff's for each unit of its work
+	WholeWeight  float64 // what the value of all lookups weighs in the operators' figure
+	WorstWeight  float64 // and that of the worst-served tariff
 	BeyondShare  float64 // value of a lookup past its customer's share, as a fraction
 	MaxLegs      int     // legs a lookup may have
 	SecondCopies bool    // two legs of a lookup may be out at once
