--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,7 +28,6 @@
 	busyShare       = 0.7  // of the room there is: with more in flight there is none for second legs
 	crowdMultiple   = 2.0  // of the mean in flight, the design's redraw bound
 	firstLimit      = 1.0  // legs; in flight at a backend not yet heard, as every other proxy does the same
-	mostLimit       = 64.0 // legs; no backend is known to take more from one proxy
 	leastLimit      = 0.4  // legs; several proxies together then still leave a backend idle at times
 	limitGain       = 0.02 // legs an answer in good time; slow, so that a crowd is not rebuilt at once
 	limitStart      = 0.05 // legs an answer, until the first cut
@@ -89,7 +88,7 @@
 	b.spare = min(b.spare+sparePart, spareMost)
 	b.step(Step{Ref: a.Ref, Wake: a.HardStop - answerEarly})
 	b.next(l)
-	return l, &b.orders
+	return l, b.pump()
 }
 
 // Started tells that a streamed answer began: the lookup now belongs to that leg.
@@ -143,8 +142,7 @@
 	default:
 		b.giveUp(l)
 	}
-	b.pump()
-	return &b.orders
+	return b.pump()
 }
 
 // Wake is the lookup's own timer: for an overdue leg, and for the answer before the hard stop.
@@ -167,8 +165,7 @@
 		g.s.payoff(b, 0)
 		b.further(l, i)
 	}
-	b.pump()
-	return &b.orders
+	return b.pump()
 }
 
 // Wake is the balancer's own timer.
@@ -178,8 +175,7 @@
 		b.askAt = 0
 		b.orders.Subscribe = true
 	}
-	b.pump()
-	return &b.orders
+	return b.pump()
 }
 
 // Listed takes in the list of backends or, unless full, the changed entries. The first one also subscribes.
@@ -212,8 +208,7 @@
 		b.askPause = askFirst
 	}
 	b.orders.Subscribe = first && b.d.AsksList
-	b.pump()
-	return &b.orders
+	return b.pump()
 }
 
 // ListFailed tells that asking failed or the subscription dropped.
@@ -227,19 +222,6 @@
 	return &b.orders
 }
 
-// next sends a lookup that has nothing out, holds it for a place, or answers it.
-func (b *Balancer) next(l *Lookup) {
-	s, full := b.pick(l)
-	switch {
-	case s != nil:
-		b.send(l, s)
-	case full && b.worthHolding(l, b.place(l)):
-		b.hold(l)
-	default:
-		b.giveUp(l)
-	}
-}
-
 func (b *Balancer) send(l *Lookup, s *server) {
 	l.legs = append(l.legs, leg{s: s, pod: s.Pod, zone: s.Zone, sent: b.now, out: true})
 	l.out++
@@ -321,7 +303,7 @@
 
 // typical is what an answer of this lookup usually takes.
 func (b *Balancer) typical(l *Lookup) float64 {
-	return l.row.times.Quantile(0.5, l.row.Due/4) * max(l.heavy, 0.5)
+	return l.row.median() * max(l.heavy, 0.5)
 }
 
 // patience is the age at which a leg of this lookup is overdue.
@@ -350,7 +332,7 @@
 	if worst == l.row {
 		p += b.d.WorstWeight / max(l.row.share, meanPart)
 	}
-	p /= l.row.times.Quantile(0.5, l.row.Due/4)
+	p /= l.row.median()
 	if l.Again {
 		p *= againPart
 	}
@@ -363,7 +345,7 @@
 // worth is a typical lookup's value.
 func (b *Balancer) worth(r *row) float64 {
 	if b.d.ValueByWork {
-		return r.Value * r.times.Quantile(0.5, r.Due/4)
+		return r.Value * r.median()
 	}
 	return r.Value
 }
@@ -379,28 +361,23 @@
 	return within
 }
 
-// place is how many held lookups go before this one.
-func (b *Balancer) place(l *Lookup) int {
-	i := len(b.held)
-	for i > 0 && b.held[i-1].priority < l.priority {
-		i--
-	}
-	return i
-}
-
-func (b *Balancer) hold(l *Lookup) {
-	b.held, l.isHeld = slices.Insert(b.held, b.place(l), l), true
-	b.rearm()
-}
-
 func (b *Balancer) unhold(l *Lookup) {
 	i := slices.Index(b.held, l)
 	b.held = slices.Delete(b.held, i, i+1)
 	l.isHeld = false
 }
 
-// pump sends held lookups where there is room again and answers those that can no longer be in time.
-func (b *Balancer) pump() {
+// next holds a lookup with nothing out, by priority, then by age; pump sends it at once where there is room.
+func (b *Balancer) next(l *Lookup) {
+	i := len(b.held)
+	for i > 0 && b.held[i-1].priority < l.priority {
+		i--
+	}
+	b.held, l.isHeld = slices.Insert(b.held, i, l), true
+}
+
+// pump sends held lookups where there is room and answers those that can no longer be in time.
+func (b *Balancer) pump() *Orders {
 	stuck := false
 	for i := 0; i < len(b.held); {
 		l := b.held[i]
@@ -408,7 +385,7 @@
 		full := true
 		if !stuck || len(l.legs) > 0 {
 			s, full = b.pick(l)
-			stuck = stuck || s == nil && len(l.legs) == 0
+			stuck = stuck || s == nil && full && len(l.legs) == 0
 		}
 		switch {
 		case s != nil:
@@ -420,23 +397,18 @@
 			b.giveUp(l)
 		}
 	}
-	b.rearm()
-}
-
-// rearm keeps one timer of the balancer's own running while lookups are held. Danger: a timer asked for at
-// every call breeds one at each firing, without end.
-func (b *Balancer) rearm() {
-	if len(b.held) > 0 && b.pumpAt <= b.now {
+	if len(b.held) > 0 && b.pumpAt <= b.now { // danger: a timer asked for at every call breeds without end
 		b.pumpAt = b.now + pumpEvery
 		b.orders.Wake = b.pumpAt
 	}
+	return &b.orders
 }
 
 // pick draws a server for a leg by the softmax of payoffs, in Gumbel form: greatest payoff/temperature plus
 // noise. A crowded one is redrawn, without putting it back; the last choice is the least crowded drawn.
 // It also tells whether some server would do if it had room.
 func (b *Balancer) pick(l *Lookup) (*server, bool) {
-	if len(l.legs) >= b.d.MaxLegs {
+	if len(l.legs) >= b.d.MaxLegs || b.now >= l.HardStop-answerEarly {
 		return nil, false
 	}
 	b.cands = b.cands[:0]
@@ -519,7 +491,7 @@
 			if s.wasCut {
 				gain = limitGain
 			}
-			s.limit = min(s.limit+gain, mostLimit)
+			s.limit += gain
 		}
 	default:
 		if !g.counted {
@@ -596,5 +568,5 @@
 }
 
 func (b *Balancer) cost(l *Lookup) float64 {
-	return l.row.times.Quantile(0.5, l.row.Due/4) * max(l.heavy, 0.5)
+	return l.row.median() * max(l.heavy, 0.5)
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -34,6 +34,9 @@
 	served float64 // share answered in time
 }
 
+// median is what an answer of this tariff usually takes.
+func (r *row) median() float64 { return r.times.Quantile(0.5, r.Due/4) }
+
 // purse is what a customer's share still allows, in lookups.
 type purse struct{ left, at float64 }
 
