--- a/balance/balance.go
+++ b/balance/balance.go
@@ -313,7 +313,7 @@
 
 // worthHolding says whether a lookup with n held before it can still be answered in time.
 func (b *Balancer) worthHolding(l *Lookup, n int) bool {
-	wait := float64(n+1) * b.typical(l) / float64(max(b.out, 1))
+	wait := float64(n+1) * b.typical(l) / max(b.room, float64(b.out), 1)
 	return b.now+wait+b.typical(l) <= min(l.taken+l.row.Due, l.HardStop-answerEarly)
 }
 
