--- a/balance/balance.go
+++ b/balance/balance.go
@@ -391,7 +391,7 @@
 		case s != nil:
 			b.unhold(l)
 			b.send(l, s)
-		case full && b.worthHolding(l, i):
+		case full && b.worthHolding(l, i/2):
 			i++
 		default:
 			b.giveUp(l)
