--- a/balance/balance.go
+++ b/balance/balance.go
@@ -46,6 +46,7 @@
 	pumpEvery       = 0.02 // s between looks at held lookups when nothing else happens
 	askFirst        = 0.25 // s; first pause before asking the list again
 	askMost         = 4.0  // s; longest such pause
+	paceSmoothing   = 0.05 // of a gap between ends: about twenty gaps
 	meanPart        = 0.02 // smoothing of fleet-wide means: about fifty results
 )
 
@@ -121,6 +122,10 @@
 	g.out, g.neverRan = false, o == NoRoom || o == NoRoute || o == NeverSent
 	l.out--
 	b.out--
+	if len(b.held) > 0 && b.lastEnd > 0 { // only then does every place freed go to one
+		b.pace += paceSmoothing * (now - b.lastEnd - b.pace)
+	}
+	b.lastEnd = now
 	g.s.inFlight--
 	if !(g.started && o == Honoured) { // its time to the end is the client's
 		b.learn(l, g, o, latency)
@@ -313,7 +318,7 @@
 
 // worthHolding says whether a lookup with n held before it can still be answered in time.
 func (b *Balancer) worthHolding(l *Lookup, n int) bool {
-	wait := float64(n+1) * b.typical(l) / max(b.room, float64(b.out), 1)
+	wait := float64(n+1) * b.pace
 	return b.now+wait+b.typical(l) <= min(l.taken+l.row.Due, l.HardStop-answerEarly)
 }
 
@@ -391,7 +396,7 @@
 		case s != nil:
 			b.unhold(l)
 			b.send(l, s)
-		case full && b.worthHolding(l, i/2):
+		case full && b.worthHolding(l, i):
 			i++
 		default:
 			b.giveUp(l)
--- a/balance/state.go
+++ b/balance/state.go
@@ -7,22 +7,23 @@
 
 // Balancer decides for one proxy. It is not safe for concurrent use.
 type Balancer struct {
-	d         Deployment
-	chance    chance.Source
-	now       float64
-	servers   []*server // by Backend.Index, nil where there is none
-	rows      []row     // one a tariff
-	purses    []purse   // one a customer
-	held      []*Lookup // waiting with nothing out, by value, then by age
-	cands     []cand    // scratch
-	orders    Orders
-	out       int     // legs in flight
-	room      float64 // legs all admitted servers bear, as of the last pick
-	failShare float64 // share of all results that were failures, smoothed
-	spare     float64 // further legs saved up
-	askPause  float64
-	askAt     float64
-	pumpAt    float64
+	d             Deployment
+	chance        chance.Source
+	now           float64
+	servers       []*server // by Backend.Index, nil where there is none
+	rows          []row     // one a tariff
+	purses        []purse   // one a customer
+	held          []*Lookup // waiting with nothing out, by value, then by age
+	cands         []cand    // scratch
+	orders        Orders
+	out           int     // legs in flight
+	room          float64 // legs all admitted servers bear, as of the last pick
+	failShare     float64 // share of all results that were failures, smoothed
+	spare         float64 // further legs saved up
+	pace, lastEnd float64 // s between ends of legs while lookups are held; the last one
+	askPause      float64
+	askAt         float64
+	pumpAt        float64
 }
 
 // row holds what differs by tariff.
