--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,10 +27,9 @@
 	latePayoff      = 0.3  // payoff of a late answer: better than none, worse than any in time
 	busyShare       = 0.7  // of the room there is: with more in flight there is none for second legs
 	crowdMultiple   = 2.0  // of the mean in flight, the design's redraw bound
-	firstLimit      = 1.0  // legs; in flight at a backend not yet heard, as every other proxy does the same
-	leastLimit      = 0.4  // legs; several proxies together then still leave a backend idle at times
+	firstLimit      = 2.0  // legs of all proxies together at a backend not yet heard: one at work, one waiting
+	leastLimit      = 1.0  // legs of all proxies together: a backend is never wholly shut by its limit
 	limitGain       = 0.02 // legs an answer in good time; slow, so that a crowd is not rebuilt at once
-	limitStart      = 0.05 // legs an answer, until the first cut
 	limitCut        = 0.9  // factor on a slow answer
 	limitFull       = 0.7  // factor on no room, a plain sign
 	slowShare       = 0.35 // of the due time: an answer slower than this was kept waiting
@@ -199,7 +198,7 @@
 		}
 		s := b.servers[e.Index]
 		if s == nil || s.UpSince != e.UpSince && e.State == Ready { // danger: a restart is a cold backend
-			s = &server{limit: firstLimit}
+			s = &server{limit: firstLimit / float64(b.d.Proxies)}
 			b.servers[e.Index] = s
 		}
 		s.Backend = e
@@ -479,7 +478,7 @@
 	switch o {
 	case CalledOff, NeverSent: // these count neither way
 	case NoRoom: // a busy backend is not a broken one: its row stays
-		s.cut(limitFull)
+		b.cut(s, limitFull)
 		s.payoff(b, 0)
 	case Honoured:
 		b.result(s, true)
@@ -490,13 +489,9 @@
 			s.payoff(b, latePayoff)
 		}
 		if latency > slowShare*due {
-			s.cut(limitCut)
+			b.cut(s, limitCut)
 		} else if float64(s.inFlight)+2 > s.limit {
-			gain := limitStart
-			if s.wasCut {
-				gain = limitGain
-			}
-			s.limit += gain
+			s.limit += limitGain
 		}
 	default:
 		if !g.counted {
@@ -506,7 +501,9 @@
 	}
 }
 
-func (s *server) cut(factor float64) { s.limit, s.wasCut = max(leastLimit, s.limit*factor), true }
+func (b *Balancer) cut(s *server, factor float64) {
+	s.limit = max(leastLimit/float64(b.d.Proxies), s.limit*factor)
+}
 
 // result keeps the breaker's row of a server.
 func (b *Balancer) result(s *server, ok bool) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -51,7 +51,6 @@
 	pay, heard            float64 // smoothed payoff, when last heard; 0: never
 	inFlight              int
 	limit                 float64 // legs it bears from this proxy; below one, only some of the time
-	wasCut                bool
 	level, levelAt        float64 // cold budget spent, s of work
 }
 
