--- a/balance/balance.go
+++ b/balance/balance.go
@@ -15,38 +15,40 @@
 
 // Every constant of the decisions. Shares and payoffs are plain numbers from 0 to 1.
 const (
-	roundInterval   = 15.0 // s; the source's: counts older than this say little of now
-	recoverInterval = 5.0  // s; the source's: long enough that a dead backend costs few lookups
-	recoverSpread   = 0.5  // of recoverInterval, by chance, so that shared pauses do not lapse together
-	minCheck        = 5    // results; the source's: fewer are chance
-	cbkErrRate      = 0.5  // share; the source's: a backend failing more than it serves
-	temperature     = 0.1  // payoff; a backend 0.2 worse is drawn an eighth as often
-	smoothing       = 0.1  // of the old payoff replaced a result: about ten results are remembered
-	forget          = 10.0 // s; unheard this long, a payoff has gone most of the way back to the mean
-	haste           = 0.4  // payoff an answer loses by using its whole due time up
-	latePayoff      = 0.3  // payoff of a late answer: better than none, worse than any in time
-	busyShare       = 0.7  // of the room there is: with more in flight there is none for second legs
-	crowdMultiple   = 2.0  // of the mean in flight, the design's redraw bound
-	firstLimit      = 2.0  // legs of all proxies together at a backend not yet heard: one at work, one waiting
-	leastLimit      = 1.0  // legs of all proxies together: a backend is never wholly shut by its limit
-	limitGain       = 0.02 // legs an answer in good time; slow, so that a crowd is not rebuilt at once
-	limitCut        = 0.9  // factor on a slow answer
-	limitFull       = 0.7  // factor on no room, a plain sign
-	slowShare       = 0.35 // of the due time: an answer slower than this was kept waiting
-	patienceFactor  = 1.5  // of the tariff's high quantile: a leg older than this is overdue
-	sparePart       = 0.1  // legs a lookup; further legs are bounded so they cannot hold an overload up
-	spareMost       = 10.0 // legs; saved up for a short trouble
-	quotaSlack      = 1.2  // of this proxy's even part of a customer's share: clients do not spread evenly
-	quotaBurst      = 1.0  // s of that part, saved up
-	againPart       = 0.7  // of the priority, for a client's further try: part of its due time is gone
-	answerEarly     = 0.01 // s before the hard stop, more than two of any proxy's ticks
-	windowMargin    = 0.01 // s before a dedup window closes, for the way to the backend
-	coldMargin      = 0.3  // of the fall budget; the bucket may pass twice this in one window
-	pumpEvery       = 0.02 // s between looks at held lookups when nothing else happens
-	askFirst        = 0.25 // s; first pause before asking the list again
-	askMost         = 4.0  // s; longest such pause
-	paceSmoothing   = 0.05 // of a gap between ends: about twenty gaps
-	meanPart        = 0.02 // smoothing of fleet-wide means: about fifty results
+	roundInterval   = 15.0  // s; the source's: counts older than this say little of now
+	recoverInterval = 5.0   // s; the source's: long enough that a dead backend costs few lookups
+	recoverSpread   = 0.5   // of recoverInterval, by chance, so that shared pauses do not lapse together
+	minCheck        = 5     // results; the source's: fewer are chance
+	cbkErrRate      = 0.5   // share; the source's: a backend failing more than it serves
+	temperature     = 0.1   // payoff; a backend 0.2 worse is drawn an eighth as often
+	smoothing       = 0.1   // of the old payoff replaced a result: about ten results are remembered
+	forget          = 10.0  // s; unheard this long, a payoff has gone most of the way back to the mean
+	haste           = 0.4   // payoff an answer loses by using its whole due time up
+	latePayoff      = 0.3   // payoff of a late answer: better than none, worse than any in time
+	busyShare       = 0.7   // of the room there is: with more in flight there is none for second legs
+	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
+	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
+	leastLimit      = 1.0   // legs of all proxies together: a backend is never wholly shut by its limit
+	limitGain       = 0.02  // legs an answer in good time; slow, so that a crowd is not rebuilt at once
+	limitCut        = 0.9   // factor on a slow answer
+	limitFull       = 0.7   // factor on no room, a plain sign
+	slowShare       = 0.35  // of the due time: an answer slower than this was kept waiting
+	slowMedians     = 3.5   // of the tariff's median when little waited: so late, it waited for others or was unlucky
+	baseDrift       = 0.001 // rise an answer of that median, so that it can follow a fleet that became slower
+	patienceFactor  = 1.5   // of the tariff's high quantile: a leg older than this is overdue
+	sparePart       = 0.1   // legs a lookup; further legs are bounded so they cannot hold an overload up
+	spareMost       = 10.0  // legs; saved up for a short trouble
+	quotaSlack      = 1.2   // of this proxy's even part of a customer's share: clients do not spread evenly
+	quotaBurst      = 1.0   // s of that part, saved up
+	againPart       = 0.7   // of the priority, for a client's further try: part of its due time is gone
+	answerEarly     = 0.01  // s before the hard stop, more than two of any proxy's ticks
+	windowMargin    = 0.01  // s before a dedup window closes, for the way to the backend
+	coldMargin      = 0.3   // of the fall budget; the bucket may pass twice this in one window
+	pumpEvery       = 0.02  // s between looks at held lookups when nothing else happens
+	askFirst        = 0.25  // s; first pause before asking the list again
+	askMost         = 4.0   // s; longest such pause
+	paceSmoothing   = 0.05  // of a gap between ends: about twenty gaps
+	meanPart        = 0.02  // smoothing of fleet-wide means: about fifty results
 )
 
 // New refuses a deployment it cannot decide on.
@@ -63,7 +65,7 @@
 		if t.Due == 0 { // no due time set: half of what the client waits
 			t.Due = t.HardStop / 2
 		}
-		b.rows = append(b.rows, row{Tariff: t, share: 1 / float64(len(d.Tariffs)), served: 1})
+		b.rows = append(b.rows, row{Tariff: t, share: 1 / float64(len(d.Tariffs)), served: 1, base: t.Due})
 	}
 	return b, nil
 }
@@ -483,12 +485,13 @@
 	case Honoured:
 		b.result(s, true)
 		l.row.times.Add(latency / max(l.heavy, 0.5))
+		l.row.base = min(l.row.base*(1+baseDrift), l.row.median())
 		if latency <= due {
 			s.payoff(b, 1-haste*latency/due)
 		} else {
 			s.payoff(b, latePayoff)
 		}
-		if latency > slowShare*due {
+		if latency > min(slowShare*due, slowMedians*l.row.base*max(l.heavy, 1)) {
 			b.cut(s, limitCut)
 		} else if float64(s.inFlight)+2 > s.limit {
 			s.limit += limitGain
--- a/balance/state.go
+++ b/balance/state.go
@@ -32,6 +32,7 @@
 	times  measure.Times
 	work   float64 // mean hint, s
 	share  float64 // of all lookups
+	base   float64 // the median when little waited, s
 	served float64 // share answered in time
 }
 
