--- a/balance/balance.go
+++ b/balance/balance.go
@@ -57,7 +57,8 @@
 		return nil, err
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
-	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, spare: spareMost, askPause: askFirst}
+	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, spare: spareMost, askPause: askFirst,
+		askAt: math.Inf(1), lastEnd: now}
 	for _, c := range d.Customers {
 		b.purses = append(b.purses, purse{c.Quota, now})
 	}
@@ -123,7 +124,7 @@
 	g.out, g.neverRan = false, o == NoRoom || o == NoRoute || o == NeverSent
 	l.out--
 	b.out--
-	if len(b.held) > 0 && b.lastEnd > 0 { // only then does every place freed go to one
+	if len(b.held) > 0 { // only then does every place freed go to one
 		b.pace += paceSmoothing * (now - b.lastEnd - b.pace)
 	}
 	b.lastEnd = now
@@ -177,8 +178,8 @@
 // Wake is the balancer's own timer.
 func (b *Balancer) Wake(now float64) *Orders {
 	b.begin(now)
-	if b.askAt > 0 && now >= b.askAt-1e-6 {
-		b.askAt = 0
+	if now >= b.askAt-1e-6 {
+		b.askAt = math.Inf(1)
 		b.orders.Subscribe = true
 	}
 	return b.pump()
@@ -536,12 +537,12 @@
 
 func (s *server) payoff(b *Balancer, p float64) {
 	old := b.payNow(s, b.meanPay())
-	s.pay, s.heard = old+smoothing*(p-old), b.now
+	s.pay, s.heard, s.known = old+smoothing*(p-old), b.now, true
 }
 
 // payNow is a server's payoff; unheard, it goes back to the mean.
 func (b *Balancer) payNow(s *server, mean float64) float64 {
-	if s.heard == 0 {
+	if !s.known {
 		return mean
 	}
 	return mean + (s.pay-mean)*math.Exp(-(b.now-s.heard)/forget)
@@ -550,7 +551,7 @@
 func (b *Balancer) meanPay() float64 {
 	sum, n := 0.0, 0.0
 	for _, s := range b.servers {
-		if s != nil && s.heard != 0 {
+		if s != nil && s.known {
 			sum += s.pay
 			n++
 		}
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,420 @@
+package balance
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestBreaker(t *testing.T) {
+	for _, c := range []struct {
+		name, before string
+		wait         float64
+		after        string
+		want         bool // admitted
+	}{
+		{"too few to judge", "fffff", 0, "", true},
+		{"above the gate", "ffffff", 0, "", false},
+		{"successes before the first failure go uncounted", "hhhhhhhhffffff", 0, "", false},
+		{"half failing is not over half", "fhfhfhfh", 0, "", true},
+		{"no room leaves the row alone", "nnnnnnnnnn", 0, "", true},
+		{"called off counts neither way", "fffffcccc", 0, "", true},
+		{"a success clears", "ffffffh", 0, "", true},
+		{"the next failure pauses again", "ffffffhf", 0, "", false},
+		{"a late answer is no failure", "llllllll", 0, "", true},
+		{"the window resets", "fffff", roundInterval + 1, "f", true},
+		{"within the window all count", "fffff", roundInterval - 1, "f", false},
+		{"still cooling down", "ffffff", recoverInterval * 0.9, "", false},
+		{"cooled down", "ffffff", recoverInterval*(1+recoverSpread) + 0.1, "", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k := open(t, deployment(), 2)
+			k.hear(k.servers[0], c.before)
+			k.clock += c.wait
+			k.hear(k.servers[0], c.after)
+			k.now = k.clock
+			assert.Equal(t, c.want, k.admitted(k.servers[0]))
+		})
+	}
+}
+
+func TestSharedFailurePausesFewer(t *testing.T) {
+	k := open(t, deployment(), 4)
+	for range 40 {
+		for _, s := range k.servers {
+			k.hear(s, "fffh") // all fail alike, three in four
+		}
+	}
+	paused := 0
+	for _, s := range k.servers {
+		if s.paused {
+			paused++
+		}
+	}
+	assert.Zero(t, paused)
+	k.hear(k.servers[0], "ffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffff")
+	k.hear(k.servers[1], "hhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhhh")
+	k.hear(k.servers[0], "f")
+	assert.True(t, k.servers[0].paused, "one that only it fails is paused still")
+}
+
+func TestDraw(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		heard       []string // by server
+		out         []int
+		least, most float64 // share of server 0
+	}{
+		{"alike", []string{"hhhh", "hhhh"}, []int{0, 0}, 0.4, 0.6},
+		{"unheard starts at the mean", []string{"hhhh", ""}, []int{0, 0}, 0.4, 0.6},
+		{"failing is drawn seldom", []string{"hhhhhhhh", "ffhhffhh"}, []int{0, 0}, 0.9, 1},
+		{"late is drawn less", []string{"hhhhhhhh", "llllllll"}, []int{0, 0}, 0.9, 1},
+		{"crowded is redrawn", []string{"hhhhhhhh", "ffhhffhh", ""}, []int{5, 0, 0}, 0, 0},
+		{"the least crowded last", []string{"", ""}, []int{3, 4}, 0.4, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k := open(t, deployment(), len(c.heard))
+			for i, s := range k.servers {
+				k.hear(s, c.heard[i])
+				s.inFlight, s.limit = c.out[i], 99
+				k.out += c.out[i]
+			}
+			n := 0
+			for range 500 {
+				if s, _ := k.pick(&Lookup{b: k.Balancer, row: &k.rows[0], Arrival: Arrival{HardStop: 9}}); s.Index == 0 {
+					n++
+				}
+			}
+			assert.GreaterOrEqual(t, float64(n)/500, c.least)
+			assert.LessOrEqual(t, float64(n)/500, c.most)
+		})
+	}
+}
+
+func TestKeyLandsAlikeAtEveryProxy(t *testing.T) {
+	d := deployment()
+	d.WarmKeys = true
+	one := open(t, d, 6)
+	d.Seed = 8
+	two := open(t, d, 6)
+	used := map[int]bool{}
+	for key := uint64(1); key <= 40; key++ {
+		a, _ := one.pick(&Lookup{b: one.Balancer, row: &one.rows[0], Arrival: Arrival{HardStop: 9, Key: key}})
+		b, _ := two.pick(&Lookup{b: two.Balancer, row: &two.rows[0], Arrival: Arrival{HardStop: 9, Key: key}})
+		assert.Equal(t, a.Index, b.Index)
+		used[a.Index] = true
+	}
+	assert.Len(t, used, 6)
+}
+
+// TestNoEffectTwice has a cell for each kind of tariff and each thing an earlier leg may have done.
+func TestNoEffectTwice(t *testing.T) {
+	all := Tariff{Kind: Referenced, Scope: ScopeAll, Window: 0.2}
+	zone := Tariff{Kind: Referenced, Scope: ScopeZone, Window: 0.2}
+	pod := Tariff{Kind: Referenced, Scope: ScopePod, Window: 0.2}
+	single := Tariff{Kind: SingleUse}
+	for _, c := range []struct {
+		name    string
+		tariff  Tariff
+		first   Outcome
+		after   float64
+		servers int // 1: nowhere else to go; 6: two pods of three, two zones
+		same    func(a, b Backend) bool
+		want    []Answer // nil: another leg
+	}{
+		{"replayable, fault", Tariff{}, Fault, 0.1, 6, nil, nil},
+		{"replayable, fault, nowhere", Tariff{}, Fault, 0.1, 1, nil, []Answer{Dismissed}},
+		{"single-use, fault", single, Fault, 0.1, 6, nil, []Answer{Forfeited}},
+		{"single-use, cut", single, Cut, 0.1, 6, nil, []Answer{Forfeited}},
+		{"single-use, too slow", single, TooSlow, 0.1, 6, nil, []Answer{Forfeited}},
+		{"single-use, called off", single, CalledOff, 0.1, 6, nil, []Answer{Forfeited}},
+		{"single-use, no room", single, NoRoom, 0.1, 6, nil, nil},
+		{"single-use, no route", single, NoRoute, 0.1, 6, nil, nil},
+		{"single-use, never sent, nowhere", single, NeverSent, 0.1, 1, nil, []Answer{Dismissed}},
+		{"referenced by all, fault", all, Fault, 0.1, 6, nil, nil},
+		{"referenced by all, fault, window over", all, Fault, 0.25, 6, nil, []Answer{Dismissed}},
+		{"referenced by zone, fault", zone, Fault, 0.1, 6, func(a, b Backend) bool { return a.Zone == b.Zone }, nil},
+		{"referenced by pod, fault", pod, Fault, 0.1, 6, func(a, b Backend) bool { return a.Pod == b.Pod }, nil},
+		{"referenced by pod, cut, window over", pod, Cut, 0.25, 6, nil, []Answer{Forfeited}},
+		{"referenced by pod, fault, nowhere", pod, Fault, 0.1, 1, nil, []Answer{Forfeited}},
+		{"referenced by pod, no room, window over", pod, NoRoom, 0.2, 6, nil, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				d := deployment(c.tariff)
+				d.Seed = seed
+				k := open(t, d, c.servers)
+				l, steps := k.take(Arrival{})
+				require.Equal(t, 1, sends(steps))
+				first := l.legs[0].s.Backend
+				k.clock = c.after
+				o := l.Ended(k.clock, 0, c.first, c.after, false)
+				assert.Equal(t, c.want, answers(o.Steps))
+				if c.want == nil {
+					require.Equal(t, 1, sends(o.Steps))
+					second := l.legs[1].s.Backend
+					assert.NotEqual(t, first.Index, second.Index)
+					assert.True(t, c.same == nil || c.same(first, second))
+				}
+			}
+		})
+	}
+}
+
+func TestOverdueLeg(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		kind          Kind
+		copies, off   bool
+		sends, callOf int
+	}{
+		{"a second copy", Replayable, true, true, 1, 0},
+		{"moved, one at a time", Replayable, false, true, 0, 1},
+		{"no means to", Replayable, false, false, 0, 0},
+		{"single-use stays", SingleUse, true, true, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := deployment(Tariff{Kind: c.kind})
+			d.SecondCopies, d.CallOff = c.copies, c.off
+			k := open(t, d, 6)
+			for _, s := range k.servers {
+				k.hear(s, "hhhhhh")
+			}
+			l, _ := k.take(Arrival{})
+			steps := append([]Step(nil), l.Wake(0.2).Steps...)
+			assert.Equal(t, c.sends, sends(steps))
+			off := 0
+			for _, s := range steps {
+				off += s.CallOff
+			}
+			assert.Equal(t, c.callOf, off)
+			assert.True(t, l.legs[0].s.tracked, "an overdue leg counts before it ends")
+			if off > 0 {
+				assert.Equal(t, 1, sends(l.Ended(0.21, 0, CalledOff, 0.21, false).Steps))
+			}
+		})
+	}
+}
+
+func TestHangingServerIsPausedEarly(t *testing.T) {
+	k := open(t, deployment(), 2)
+	for _, s := range k.servers {
+		k.hear(s, "hhhhhh")
+		s.limit = 20
+	}
+	var hung []*Lookup
+	for range 40 {
+		if l, _ := k.take(Arrival{}); l.legs[0].s.Index == 0 {
+			hung = append(hung, l)
+		} else {
+			l.Ended(k.clock, 0, Honoured, 0.05, true)
+		}
+	}
+	for _, l := range hung {
+		l.Wake(0.2)
+	}
+	assert.True(t, k.servers[0].paused, "well before any hard stop")
+}
+
+func TestAnswerBeforeHardStop(t *testing.T) {
+	for _, kind := range []Kind{Replayable, Referenced, SingleUse} {
+		k := open(t, deployment(Tariff{Kind: kind, Scope: ScopePod, Window: 0.2}), 6)
+		l, steps := k.take(Arrival{HardStop: 0.5})
+		assert.Less(t, steps[0].Wake, 0.5)
+		given := answers(l.Wake(0.1).Steps)
+		given = append(given, answers(l.Wake(steps[0].Wake).Steps)...)
+		require.Len(t, given, 1)
+		for i := range l.legs {
+			o := l.Ended(0.5, i, TooSlow, 0.5, true)
+			assert.Zero(t, sends(o.Steps))
+			assert.Empty(t, answers(o.Steps))
+		}
+		assert.Empty(t, l.Left(0.6).Steps)
+		assert.True(t, l.Done())
+		assert.Zero(t, k.out)
+	}
+	k := open(t, deployment(), 6)
+	_, steps := k.take(Arrival{HardStop: answerEarly / 2})
+	assert.Zero(t, sends(steps), "too late to send at all")
+	assert.Len(t, answers(steps), 1)
+}
+
+func TestList(t *testing.T) {
+	k := open(t, deployment(), 3)
+	with := func(i int, state State, since float64) []Backend {
+		e := backends(3)[i]
+		e.State, e.UpSince = state, since
+		return []Backend{e}
+	}
+	k.hear(k.servers[1], "ffffff")
+	k.Listed(1, false, false, with(0, Draining, 0))
+	k.Listed(1, false, false, with(1, Ready, 1))
+	assert.False(t, k.servers[1].tracked, "a restart has a fresh row")
+	assert.True(t, k.cold(k.servers[1]), "and is cold")
+	k.clock = 1
+	for range 20 {
+		l, _ := k.take(Arrival{})
+		for _, g := range l.legs {
+			assert.NotZero(t, g.s.Index, "nothing new to a draining backend")
+		}
+	}
+	k.Listed(2, true, false, backends(2))
+	assert.Nil(t, k.servers[2], "a full list removes what it leaves out")
+	k.Listed(2, false, false, with(1, Gone, 1))
+	assert.Nil(t, k.servers[1])
+}
+
+func TestAskingForTheList(t *testing.T) {
+	d := deployment()
+	d.AsksList = true
+	b, err := New(d, 0)
+	require.NoError(t, err)
+	assert.True(t, b.Listed(0, true, true, backends(2)).Subscribe)
+	now, last := 1.0, 0.0
+	for range 4 {
+		o := *b.ListFailed(now)
+		require.Greater(t, o.Wake, now)
+		require.Less(t, o.Wake-now, d.AskEvery)
+		assert.False(t, b.Wake(o.Wake-0.01).Subscribe)
+		last, now = o.Wake-now, o.Wake
+		assert.True(t, b.Wake(now).Subscribe)
+		assert.False(t, b.Wake(now+1).Subscribe, "asked once a failure")
+	}
+	assert.Greater(t, last, askFirst, "the pauses grow")
+}
+
+func TestColdBudget(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fresh bool // this proxy has heard nothing yet
+		work  float64
+	}{{"heavy first burst", false, 0.2}, {"light burst", false, 0.01}, {"a proxy just started", true, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			d := deployment()
+			k := open(t, d, 2)
+			if !c.fresh {
+				k.hear(k.servers[0], "hhhhhhhhhhhhhh")
+			}
+			k.rows[0].work = 0.05
+			list := backends(4) // a whole fleet restarted at once
+			for i := range list {
+				list[i].UpSince = 0.001
+			}
+			k.Listed(0.001, true, false, list)
+			cost := map[int]float64{}
+			open := map[int]*Lookup{}
+			for k.clock = 0.001; k.clock < 2; k.clock += 0.01 {
+				l, steps := k.take(Arrival{Work: c.work})
+				open[l.Ref] = l
+				for _, s := range steps {
+					if s.Send {
+						cost[s.Backend] += k.typical(open[s.Ref])
+						open[s.Ref].Ended(k.clock, 0, Honoured, 0.05, true)
+					}
+				}
+			}
+			assert.NotEmpty(t, cost, "cold backends are used all the same")
+			for _, sum := range cost {
+				part := d.FallMultiple * 2 * (d.ColdShare + 0.1) * d.FallFor / float64(d.Proxies)
+				assert.Less(t, sum, part, "two cores' worth at the mean capacity of the window")
+			}
+		})
+	}
+}
+
+func TestHeldLookups(t *testing.T) {
+	d := deployment(Tariff{Name: "cheap"}, Tariff{Name: "dear", Value: 9})
+	d.Customers, d.BeyondShare = []Customer{{"small", 2}, {"large", 1000}}, 0.05
+	k := open(t, d, 1)
+	k.hear(k.servers[0], "hhhhhhhhhh")
+	first, _ := k.take(Arrival{Customer: 1})
+	wait := func(a Arrival) *Lookup {
+		l, steps := k.take(a)
+		require.Empty(t, answers(steps), "held while it can be in time")
+		return l
+	}
+	k.take(Arrival{Customer: 0})
+	beyond := wait(Arrival{Customer: 0, Tariff: 1})
+	cheap := wait(Arrival{Customer: 1})
+	dear := wait(Arrival{Customer: 1, Tariff: 1})
+	assert.Greater(t, dear.priority, cheap.priority)
+	assert.Less(t, beyond.priority, cheap.priority, "beyond its customer's share")
+	o := first.Ended(0.01, 0, Honoured, 0.01, true)
+	require.Equal(t, 1, sends(o.Steps))
+	assert.Equal(t, 1, dear.out, "the dearest is sent first")
+	k.Wake(0.29)
+	assert.True(t, cheap.over && beyond.over, "one that can no longer be in time is answered at once")
+	k.held = nil
+	assert.Zero(t, k.Wake(0.5).Wake)
+}
+
+func TestOneTimerForHeldLookups(t *testing.T) {
+	k := open(t, deployment(), 1)
+	asked := 0
+	for range 10 {
+		if k.take(Arrival{}); k.orders.Wake > 0 {
+			asked++
+		}
+	}
+	assert.Equal(t, 1, asked, "a timer asked for at every call breeds without end")
+}
+
+func TestLimit(t *testing.T) {
+	k := open(t, deployment(), 1)
+	s := k.servers[0]
+	k.hear(s, "nnnnnnnn")
+	assert.InDelta(t, leastLimit/2, s.limit, 1e-9, "never shut by its limit alone")
+	k.hear(s, "hhhhhhhhhh")
+	grown := s.limit
+	assert.Greater(t, grown, leastLimit/2)
+	k.hear(s, "l")
+	assert.Less(t, s.limit, grown)
+	k.take(Arrival{})
+	_, steps := k.take(Arrival{})
+	assert.Zero(t, sends(steps), "held while the backend is at its limit")
+}
+
+func TestStreamBelongsToItsLeg(t *testing.T) {
+	k := open(t, deployment(), 6)
+	k.hear(k.servers[0], "hhhhhh")
+	l, _ := k.take(Arrival{})
+	l.Wake(0.2)
+	require.Len(t, l.legs, 2)
+	assert.Equal(t, 2, l.Started(0.21, 0).Steps[0].CallOff)
+	assert.Empty(t, l.Wake(0.999).Steps)
+}
+
+func TestSameSeedSameDecisions(t *testing.T) {
+	play := func() (all []Step) {
+		k := open(t, deployment(), 5)
+		for i := range 300 {
+			k.clock += 0.01
+			l, steps := k.take(Arrival{})
+			all = append(all, steps...)
+			if len(l.legs) > 0 {
+				all = append(all, l.Ended(k.clock, 0, Outcome(i%3), 0.05, i%3 == 0).Steps...)
+			}
+		}
+		return all
+	}
+	assert.Equal(t, play(), play())
+}
+
+func TestRefusedDeployments(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		bend func(*Deployment)
+	}{
+		{"no tariffs", func(d *Deployment) { d.Tariffs = nil }},
+		{"due time", func(d *Deployment) { d.Tariffs[0].Due = -1 }},
+		{"hard stop", func(d *Deployment) { d.Tariffs[0].HardStop = 0 }},
+		{"cold time", func(d *Deployment) { d.ColdFor = -1 }},
+		{"quota", func(d *Deployment) { d.Customers = []Customer{{"small", -1}} }},
+	} {
+		d := deployment()
+		c.bend(&d)
+		_, err := New(d, 0)
+		assert.ErrorContains(t, err, c.name)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -22,7 +22,7 @@
 	spare         float64 // further legs saved up
 	pace, lastEnd float64 // s between ends of legs while lookups are held; the last one
 	askPause      float64
-	askAt         float64
+	askAt         float64 // when to ask the list again; +Inf: no need
 	pumpAt        float64
 }
 
@@ -49,7 +49,8 @@
 	errCount, totalCount  int
 	roundLast, accessLast float64
 	cooldown              float64
-	pay, heard            float64 // smoothed payoff, when last heard; 0: never
+	pay, heard            float64 // smoothed payoff, when last heard
+	known                 bool    // heard at all
 	inFlight              int
 	limit                 float64 // legs it bears from this proxy; below one, only some of the time
 	level, levelAt        float64 // cold budget spent, s of work
