--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,8 +33,8 @@
 	limitCut        = 0.9   // factor on a slow answer
 	limitFull       = 0.7   // factor on no room, a plain sign
 	slowShare       = 0.35  // of the due time: an answer slower than this was kept waiting
-	slowMedians     = 3.5   // of the tariff's median when little waited: so late, it waited for others or was unlucky
-	baseDrift       = 0.001 // rise an answer of that median, so that it can follow a fleet that became slower
+	slowMedians     = 2.5   // of the tariff's median when little waited: so late, it waited for others or was unlucky
+	baseRise        = 0.002 // smoothing of that median upwards: it follows a fleet grown slower, not a crowd
 	patienceFactor  = 1.5   // of the tariff's high quantile: a leg older than this is overdue
 	sparePart       = 0.1   // legs a lookup; further legs are bounded so they cannot hold an overload up
 	spareMost       = 10.0  // legs; saved up for a short trouble
@@ -66,7 +66,7 @@
 		if t.Due == 0 { // no due time set: half of what the client waits
 			t.Due = t.HardStop / 2
 		}
-		b.rows = append(b.rows, row{Tariff: t, share: 1 / float64(len(d.Tariffs)), served: 1, base: t.Due})
+		b.rows = append(b.rows, row{Tariff: t, share: 1 / float64(len(d.Tariffs)), served: 1, base: t.Due / 4})
 	}
 	return b, nil
 }
@@ -486,7 +486,11 @@
 	case Honoured:
 		b.result(s, true)
 		l.row.times.Add(latency / max(l.heavy, 0.5))
-		l.row.base = min(l.row.base*(1+baseDrift), l.row.median())
+		if m := l.row.median(); m > l.row.base {
+			l.row.base += baseRise * (m - l.row.base)
+		} else {
+			l.row.base += meanPart * (m - l.row.base) // danger: a mere minimum keeps the luckiest start
+		}
 		if latency <= due {
 			s.payoff(b, 1-haste*latency/due)
 		} else {
