--- a/balance/state.go
+++ b/balance/state.go
@@ -50,6 +50,7 @@
 	roundLast, accessLast float64
 	cooldown              float64
 	pay, heard            float64 // smoothed payoff, when last heard
+	good                  float64 // answers in good time since the last cut
 	known                 bool    // heard at all
 	inFlight              int
 	limit                 float64 // legs it bears from this proxy; below one, only some of the time
