Limits move only while they bind, and grow by time at the server

Cause: slow answers of plain chance cut limits in quiet times, and growth by the answer was twice as fast where servers are quick (jhb) as elsewhere, so their small waiting rooms choked.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,7 +29,7 @@
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
 	leastLimit      = 1.0   // legs of all proxies together: a backend is never wholly shut by its limit
-	limitGain       = 0.02  // legs an answer in good time; slow, so that a crowd is not rebuilt at once
+	limitGain       = 0.4   // legs a second at the server; doubled it chokes servers, halved it starves bursts
 	limitCut        = 0.9   // factor on a slow answer
 	limitFull       = 0.7   // factor on no room, a plain sign
 	slowShare       = 0.35  // of the due time: an answer slower than this was kept waiting
@@ -496,10 +496,13 @@
 		} else {
 			s.payoff(b, latePayoff)
 		}
+		if float64(b.out) < busyShare*b.room {
+			return // danger: a limit that moves while it does not bind is wrong when it does
+		}
 		if latency > min(slowShare*due, slowMedians*l.row.base*max(l.heavy, 1)) {
 			b.cut(s, limitCut)
 		} else if float64(s.inFlight)+2 > s.limit {
-			s.limit += limitGain
+			s.limit += limitGain * latency
 		}
 	default:
 		if !g.counted {
