--- a/balance/balance.go
+++ b/balance/balance.go
@@ -140,8 +140,7 @@
 		}
 		b.close(l, -1)
 	case l.out > 0: // another copy may still answer
-	case g.neverRan || l.moving:
-		l.moving = false
+	case g.neverRan:
 		b.next(l)
 	case b.spare >= 1:
 		b.spare--
@@ -170,7 +169,6 @@
 		g.counted = true // danger: a hanging backend would be known only a hard stop later
 		b.result(g.s, false)
 		g.s.payoff(b, 0)
-		b.further(l, i)
 	}
 	return b.pump()
 }
@@ -241,25 +239,6 @@
 		Wake: min(b.now+b.patience(l), l.HardStop-answerEarly)})
 }
 
-// further gives an overdue leg a second copy, or takes its place, while that can still be in time.
-func (b *Balancer) further(l *Lookup, i int) {
-	if b.spare < 1 || l.out > 1 || len(l.legs) >= b.d.MaxLegs || !b.d.SecondCopies && !b.d.CallOff ||
-		b.now+b.typical(l) > l.taken+l.row.Due && l.row.LateValue == 0 {
-		return
-	}
-	s, _ := b.pick(l)
-	if s == nil || float64(b.out) > busyShare*b.room { // danger: in overload these legs feed it
-		return
-	}
-	b.spare--
-	if b.d.SecondCopies {
-		b.send(l, s)
-		return
-	}
-	l.moving = true
-	b.step(Step{Ref: l.Ref, CallOff: i + 1})
-}
-
 // may says whether another leg of l at s is harmless and goes somewhere new.
 func (b *Balancer) may(l *Lookup, s *server) bool {
 	for i := range l.legs {
--- a/balance/state.go
+++ b/balance/state.go
@@ -78,7 +78,6 @@
 	legs            []leg
 	out             int
 	over, isHeld    bool
-	moving          bool // its leg is being called off to make way for another
 	heavy, priority float64
 }
 
--- a/balance/types.go
+++ b/balance/types.go
@@ -54,7 +54,6 @@
 	WorstWeight  float64 // and that of the worst-served tariff
 	BeyondShare  float64 // value of a lookup past its customer's share, as a fraction
 	MaxLegs      int     // legs a lookup may have
-	SecondCopies bool    // two legs of a lookup may be out at once
 	CallOff      bool    // legs may be called off
 	RetryAdvice  bool    // clients are told when to come back
 	MaxAdvice    float64 // the longest advice a client keeps to
