--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,6 +26,8 @@
 	haste           = 0.4   // payoff an answer loses by using its whole due time up
 	latePayoff      = 0.3   // payoff of a late answer: better than none, worse than any in time
 	busyShare       = 0.7   // of the room there is: with more in flight there is none for second legs
+	homes           = 2     // backends a key is kept to
+	homeTime        = 0.2   // of the due time
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
 	leastLimit      = 1.0   // legs of all proxies together: a backend is never wholly shut by its limit
@@ -371,7 +373,7 @@
 		full := true
 		if !stuck || len(l.legs) > 0 {
 			s, full = b.pick(l)
-			stuck = stuck || s == nil && full && len(l.legs) == 0
+			stuck = stuck || s == nil && full && (float64(b.out) >= b.room || len(l.legs) == 0 && !b.warm(l))
 		}
 		switch {
 		case s != nil:
@@ -410,7 +412,7 @@
 			continue
 		}
 		full = true
-		if float64(s.inFlight) >= max(s.limit, 1) || b.cold(s) && !b.coldRoom(l, s) {
+		if b.cold(s) && !b.coldRoom(l, s) {
 			continue
 		}
 		b.cands = append(b.cands, cand{s, b.payNow(s, mean)/temperature + b.noise(l, s)})
@@ -418,9 +420,12 @@
 	if float64(b.out) >= max(b.room, 1) { // danger: limits below one must hold for all backends together
 		return nil, full
 	}
-	bound := crowdMultiple * float64(b.out) / float64(max(admitted, 1))
+	bound, draws := crowdMultiple*float64(b.out)/float64(max(admitted, 1)), len(b.cands)
+	if b.warm(l) && b.now < l.taken+homeTime*l.row.Due { // danger: a key on every server is warm on none
+		draws = min(draws, homes)
+	}
 	var last *server
-	for range b.cands {
+	for range draws {
 		top := 0
 		for i := range b.cands {
 			if b.cands[i].score > b.cands[top].score {
@@ -428,17 +433,22 @@
 			}
 		}
 		s := b.cands[top].s
-		if float64(s.inFlight) <= bound {
-			return s, true
-		}
-		if last == nil || s.inFlight < last.inFlight {
-			last = s
+		if float64(s.inFlight) < max(s.limit, 1) {
+			if float64(s.inFlight) <= bound {
+				return s, true
+			}
+			if last == nil || s.inFlight < last.inFlight {
+				last = s
+			}
 		}
 		b.cands[top].score = math.Inf(-1)
 	}
 	return last, full
 }
 
+// warm says whether backends may be warm for this lookup.
+func (b *Balancer) warm(l *Lookup) bool { return b.d.WarmKeys && l.Key != 0 }
+
 // admitted is the source's access query.
 func (b *Balancer) admitted(s *server) bool {
 	return !s.paused || b.now >= s.accessLast+s.cooldown && s.inFlight == 0
@@ -448,7 +458,7 @@
 // all keys the draw is the same and a key lands alike at every proxy.
 func (b *Balancer) noise(l *Lookup, s *server) float64 {
 	u := b.chance.Float()
-	if b.d.WarmKeys && l.Key != 0 {
+	if b.warm(l) {
 		u = chance.Of(l.Key, s.Mark)
 	}
 	return -math.Log(-math.Log(u))
