--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,6 +21,7 @@
 	minCheck        = 5     // results; the source's: fewer are chance
 	cbkErrRate      = 0.5   // share; the source's: a backend failing more than it serves
 	temperature     = 0.1   // payoff; a backend 0.2 worse is drawn an eighth as often
+	keyTemperature  = 0.25  // payoff, for lookups with a key: a passing dip of a payoff must not move keys
 	smoothing       = 0.1   // of the old payoff replaced a result: about ten results are remembered
 	forget          = 10.0  // s; unheard this long, a payoff has gone most of the way back to the mean
 	haste           = 0.4   // payoff an answer loses by using its whole due time up
@@ -400,7 +401,10 @@
 		return nil, false
 	}
 	b.cands = b.cands[:0]
-	full, admitted, mean := false, 0, b.meanPay()
+	full, admitted, mean, heat := false, 0, b.meanPay(), temperature
+	if b.warm(l) {
+		heat = keyTemperature
+	}
 	b.room = 0
 	for _, s := range b.servers {
 		if s == nil || s.State != Ready || !b.admitted(s) {
@@ -415,7 +419,7 @@
 		if b.cold(s) && !b.coldRoom(l, s) {
 			continue
 		}
-		b.cands = append(b.cands, cand{s, b.payNow(s, mean)/temperature + b.noise(l, s)})
+		b.cands = append(b.cands, cand{s, b.payNow(s, mean)/heat + b.noise(l, s)})
 	}
 	if float64(b.out) >= max(b.room, 1) { // danger: limits below one must hold for all backends together
 		return nil, full
