--- a/balance/balance.go
+++ b/balance/balance.go
@@ -401,10 +401,7 @@
 		return nil, false
 	}
 	b.cands = b.cands[:0]
-	full, admitted, mean, heat := false, 0, b.meanPay(), temperature
-	if b.warm(l) {
-		heat = keyTemperature
-	}
+	full, admitted, mean := false, 0, b.meanPay()
 	b.room = 0
 	for _, s := range b.servers {
 		if s == nil || s.State != Ready || !b.admitted(s) {
@@ -419,7 +416,11 @@
 		if b.cold(s) && !b.coldRoom(l, s) {
 			continue
 		}
-		b.cands = append(b.cands, cand{s, b.payNow(s, mean)/heat + b.noise(l, s)})
+		score := b.payNow(s, mean) / keyTemperature
+		if !b.warm(l) {
+			score = b.payNow(s, mean)/temperature + math.Log(s.limit) // limits differ by proxy, so not for keys
+		}
+		b.cands = append(b.cands, cand{s, score + b.noise(l, s)})
 	}
 	if float64(b.out) >= max(b.room, 1) { // danger: limits below one must hold for all backends together
 		return nil, full
