--- a/balance/balance.go
+++ b/balance/balance.go
@@ -202,7 +202,7 @@
 		}
 		s := b.servers[e.Index]
 		if s == nil || s.UpSince != e.UpSince && e.State == Ready { // danger: a restart is a cold backend
-			s = &server{limit: firstLimit / float64(b.d.Proxies)}
+			s = &server{limit: firstLimit / float64(b.d.Proxies), pace: 1}
 			b.servers[e.Index] = s
 		}
 		s.Backend = e
@@ -418,7 +418,8 @@
 		}
 		score := b.payNow(s, mean) / keyTemperature
 		if !b.warm(l) {
-			score = b.payNow(s, mean)/temperature + math.Log(s.limit) // limits differ by proxy, so not for keys
+			heft := haste * max(l.heavy-1, 0) * l.row.median() * s.pace / l.row.Due // what its work will cost here
+			score = (b.payNow(s, mean)-heft)/temperature + math.Log(s.limit)        // limits differ by proxy, so not for keys
 		}
 		b.cands = append(b.cands, cand{s, score + b.noise(l, s)})
 	}
@@ -479,6 +480,7 @@
 		s.payoff(b, 0)
 	case Honoured:
 		b.result(s, true)
+		s.pace += smoothing * (latency/(l.row.median()*max(l.heavy, 0.5)) - s.pace)
 		l.row.times.Add(latency / max(l.heavy, 0.5))
 		if m := l.row.median(); m > l.row.base {
 			l.row.base += baseRise * (m - l.row.base)
--- a/balance/state.go
+++ b/balance/state.go
@@ -51,6 +51,7 @@
 	cooldown              float64
 	pay, heard            float64 // smoothed payoff, when last heard
 	good                  float64 // answers in good time since the last cut
+	pace                  float64 // smoothed time of its answers over the usual for their work
 	known                 bool    // heard at all
 	inFlight              int
 	limit                 float64 // legs it bears from this proxy; below one, only some of the time
