--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -108,6 +108,35 @@
 	assert.Len(t, used, 6)
 }
 
+func TestKeyWaitsForItsFirstServers(t *testing.T) {
+	d := deployment()
+	d.WarmKeys = true
+	k := open(t, d, 6)
+	l := &Lookup{b: k.Balancer, row: &k.rows[0], Arrival: Arrival{HardStop: 9, Key: 5}}
+	for range homes {
+		s, _ := k.pick(l)
+		s.inFlight = 1
+	}
+	s, full := k.pick(l)
+	assert.Nil(t, s, "a key on every server is warm on none")
+	assert.True(t, full)
+	k.now = homeTime * k.rows[0].Due
+	s, _ = k.pick(l)
+	assert.NotNil(t, s, "but it does not wait long")
+}
+
+func TestHeavyLookupGoesWhereItsWorkFits(t *testing.T) {
+	k := open(t, deployment(), 2)
+	for _, s := range k.servers {
+		k.hear(s, "hhhhhhhhhh")
+	}
+	k.servers[0].pace, k.servers[1].pace = 0.5, 2
+	for range 200 {
+		s, _ := k.pick(&Lookup{b: k.Balancer, row: &k.rows[0], heavy: 8, Arrival: Arrival{HardStop: 9}})
+		assert.Zero(t, s.Index)
+	}
+}
+
 // TestNoEffectTwice has a cell for each kind of tariff and each thing an earlier leg may have done.
 func TestNoEffectTwice(t *testing.T) {
 	all := Tariff{Kind: Referenced, Scope: ScopeAll, Window: 0.2}
