--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,8 +27,8 @@
 	haste           = 0.4   // payoff an answer loses by using its whole due time up
 	latePayoff      = 0.3   // payoff of a late answer: better than none, worse than any in time
 	busyShare       = 0.7   // of the room there is: with more in flight there is none for second legs
-	homes           = 2     // backends a key is kept to
-	homeTime        = 0.2   // of the due time
+	homes           = 2     // backends a key is kept to at first; one alone is crowded by a popular key
+	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
 	leastLimit      = 1.0   // legs of all proxies together: a backend is never wholly shut by its limit
@@ -36,8 +36,8 @@
 	limitCut        = 0.9   // factor on a slow answer
 	limitFull       = 0.7   // factor on no room, a plain sign
 	slowShare       = 0.35  // of the due time: an answer slower than this was kept waiting
-	slowMedians     = 2.5   // of the tariff's median when little waited: so late, it waited for others or was unlucky
-	baseRise        = 0.002 // smoothing of that median upwards: it follows a fleet grown slower, not a crowd
+	slowMedians     = 2.5   // of the tariff's median when little waited: later, it waited or was unlucky
+	baseRise        = 0.002 // smoothing of that median upwards: it follows a slower fleet, not a crowd
 	patienceFactor  = 1.5   // of the tariff's high quantile: a leg older than this is overdue
 	sparePart       = 0.1   // legs a lookup; further legs are bounded so they cannot hold an overload up
 	spareMost       = 10.0  // legs; saved up for a short trouble
@@ -418,8 +418,8 @@
 		}
 		score := b.payNow(s, mean) / keyTemperature
 		if !b.warm(l) {
-			heft := haste * max(l.heavy-1, 0) * l.row.median() * s.pace / l.row.Due // what its work will cost here
-			score = (b.payNow(s, mean)-heft)/temperature + math.Log(s.limit)        // limits differ by proxy, so not for keys
+			heft := haste * max(l.heavy-1, 0) * l.row.median() * s.pace / l.row.Due // its work's cost here
+			score = (b.payNow(s, mean)-heft)/temperature + math.Log(s.limit)        // not for keys: limits differ
 		}
 		b.cands = append(b.cands, cand{s, score + b.noise(l, s)})
 	}
