--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,7 +26,7 @@
 	forget          = 10.0  // s; unheard this long, a payoff has gone most of the way back to the mean
 	haste           = 0.4   // payoff an answer loses by using its whole due time up
 	latePayoff      = 0.3   // payoff of a late answer: better than none, worse than any in time
-	busyShare       = 0.7   // of the room there is: with more in flight there is none for second legs
+	busyShare       = 0.7   // of the room there is: with less in flight the limits do not bind
 	homes           = 2     // backends a key is kept to at first; one alone is crowded by a popular key
 	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
