--- a/balance/balance.go
+++ b/balance/balance.go
@@ -43,7 +43,7 @@
 	spareMost       = 10.0  // legs; saved up for a short trouble
 	quotaSlack      = 1.2   // of this proxy's even part of a customer's share: clients do not spread evenly
 	quotaBurst      = 1.0   // s of that part, saved up
-	againPart       = 0.7   // of the priority, for a client's further try: part of its due time is gone
+	againPart       = 0.3   // of the priority, for a client's further try: most of its due time is gone
 	answerEarly     = 0.01  // s before the hard stop, more than two of any proxy's ticks
 	windowMargin    = 0.01  // s before a dedup window closes, for the way to the backend
 	coldMargin      = 0.3   // of the fall budget; the bucket may pass twice this in one window
