--- a/balance/balance.go
+++ b/balance/balance.go
@@ -46,7 +46,8 @@
 	againPart       = 0.3   // of the priority, for a client's further try: most of its due time is gone
 	answerEarly     = 0.01  // s before the hard stop, more than two of any proxy's ticks
 	windowMargin    = 0.01  // s before a dedup window closes, for the way to the backend
-	coldMargin      = 0.3   // of the fall budget; the bucket may pass twice this in one window
+	coldMargin      = 0.4   // of the fall budget, as it flows
+	coldDepth       = 0.5   // of a window's flow may come at once: in all 0.6 of the budget in any window
 	pumpEvery       = 0.02  // s between looks at held lookups when nothing else happens
 	askFirst        = 0.25  // s; first pause before asking the list again
 	askMost         = 4.0   // s; longest such pause
@@ -573,7 +574,7 @@
 	part := b.d.ColdShare + (1-b.d.ColdShare)*max(b.now-s.UpSince, 0)/max(b.d.ColdFor, 1e-9)
 	rate := coldMargin * b.d.FallMultiple * part / float64(b.d.Proxies)
 	s.level, s.levelAt = max(0, s.level-(b.now-s.levelAt)*rate), b.now
-	return s.level == 0 || s.level+b.typical(l) <= rate*b.d.FallFor
+	return s.level == 0 || s.level+b.typical(l) <= rate*b.d.FallFor*coldDepth
 }
 
 func (b *Balancer) cost(l *Lookup) float64 {
