--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,7 +26,7 @@
 	forget          = 10.0  // s; unheard this long, a payoff has gone most of the way back to the mean
 	haste           = 0.4   // payoff an answer loses by using its whole due time up
 	latePayoff      = 0.3   // payoff of a late answer: better than none, worse than any in time
-	busyShare       = 0.7   // of the room there is: with less in flight the limits do not bind
+	busyShare       = 0.9   // of the room there is: with less in flight the limits do not bind
 	homes           = 2     // backends a key is kept to at first; one alone is crowded by a popular key
 	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
@@ -493,7 +493,7 @@
 		} else {
 			s.payoff(b, latePayoff)
 		}
-		if float64(b.out) < busyShare*b.room {
+		if float64(b.out+1) < busyShare*b.room { // with the leg that just ended
 			return // danger: a limit that moves while it does not bind is wrong when it does
 		}
 		if latency > min(slowShare*due, slowMedians*l.row.base*max(l.heavy, 1)) {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -373,6 +373,20 @@
 	assert.Zero(t, sends(steps), "held while the backend is at its limit")
 }
 
+func TestLimitsGrowAtAQuietProxyOfMany(t *testing.T) {
+	d := deployment()
+	d.Proxies = 18
+	k := open(t, d, 16)
+	for range 10 {
+		one, _ := k.take(Arrival{})
+		two, _ := k.take(Arrival{})
+		one.Ended(k.clock, 0, Honoured, 0.05, true)
+		two.Ended(k.clock, 0, Honoured, 0.05, true)
+	}
+	k.take(Arrival{})
+	assert.Greater(t, k.room, 16*firstLimit/18, "the leg that ends belongs to what bound")
+}
+
 func TestStreamBelongsToItsLeg(t *testing.T) {
 	k := open(t, deployment(), 6)
 	l, _ := k.take(Arrival{})
