Dead case, unread settings and a doubled computation removed

Left from the legs that were taken back: a case for a second copy, a counter, LateValue and Zone, which the module no longer reads, and the lookup of zones behind it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -143,7 +143,6 @@
 			l.row.served += meanPart
 		}
 		b.close(l, -1)
-	case l.out > 0: // another copy may still answer
 	case g.neverRan:
 		b.next(l)
 	case b.spare >= 1:
@@ -417,10 +416,11 @@
 		if b.cold(s) && !b.coldRoom(l, s) {
 			continue
 		}
-		score := b.payNow(s, mean) / keyTemperature
+		pay := b.payNow(s, mean)
+		score := pay / keyTemperature
 		if !b.warm(l) {
 			heft := haste * max(l.heavy-1, 0) * l.row.median() * s.pace / l.row.Due // its work's cost here
-			score = (b.payNow(s, mean)-heft)/temperature + math.Log(s.limit)        // not for keys: limits differ
+			score = (pay-heft)/temperature + math.Log(s.limit)                      // not for keys: limits differ
 		}
 		b.cands = append(b.cands, cand{s, score + b.noise(l, s)})
 	}
--- a/balance/check.go
+++ b/balance/check.go
@@ -19,8 +19,7 @@
 		{"value beyond share", d.BeyondShare}}
 	for _, t := range d.Tariffs {
 		figures = append(figures, figure{t.Name + ": due time", t.Due}, figure{t.Name + ": hard stop", t.HardStop},
-			figure{t.Name + ": window", t.Window}, figure{t.Name + ": value", t.Value},
-			figure{t.Name + ": late value", t.LateValue})
+			figure{t.Name + ": window", t.Window}, figure{t.Name + ": value", t.Value})
 		if t.HardStop == 0 {
 			return fmt.Errorf("%s: no hard stop", t.Name)
 		}
--- a/balance/state.go
+++ b/balance/state.go
@@ -50,7 +50,6 @@
 	roundLast, accessLast float64
 	cooldown              float64
 	pay, heard            float64 // smoothed payoff, when last heard
-	good                  float64 // answers in good time since the last cut
 	pace                  float64 // smoothed time of its answers over the usual for their work
 	known                 bool    // heard at all
 	inFlight              int
--- a/balance/types.go
+++ b/balance/types.go
@@ -46,7 +46,6 @@
 type Deployment struct {
 	Seed         uint64
 	Proxies      int // proxies in the bank, this one included
-	Zone         int // the zone this proxy stands in
 	Tariffs      []Tariff
 	Customers    []Customer
 	ValueByWork  bool    // a lookup's value is its tariff's for each unit of its work
@@ -68,14 +67,13 @@
 
 // Tariff is a class of lookups.
 type Tariff struct {
-	Name      string
-	Kind      Kind
-	Scope     Scope   // for Referenced
-	Window    float64 // for Referenced: how long repeats are known
-	Due       float64 // an answer within this time earns the full value; 0: none set
-	HardStop  float64 // the client waits no longer
-	Value     float64
-	LateValue float64 // fraction of the value an answer past the due time earns
+	Name     string
+	Kind     Kind
+	Scope    Scope   // for Referenced
+	Window   float64 // for Referenced: how long repeats are known
+	Due      float64 // an answer within this time earns the full value; 0: none set
+	HardStop float64 // the client waits no longer
+	Value    float64
 }
 
 // Customer is a tenant with a share of the service.
--- a/internal/benchwire/launch.go
+++ b/internal/benchwire/launch.go
@@ -24,7 +24,6 @@
 	w.Deployment = balance.Deployment{
 		Seed:         seed,
 		Proxies:      int(e.num("ReplicasOfMe")),
-		Zone:         place(w.Zones, e.values["Zone"]),
 		ValueByWork:  e.values["ValuePer"] == "work",
 		WholeWeight:  e.num("ObjectiveMix.Whole") + e.num("ObjectiveMix.WorstWindow"),
 		WorstWeight:  e.num("ObjectiveMix.WorstClass"),
@@ -44,12 +43,11 @@
 	for i := range int(e.num("Profiles.count")) {
 		p := fmt.Sprintf("Profiles.%d.", i)
 		t := balance.Tariff{
-			Name:      e.values[p+"Name"],
-			Window:    e.num(p+"WindowMs") / 1000,
-			Due:       e.num(p+"DueTimeMs") / 1000,
-			HardStop:  e.num(p+"HardStopMs") / 1000,
-			Value:     e.num(p + "Value"),
-			LateValue: e.num(p + "LateValue"),
+			Name:     e.values[p+"Name"],
+			Window:   e.num(p+"WindowMs") / 1000,
+			Due:      e.num(p+"DueTimeMs") / 1000,
+			HardStop: e.num(p+"HardStopMs") / 1000,
+			Value:    e.num(p + "Value"),
 		}
 		t.Kind = choice(e, p+"Effect", kinds)
 		if t.Kind == balance.Referenced {
@@ -97,13 +95,3 @@
 	}
 	return w
 }
-
-// place is where a name stands in a list, or -1.
-func place(names []string, name string) int {
-	for i, n := range names {
-		if n == name {
-			return i
-		}
-	}
-	return -1
-}
