A cold budget smaller than a lookup is staked for it by chance

Cause: a proxy with an empty bucket could send one lookup whatever its part; 350 first lookups push a cold server over.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -235,9 +235,6 @@
 	l.out++
 	b.out++
 	s.inFlight++
-	if b.cold(s) {
-		s.level += b.typical(l)
-	}
 	b.step(Step{Ref: l.Ref, Send: true, Backend: s.Index, Until: l.HardStop,
 		Wake: min(b.now+b.patience(l), l.HardStop-answerEarly)})
 }
@@ -413,9 +410,6 @@
 			continue
 		}
 		full = true
-		if b.cold(s) && !b.coldRoom(l, s) {
-			continue
-		}
 		pay := b.payNow(s, mean)
 		score := pay / keyTemperature
 		if !b.warm(l) {
@@ -432,7 +426,7 @@
 		draws = min(draws, homes)
 	}
 	var last *server
-	for range draws {
+	for n := 0; n < draws; n++ {
 		top := 0
 		for i := range b.cands {
 			if b.cands[i].score > b.cands[top].score {
@@ -440,6 +434,14 @@
 			}
 		}
 		s := b.cands[top].s
+		b.cands[top].score = math.Inf(-1)
+		if b.cold(s) {
+			if float64(s.inFlight) <= bound && b.coldRoom(l, s) {
+				return s, true
+			}
+			draws = min(draws+1, len(b.cands))
+			continue
+		}
 		if float64(s.inFlight) < max(s.limit, 1) {
 			if float64(s.inFlight) <= bound {
 				return s, true
@@ -448,7 +450,6 @@
 				last = s
 			}
 		}
-		b.cands[top].score = math.Inf(-1)
 	}
 	return last, full
 }
@@ -568,15 +569,14 @@
 
 func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.d.ColdFor }
 
-// coldRoom is a leaky bucket: this proxy's part of what pushes a cold server over, at the least capacity it
-// can have by now. A service time counts for the work, so one core is taken for granted and no more.
+// coldRoom takes a lookup's work from a leaky bucket: this proxy's part of what pushes a cold server over, at the
+// least capacity it can have by now. A service time counts for the work, so one core is taken for granted.
+// What is left of a bucket smaller than a lookup is staked for it by chance.
 func (b *Balancer) coldRoom(l *Lookup, s *server) bool {
 	part := b.d.ColdShare + (1-b.d.ColdShare)*max(b.now-s.UpSince, 0)/max(b.d.ColdFor, 1e-9)
 	rate := coldMargin * b.d.FallMultiple * part / float64(b.d.Proxies)
 	s.level, s.levelAt = max(0, s.level-(b.now-s.levelAt)*rate), b.now
-	return s.level == 0 || s.level+b.typical(l) <= rate*b.d.FallFor*coldDepth
-}
-
-func (b *Balancer) cost(l *Lookup) float64 {
-	return l.row.median() * max(l.heavy, 0.5)
+	stake, work := max(0, rate*b.d.FallFor*coldDepth-s.level), b.typical(l)
+	s.level += min(stake, work)
+	return b.chance.Float()*work < stake // danger: one lookup each from hundreds of proxies is a flood
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -317,6 +317,37 @@
 	}
 }
 
+func TestColdBudgetOfManyProxies(t *testing.T) {
+	for seed := range uint64(5) {
+		d := deployment()
+		d.Proxies, d.Seed = 300, seed
+		var bank []*bank
+		for range d.Proxies {
+			d.Seed = d.Seed*0x9e3779b97f4a7c15 + 11
+			k := open(t, d, 2)
+			k.hear(k.servers[0], "hhhhhhhhhhhhhh")
+			list := backends(2)
+			list[1].UpSince = 0.001
+			k.Listed(0.001, false, false, list[1:])
+			k.servers[0].limit = k.servers[1].limit
+			bank = append(bank, k)
+		}
+		var sent float64 // in one window, as all of them want to send
+		for now := 0.01; now < d.FallFor; now += 0.05 {
+			for _, k := range bank {
+				k.now = now
+				l := &Lookup{b: k.Balancer, row: &k.rows[0], Arrival: Arrival{HardStop: 9}, heavy: 1}
+				if s, _ := k.pick(l); s != nil && s.Index == 1 {
+					sent += k.typical(l)
+				}
+			}
+		}
+		budget := d.FallMultiple * d.ColdShare * d.FallFor
+		assert.Less(t, sent, budget)
+		assert.Greater(t, sent, budget/4, "it is used all the same")
+	}
+}
+
 func TestHeldLookups(t *testing.T) {
 	d := deployment(Tariff{Name: "cheap"}, Tariff{Name: "dear", Value: 9})
 	d.Customers, d.BeyondShare = []Customer{{"small", 2}, {"large", 1000}}, 0.05
