--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,7 @@
 	latePayoff      = 0.3   // payoff of a late answer: better than none, worse than any in time
 	busyShare       = 0.9   // of the room there is: with less in flight the limits do not bind
 	homes           = 2     // backends a key is kept to at first; one alone is crowded by a popular key
+	keyShares       = 1.0   // of a server's even share of all lookups: a key with more counts as several keys
 	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
@@ -87,6 +88,9 @@
 		l.heavy = a.Work / r.work
 		r.work += meanPart * (a.Work - r.work)
 	}
+	if b.warm(l) { // danger: one key of many lookups crowds its homes; it counts as several keys
+		l.Key += uint64(b.chance.Float() * math.Ceil(b.keys.Add(l.Key)*b.servable/keyShares))
+	}
 	for i := range b.rows {
 		b.rows[i].share -= meanPart * b.rows[i].share
 	}
@@ -421,7 +425,8 @@
 	if float64(b.out) >= max(b.room, 1) { // danger: limits below one must hold for all backends together
 		return nil, full
 	}
-	bound, draws := crowdMultiple*float64(b.out)/float64(max(admitted, 1)), len(b.cands)
+	b.servable = float64(max(admitted, 1))
+	bound, draws := crowdMultiple*float64(b.out)/b.servable, len(b.cands)
 	if b.warm(l) && b.now < l.taken+homeTime*l.row.Due { // danger: a key on every server is warm on none
 		draws = min(draws, homes)
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -18,6 +18,8 @@
 	orders        Orders
 	out           int     // legs in flight
 	room          float64 // legs all admitted servers bear, as of the last pick
+	servable      float64 // servers admitted as of the last pick
+	keys          measure.Shares
 	failShare     float64 // share of all results that were failures, smoothed
 	spare         float64 // further legs saved up
 	pace, lastEnd float64 // s between ends of legs while lookups are held; the last one
