--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,7 +33,7 @@
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
 	leastLimit      = 1.0   // legs of all proxies together: a backend is never wholly shut by its limit
-	limitGain       = 0.4   // legs a second at the server; doubled it chokes servers, halved it starves bursts
+	limitGain       = 1.0   // legs a second at the server, of all proxies; doubled it chokes servers, halved it starves bursts
 	limitCut        = 0.9   // factor on a slow answer
 	limitFull       = 0.7   // factor on no room, a plain sign
 	slowShare       = 0.35  // of the due time: an answer slower than this was kept waiting
@@ -52,7 +52,8 @@
 	pumpEvery       = 0.02  // s between looks at held lookups when nothing else happens
 	askFirst        = 0.25  // s; first pause before asking the list again
 	askMost         = 4.0   // s; longest such pause
-	paceSmoothing   = 0.05  // of a gap between ends: about twenty gaps
+	paceSmoothing   = 0.05  // of a gap between sends: about twenty gaps
+	spareLegs       = 4.0   // usual legs past the room, saved up: arrivals at a quiet proxy come in clumps
 	meanPart        = 0.02  // smoothing of fleet-wide means: about fifty results
 )
 
@@ -63,7 +64,7 @@
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, spare: spareMost, askPause: askFirst,
-		askAt: math.Inf(1), lastEnd: now}
+		askAt: math.Inf(1), lastSend: now}
 	for _, c := range d.Customers {
 		b.purses = append(b.purses, purse{c.Quota, now})
 	}
@@ -132,10 +133,6 @@
 	g.out, g.neverRan = false, o == NoRoom || o == NoRoute || o == NeverSent
 	l.out--
 	b.out--
-	if len(b.held) > 0 { // only then does every place freed go to one
-		b.pace += paceSmoothing * (now - b.lastEnd - b.pace)
-	}
-	b.lastEnd = now
 	g.s.inFlight--
 	if !(g.started && o == Honoured) { // its time to the end is the client's
 		b.learn(l, g, o, latency)
@@ -239,6 +236,10 @@
 	l.out++
 	b.out++
 	s.inFlight++
+	if len(b.held) > 0 { // only then does every place go to one of them
+		b.pace += paceSmoothing * (b.now - b.lastSend - b.pace)
+	}
+	b.lastSend = b.now
 	b.step(Step{Ref: l.Ref, Send: true, Backend: s.Index, Until: l.HardStop,
 		Wake: min(b.now+b.patience(l), l.HardStop-answerEarly)})
 }
@@ -375,7 +376,7 @@
 		full := true
 		if !stuck || len(l.legs) > 0 {
 			s, full = b.pick(l)
-			stuck = stuck || s == nil && full && (float64(b.out) >= b.room || len(l.legs) == 0 && !b.warm(l))
+			stuck = stuck || s == nil && full && (float64(b.out) >= b.room && b.credit <= 0 || len(l.legs) == 0 && !b.warm(l))
 		}
 		switch {
 		case s != nil:
@@ -422,7 +423,7 @@
 		}
 		b.cands = append(b.cands, cand{s, score + b.noise(l, s)})
 	}
-	if float64(b.out) >= max(b.room, 1) { // danger: limits below one must hold for all backends together
+	if float64(b.out) >= b.room && b.credit <= 0 { // danger: a room below one leg binds over time, not at once
 		return nil, full
 	}
 	b.servable = float64(max(admitted, 1))
@@ -505,7 +506,7 @@
 		if latency > min(slowShare*due, slowMedians*l.row.base*max(l.heavy, 1)) {
 			b.cut(s, limitCut)
 		} else if float64(s.inFlight)+2 > s.limit {
-			s.limit += limitGain * latency
+			s.limit += limitGain * latency / float64(b.d.Proxies)
 		}
 	default:
 		if !g.counted {
--- a/balance/state.go
+++ b/balance/state.go
@@ -7,25 +7,26 @@
 
 // Balancer decides for one proxy. It is not safe for concurrent use.
 type Balancer struct {
-	d             Deployment
-	chance        chance.Source
-	now           float64
-	servers       []*server // by Backend.Index, nil where there is none
-	rows          []row     // one a tariff
-	purses        []purse   // one a customer
-	held          []*Lookup // waiting with nothing out, by value, then by age
-	cands         []cand    // scratch
-	orders        Orders
-	out           int     // legs in flight
-	room          float64 // legs all admitted servers bear, as of the last pick
-	servable      float64 // servers admitted as of the last pick
-	keys          measure.Shares
-	failShare     float64 // share of all results that were failures, smoothed
-	spare         float64 // further legs saved up
-	pace, lastEnd float64 // s between ends of legs while lookups are held; the last one
-	askPause      float64
-	askAt         float64 // when to ask the list again; +Inf: no need
-	pumpAt        float64
+	d              Deployment
+	chance         chance.Source
+	now            float64
+	servers        []*server // by Backend.Index, nil where there is none
+	rows           []row     // one a tariff
+	purses         []purse   // one a customer
+	held           []*Lookup // waiting with nothing out, by value, then by age
+	cands          []cand    // scratch
+	orders         Orders
+	out            int     // legs in flight
+	room           float64 // legs all admitted servers bear, as of the last pick
+	servable       float64 // servers admitted as of the last pick
+	keys           measure.Shares
+	failShare      float64 // share of all results that were failures, smoothed
+	spare          float64 // further legs saved up
+	pace, lastSend float64 // s between sends while lookups are held; the last one
+	credit         float64 // legs times seconds below the room, saved up
+	askPause       float64
+	askAt          float64 // when to ask the list again; +Inf: no need
+	pumpAt         float64
 }
 
 // row holds what differs by tariff.
@@ -87,6 +88,8 @@
 func (l *Lookup) Done() bool { return l.over && l.out == 0 }
 
 func (b *Balancer) begin(now float64) *Balancer {
+	b.credit += (b.room - float64(b.out)) * (now - b.now)
+	b.credit = min(b.credit, spareLegs*b.rows[0].median())
 	b.now = now
 	b.orders = Orders{Steps: b.orders.Steps[:0]}
 	return b
