Payoffs learned for fleet, model, pod and server at once

Cause: at a few lookups a second over sixty servers a payoff is forgotten before it is heard again; what servers of a model and a pod share is learned in seconds.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,7 +22,8 @@
 	cbkErrRate      = 0.5   // share; the source's: a backend failing more than it serves
 	temperature     = 0.1   // payoff; a backend 0.2 worse is drawn an eighth as often
 	keyTemperature  = 0.25  // payoff, for lookups with a key: a passing dip of a payoff must not move keys
-	smoothing       = 0.1   // of the old payoff replaced a result: about ten results are remembered
+	smoothing       = 0.1   // of a server's pace replaced a result: about ten results are remembered
+	oneResult       = 1.0   // chance in one payoff, over the usual square of what one server differs by
 	forget          = 10.0  // s; unheard this long, a payoff has gone most of the way back to the mean
 	haste           = 0.4   // payoff an answer loses by using its whole due time up
 	latePayoff      = 0.3   // payoff of a late answer: better than none, worse than any in time
@@ -64,7 +65,7 @@
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, spare: spareMost, askPause: askFirst,
-		askAt: math.Inf(1), lastSend: now}
+		shared: map[[2]int]*opinion{}, askAt: math.Inf(1), lastSend: now}
 	for _, c := range d.Customers {
 		b.purses = append(b.purses, purse{c.Quota, now})
 	}
@@ -204,6 +205,7 @@
 		s := b.servers[e.Index]
 		if s == nil || s.UpSince != e.UpSince && e.State == Ready { // danger: a restart is a cold backend
 			s = &server{limit: firstLimit / float64(b.d.Proxies), pace: 1}
+			s.opinions = [4]*opinion{b.opinion(0, 0), b.opinion(1, e.Model), b.opinion(2, e.Pod), {}}
 			b.servers[e.Index] = s
 		}
 		s.Backend = e
@@ -403,7 +405,7 @@
 		return nil, false
 	}
 	b.cands = b.cands[:0]
-	full, admitted, mean := false, 0, b.meanPay()
+	full, admitted := false, 0
 	b.room = 0
 	for _, s := range b.servers {
 		if s == nil || s.State != Ready || !b.admitted(s) {
@@ -415,7 +417,7 @@
 			continue
 		}
 		full = true
-		pay := b.payNow(s, mean)
+		pay := b.payNow(s)
 		score := pay / keyTemperature
 		if !b.warm(l) {
 			heft := haste * max(l.heavy-1, 0) * l.row.median() * s.pace / l.row.Due // its work's cost here
@@ -546,31 +548,38 @@
 	}
 }
 
+// payoff tells what a leg at a server was worth. What surprises goes to the server, its model, its pod and the
+// fleet by how little is known of each: a proxy of many hears too seldom from one server, often enough of its like.
 func (s *server) payoff(b *Balancer, p float64) {
-	old := b.payNow(s, b.meanPay())
-	s.pay, s.heard, s.known = old+smoothing*(p-old), b.now, true
+	miss, total := p-b.payNow(s), oneResult
+	for _, o := range s.opinions {
+		fade := math.Exp((o.heard - b.now) / forget)
+		o.pay, o.sure, o.heard = o.pay*fade, o.sure*fade, b.now
+		total += 1 - o.sure
+	}
+	for _, o := range s.opinions {
+		part := (1 - o.sure) / total
+		o.pay += part * miss
+		o.sure += part * (1 - o.sure)
+	}
 }
 
-// payNow is a server's payoff; unheard, it goes back to the mean.
-func (b *Balancer) payNow(s *server, mean float64) float64 {
-	if !s.known {
-		return mean
+// payNow is a server's payoff; what was long unheard is forgotten, so it goes back to that of its like.
+func (b *Balancer) payNow(s *server) float64 {
+	p := 1.0
+	for _, o := range s.opinions {
+		p += o.pay * math.Exp((o.heard-b.now)/forget)
 	}
-	return mean + (s.pay-mean)*math.Exp(-(b.now-s.heard)/forget)
+	return p
 }
 
-func (b *Balancer) meanPay() float64 {
-	sum, n := 0.0, 0.0
-	for _, s := range b.servers {
-		if s != nil && s.known {
-			sum += s.pay
-			n++
-		}
-	}
-	if n == 0 {
-		return 1
+// opinion is the one that servers of a model or of a pod share.
+func (b *Balancer) opinion(group, i int) *opinion {
+	k := [2]int{group, i}
+	if b.shared[k] == nil {
+		b.shared[k] = &opinion{}
 	}
-	return sum / n
+	return b.shared[k]
 }
 
 func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.d.ColdFor }
--- a/balance/state.go
+++ b/balance/state.go
@@ -20,6 +20,7 @@
 	room           float64 // legs all admitted servers bear, as of the last pick
 	servable       float64 // servers admitted as of the last pick
 	keys           measure.Shares
+	shared         map[[2]int]*opinion
 	failShare      float64 // share of all results that were failures, smoothed
 	spare          float64 // further legs saved up
 	pace, lastSend float64 // s between sends while lookups are held; the last one
@@ -52,14 +53,16 @@
 	errCount, totalCount  int
 	roundLast, accessLast float64
 	cooldown              float64
-	pay, heard            float64 // smoothed payoff, when last heard
-	pace                  float64 // smoothed time of its answers over the usual for their work
-	known                 bool    // heard at all
+	opinions              [4]*opinion // of the fleet, its model, its pod and itself
+	pace                  float64     // smoothed time of its answers over the usual for their work
 	inFlight              int
 	limit                 float64 // legs it bears from this proxy; below one, only some of the time
 	level, levelAt        float64 // cold budget spent, s of work
 }
 
+// opinion is by how much the payoff of servers alike differs from what is else known of them.
+type opinion struct{ pay, sure, heard float64 }
+
 type cand struct {
 	s     *server
 	score float64
--- a/cmd/benchlink/host.go
+++ b/cmd/benchlink/host.go
@@ -26,6 +26,7 @@
 	customers map[string]int
 	zones     map[string]int
 	backends  map[string]int
+	models    map[string]int
 	names     []string // of backends
 	lookups   map[string]int
 	slots     []slot // by Arrival.Ref; a timer's label is one more, that of the balancer's own is 0
@@ -61,7 +62,7 @@
 		return err
 	}
 	in := &instance{b: b, tariffs: map[string]int{}, customers: map[string]int{}, zones: map[string]int{},
-		backends: map[string]int{}, lookups: map[string]int{}}
+		backends: map[string]int{}, models: map[string]int{}, lookups: map[string]int{}}
 	for i, t := range l.Tariffs {
 		in.tariffs[t.Name] = i
 	}
@@ -97,8 +98,13 @@
 			in.backends[e.Name] = n
 			in.names = append(in.names, e.Name)
 		}
+		m, ok := in.models[e.ModelName]
+		if !ok {
+			m = len(in.models)
+			in.models[e.ModelName] = m
+		}
 		list[i] = e.Backend
-		list[i].Index, list[i].Mark, list[i].Zone = n, hash(e.Name), -1
+		list[i].Index, list[i].Mark, list[i].Zone, list[i].Model = n, hash(e.Name), -1, m
 		if z, ok := in.zones[e.ZoneName]; ok {
 			list[i].Zone = z
 		}
--- a/internal/benchwire/reader.go
+++ b/internal/benchwire/reader.go
@@ -45,10 +45,10 @@
 	Zones []string
 }
 
-// Entry is a backend with its names; the rest is as the module takes it, but for Index, Mark and Zone.
+// Entry is a backend with its names; the rest is as the module takes it, but for Index, Mark, Zone and Model.
 type Entry struct {
 	balance.Backend
-	Name, ZoneName string
+	Name, ZoneName, ModelName string
 }
 
 // Order is a lookup with its names; the rest is as the module takes it, but for Ref, Tariff, Customer and Key.
@@ -205,6 +205,7 @@
 			left--
 			e := Entry{Name: l.must("Backend")}
 			e.ZoneName, _ = l.text("Az")
+			e.ModelName, _ = l.text("Flavor")
 			e.State = word(l, "StageState", states)
 			e.UpSince = l.maybe("UpSinceMs") / 1000
 			e.Pod = int(l.maybe("Pack"))
