--- a/balance/balance.go
+++ b/balance/balance.go
@@ -378,7 +378,7 @@
 		full := true
 		if !stuck || len(l.legs) > 0 {
 			s, full = b.pick(l)
-			stuck = stuck || s == nil && full && (float64(b.out) >= b.room && b.credit <= 0 || len(l.legs) == 0 && !b.warm(l))
+			stuck = stuck || s == nil && full && (float64(b.out) >= b.space() || len(l.legs) == 0 && !b.warm(l))
 		}
 		switch {
 		case s != nil:
@@ -425,7 +425,7 @@
 		}
 		b.cands = append(b.cands, cand{s, score + b.noise(l, s)})
 	}
-	if float64(b.out) >= b.room && b.credit <= 0 { // danger: a room below one leg binds over time, not at once
+	if float64(b.out) >= b.space() { // danger: a room below one leg binds over time, not at once
 		return nil, full
 	}
 	b.servable = float64(max(admitted, 1))
@@ -486,7 +486,7 @@
 	switch o {
 	case CalledOff, NeverSent: // these count neither way
 	case NoRoom: // a busy backend is not a broken one: its row stays
-		b.cut(s, limitFull)
+		s.limit = max(leastLimit/float64(b.d.Proxies), s.limit*limitFull)
 		s.payoff(b, 0)
 	case Honoured:
 		b.result(s, true)
@@ -502,13 +502,16 @@
 		} else {
 			s.payoff(b, latePayoff)
 		}
-		if float64(b.out+1) < busyShare*b.room { // with the leg that just ended
+		if float64(b.out+1) < busyShare*b.space() { // with the leg that just ended
 			return // danger: a limit that moves while it does not bind is wrong when it does
 		}
-		if latency > min(slowShare*due, slowMedians*l.row.base*max(l.heavy, 1)) {
-			b.cut(s, limitCut)
+		grow := 1 + limitGain*latency/float64(b.d.Proxies)/s.limit
+		if latency > due {
+			b.move(s, limitCut, limitCut)
+		} else if latency > min(slowShare*due, slowMedians*l.row.base*max(l.heavy, 1)) {
+			b.move(s, limitCut, grow)
 		} else if float64(s.inFlight)+2 > s.limit {
-			s.limit += limitGain * latency / float64(b.d.Proxies)
+			b.move(s, grow, grow)
 		}
 	default:
 		if !g.counted {
@@ -518,10 +521,23 @@
 	}
 }
 
-func (b *Balancer) cut(s *server, factor float64) {
-	s.limit = max(leastLimit/float64(b.d.Proxies), s.limit*factor)
+// move changes a server's limit, and the others' too as far as too little is heard from it to learn it alone.
+func (b *Balancer) move(s *server, factor, others float64) {
+	unsure := 1 - s.opinions[len(s.opinions)-1].sure
+	shared := math.Pow(others, unsure*unsure)
+	for _, o := range b.servers {
+		if o == s {
+			o.limit *= factor / shared
+		}
+		if o != nil {
+			o.limit = max(leastLimit/float64(b.d.Proxies), o.limit*shared)
+		}
+	}
 }
 
+// space is what may be out now: the room, and what was saved up below it, spent in a usual time.
+func (b *Balancer) space() float64 { return b.room + b.credit/b.rows[0].median() }
+
 // result keeps the breaker's row of a server.
 func (b *Balancer) result(s *server, ok bool) {
 	b.failShare -= meanPart * b.failShare
