Held lookups' pace counts waits only; overdue legs leave the room

Cause: a room under one leg held lookups while servers were idle; the gap since the last send of a quiet proxy passed for a wait; legs at slow servers held the room.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -133,7 +133,9 @@
 	g := &l.legs[i]
 	g.out, g.neverRan = false, o == NoRoom || o == NoRoute || o == NeverSent
 	l.out--
-	b.out--
+	if !g.counted {
+		b.out--
+	}
 	g.s.inFlight--
 	if !(g.started && o == Honoured) { // its time to the end is the client's
 		b.learn(l, g, o, latency)
@@ -172,6 +174,7 @@
 			continue
 		}
 		g.counted = true // danger: a hanging backend would be known only a hard stop later
+		b.out--          // danger: the legs it holds would hold all others back
 		b.result(g.s, false)
 		g.s.payoff(b, 0)
 	}
@@ -363,6 +366,9 @@
 // next holds a lookup with nothing out, by priority, then by age; pump sends it at once where there is room.
 func (b *Balancer) next(l *Lookup) {
 	i := len(b.held)
+	if i == 0 {
+		b.lastSend = b.now // danger: at a quiet proxy the time since the last send is not the wait
+	}
 	for i > 0 && b.held[i-1].priority < l.priority {
 		i--
 	}
