Cold budget saved up until a server's turn comes

Cause: at a proxy that turns to a server every ten seconds, a bucket half a window deep lost nearly all that flowed.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -65,7 +65,7 @@
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, spare: spareMost, askPause: askFirst,
-		shared: map[[2]int]*opinion{}, askAt: math.Inf(1), lastSend: now}
+		shared: map[[2]int]*opinion{}, askAt: math.Inf(1), lastSend: now, lastTake: now}
 	for _, c := range d.Customers {
 		b.purses = append(b.purses, purse{c.Quota, now})
 	}
@@ -98,6 +98,8 @@
 	}
 	r.share += meanPart
 	l.priority = b.priority(l)
+	b.gap += meanPart * (now - b.lastTake - b.gap)
+	b.lastTake = now
 	b.spare = min(b.spare+sparePart, spareMost)
 	b.step(Step{Ref: a.Ref, Wake: a.HardStop - answerEarly})
 	b.next(l)
@@ -207,7 +209,7 @@
 		}
 		s := b.servers[e.Index]
 		if s == nil || s.UpSince != e.UpSince && e.State == Ready { // danger: a restart is a cold backend
-			s = &server{limit: firstLimit / float64(b.d.Proxies), pace: 1}
+			s = &server{limit: firstLimit / float64(b.d.Proxies), pace: 1, flowed: now}
 			s.opinions = [4]*opinion{b.opinion(0, 0), b.opinion(1, e.Model), b.opinion(2, e.Pod), {}}
 			b.servers[e.Index] = s
 		}
@@ -608,12 +610,14 @@
 
 // coldRoom takes a lookup's work from a leaky bucket: this proxy's part of what pushes a cold server over, at the
 // least capacity it can have by now. A service time counts for the work, so one core is taken for granted.
-// What is left of a bucket smaller than a lookup is staked for it by chance.
+// What a bucket holds short of a lookup is staked for it by chance; it holds what flows until a server's turn.
 func (b *Balancer) coldRoom(l *Lookup, s *server) bool {
 	part := b.d.ColdShare + (1-b.d.ColdShare)*max(b.now-s.UpSince, 0)/max(b.d.ColdFor, 1e-9)
 	rate := coldMargin * b.d.FallMultiple * part / float64(b.d.Proxies)
-	s.level, s.levelAt = max(0, s.level-(b.now-s.levelAt)*rate), b.now
-	stake, work := max(0, rate*b.d.FallFor*coldDepth-s.level), b.typical(l)
-	s.level += min(stake, work)
+	turn := max(b.d.FallFor*coldDepth, b.gap*b.servable)
+	s.bucket, s.flowed = min(s.bucket+(b.now-s.flowed)*rate, rate*turn), b.now
+	work := b.typical(l)
+	stake := min(s.bucket, work)
+	s.bucket -= stake
 	return b.chance.Float()*work < stake // danger: one lookup each from hundreds of proxies is a flood
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -20,6 +20,7 @@
 	room           float64 // legs all admitted servers bear, as of the last pick
 	servable       float64 // servers admitted as of the last pick
 	keys           measure.Shares
+	gap, lastTake  float64 // s between lookups taken; the last one
 	shared         map[[2]int]*opinion
 	failShare      float64 // share of all results that were failures, smoothed
 	spare          float64 // further legs saved up
@@ -57,7 +58,7 @@
 	pace                  float64     // smoothed time of its answers over the usual for their work
 	inFlight              int
 	limit                 float64 // legs it bears from this proxy; below one, only some of the time
-	level, levelAt        float64 // cold budget spent, s of work
+	bucket, flowed        float64 // cold budget saved up, s of work; when it last flowed
 }
 
 // opinion is by how much the payoff of servers alike differs from what is else known of them.
