Saved credit is spent by what a lookup adds

Cause: a proxy of many holds one or two lookups at a time and so cannot choose among them in overload; the cheap ones took the room.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -98,6 +98,7 @@
 	}
 	r.share += meanPart
 	l.priority = b.priority(l)
+	b.usual += meanPart * (l.priority - b.usual)
 	b.gap += meanPart * (now - b.lastTake - b.gap)
 	b.lastTake = now
 	b.spare = min(b.spare+sparePart, spareMost)
@@ -386,7 +387,7 @@
 		full := true
 		if !stuck || len(l.legs) > 0 {
 			s, full = b.pick(l)
-			stuck = stuck || s == nil && full && (float64(b.out) >= b.space() || len(l.legs) == 0 && !b.warm(l))
+			stuck = stuck || s == nil && full && (float64(b.out) >= b.space(l.priority) || len(l.legs) == 0 && !b.warm(l))
 		}
 		switch {
 		case s != nil:
@@ -433,7 +434,7 @@
 		}
 		b.cands = append(b.cands, cand{s, score + b.noise(l, s)})
 	}
-	if float64(b.out) >= b.space() { // danger: a room below one leg binds over time, not at once
+	if float64(b.out) >= b.space(l.priority) { // danger: a room below one leg binds over time, not at once
 		return nil, full
 	}
 	b.servable = float64(max(admitted, 1))
@@ -510,7 +511,7 @@
 		} else {
 			s.payoff(b, latePayoff)
 		}
-		if float64(b.out+1) < busyShare*b.space() { // with the leg that just ended
+		if float64(b.out+1) < busyShare*b.space(b.usual) { // with the leg that just ended
 			return // danger: a limit that moves while it does not bind is wrong when it does
 		}
 		grow := 1 + limitGain*latency/float64(b.d.Proxies)/s.limit
@@ -543,8 +544,13 @@
 	}
 }
 
-// space is what may be out now: the room, and what was saved up below it, spent in a usual time.
-func (b *Balancer) space() float64 { return b.room + b.credit/b.rows[0].median() }
+// space is what may be out for a lookup to be sent: the room, and what was saved up below it, spent in a usual
+// time. One that adds less than usual leaves some of that, one that adds more may run into debt: a quiet proxy
+// never holds enough lookups at once to choose among them.
+func (b *Balancer) space(priority float64) float64 {
+	reserve := (b.usual - priority) / max(b.usual+priority, 1e-9)
+	return b.room + b.credit/b.rows[0].median() - spareLegs*reserve
+}
 
 // result keeps the breaker's row of a server.
 func (b *Balancer) result(s *server, ok bool) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -20,6 +20,7 @@
 	room           float64 // legs all admitted servers bear, as of the last pick
 	servable       float64 // servers admitted as of the last pick
 	keys           measure.Shares
+	usual          float64 // priority of lookups, smoothed
 	gap, lastTake  float64 // s between lookups taken; the last one
 	shared         map[[2]int]*opinion
 	failShare      float64 // share of all results that were failures, smoothed
