--- a/balance/balance.go
+++ b/balance/balance.go
@@ -54,7 +54,7 @@
 	askFirst        = 0.25  // s; first pause before asking the list again
 	askMost         = 4.0   // s; longest such pause
 	paceSmoothing   = 0.05  // of a gap between sends: about twenty gaps
-	spareLegs       = 4.0   // usual legs past the room, saved up: arrivals at a quiet proxy come in clumps
+	spareLegs       = 8.0   // usual legs past the room, saved up: arrivals at a quiet proxy come in clumps
 	meanPart        = 0.02  // smoothing of fleet-wide means: about fifty results
 )
 
