A customer's purse holds six lookups at least

Cause: a part of a tenth of a lookup a second was judged by luck, and what was judged beyond its share was turned away.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,6 +45,7 @@
 	spareMost       = 10.0  // legs; saved up for a short trouble
 	quotaSlack      = 1.2   // of this proxy's even part of a customer's share: clients do not spread evenly
 	quotaBurst      = 1.0   // s of that part, saved up
+	quotaLeast      = 6.0   // lookups saved up at least: a part of a fraction of one a second is judged by luck
 	againPart       = 0.3   // of the priority, for a client's further try: most of its due time is gone
 	answerEarly     = 0.01  // s before the hard stop, more than two of any proxy's ticks
 	windowMargin    = 0.01  // s before a dedup window closes, for the way to the backend
@@ -67,7 +68,7 @@
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, spare: spareMost, askPause: askFirst,
 		shared: map[[2]int]*opinion{}, askAt: math.Inf(1), lastSend: now, lastTake: now}
 	for _, c := range d.Customers {
-		b.purses = append(b.purses, purse{c.Quota, now})
+		b.purses = append(b.purses, purse{c.Quota + quotaLeast, now})
 	}
 	for _, t := range d.Tariffs {
 		if t.Due == 0 { // no due time set: half of what the client waits
@@ -352,7 +353,7 @@
 // withinShare takes a lookup from its customer's purse, a client's further try excepted.
 func (b *Balancer) withinShare(l *Lookup) bool {
 	rate, p := b.d.Customers[l.Customer].Quota*quotaSlack/float64(b.d.Proxies), &b.purses[l.Customer]
-	p.left, p.at = min(p.left+(b.now-p.at)*rate, max(1, rate*quotaBurst)), b.now
+	p.left, p.at = min(p.left+(b.now-p.at)*rate, max(quotaLeast, rate*quotaBurst)), b.now
 	within := rate == 0 || p.left >= 1
 	if within && !l.Again {
 		p.left--
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -359,7 +359,9 @@
 		require.Empty(t, answers(steps), "held while it can be in time")
 		return l
 	}
-	k.take(Arrival{Customer: 0})
+	for range int(quotaLeast) + 2 {
+		k.take(Arrival{Customer: 0})
+	}
 	beyond := wait(Arrival{Customer: 0, Tariff: 1})
 	cheap := wait(Arrival{Customer: 1})
 	dear := wait(Arrival{Customer: 1, Tariff: 1})
