A quiet proxy keeps to a few servers of its own

Cause: at two lookups a second over seventy servers a slow one is met anew each time; ten slow ones cost a seventh of all lookups.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,6 +30,7 @@
 	busyShare       = 0.9   // of the room there is: with less in flight the limits do not bind
 	homes           = 2     // backends a key is kept to at first; one alone is crowded by a popular key
 	keyShares       = 1.0   // of a server's even share of all lookups: a key with more counts as several keys
+	fewResults      = 3.0   // results a server, before they are forgotten: with fewer a proxy keeps to some servers
 	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
@@ -91,8 +92,13 @@
 		l.heavy = a.Work / r.work
 		r.work += meanPart * (a.Work - r.work)
 	}
+	b.lookups++
+	b.gap += max(meanPart, 1/b.lookups) * (now - b.lastTake - b.gap)
+	b.lastTake = now
 	if b.warm(l) { // danger: one key of many lookups crowds its homes; it counts as several keys
-		l.Key += uint64(b.chance.Float() * math.Ceil(b.keys.Add(l.Key)*b.servable/keyShares))
+		l.place = l.Key + uint64(b.chance.Float()*math.Ceil(b.keys.Add(l.Key)*b.servable/keyShares))
+	} else if n := forget / b.gap / fewResults; n < b.servable {
+		l.place = b.d.Seed + uint64(b.chance.Float()*n) // danger: who sees little of all can tell none apart
 	}
 	for i := range b.rows {
 		b.rows[i].share -= meanPart * b.rows[i].share
@@ -100,8 +106,6 @@
 	r.share += meanPart
 	l.priority = b.priority(l)
 	b.usual += meanPart * (l.priority - b.usual)
-	b.gap += meanPart * (now - b.lastTake - b.gap)
-	b.lastTake = now
 	b.spare = min(b.spare+sparePart, spareMost)
 	b.step(Step{Ref: a.Ref, Wake: a.HardStop - answerEarly})
 	b.next(l)
@@ -480,12 +484,12 @@
 	return !s.paused || b.now >= s.accessLast+s.cooldown && s.inFlight == 0
 }
 
-// noise is Gumbel noise: by chance or, where backends stay warm for a key, by key and server, so that over
-// all keys the draw is the same and a key lands alike at every proxy.
+// noise is Gumbel noise: by chance or, where a lookup has its place, by that and the server. Backends that stay warm
+// for a key are its place, alike at every proxy; a quiet proxy has a few of its own. Over all places the draw is the same.
 func (b *Balancer) noise(l *Lookup, s *server) float64 {
 	u := b.chance.Float()
-	if b.warm(l) {
-		u = chance.Of(l.Key, s.Mark)
+	if l.place != 0 {
+		u = chance.Of(l.place, s.Mark)
 	}
 	return -math.Log(-math.Log(u))
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -100,19 +100,39 @@
 	two := open(t, d, 6)
 	used := map[int]bool{}
 	for key := uint64(1); key <= 40; key++ {
-		a, _ := one.pick(&Lookup{b: one.Balancer, row: &one.rows[0], Arrival: Arrival{HardStop: 9, Key: key}})
-		b, _ := two.pick(&Lookup{b: two.Balancer, row: &two.rows[0], Arrival: Arrival{HardStop: 9, Key: key}})
+		a, _ := one.pick(&Lookup{b: one.Balancer, row: &one.rows[0], place: key, Arrival: Arrival{HardStop: 9, Key: key}})
+		b, _ := two.pick(&Lookup{b: two.Balancer, row: &two.rows[0], place: key, Arrival: Arrival{HardStop: 9, Key: key}})
 		assert.Equal(t, a.Index, b.Index)
 		used[a.Index] = true
 	}
 	assert.Len(t, used, 6)
 }
 
+func TestQuietProxyKeepsToSomeServers(t *testing.T) {
+	for _, c := range []struct {
+		gap         float64 // s between lookups
+		least, most int     // servers used
+	}{{0.01, 60, 60}, {0.4, 4, 12}} {
+		k := open(t, deployment(), 60)
+		used := map[int]bool{}
+		for i := range 600 {
+			k.clock += c.gap
+			l, _ := k.take(Arrival{})
+			l.Ended(k.clock, 0, Honoured, 0.05, true)
+			if i > 100 {
+				used[l.legs[0].s.Index] = true
+			}
+		}
+		assert.GreaterOrEqual(t, len(used), c.least, c.gap)
+		assert.LessOrEqual(t, len(used), c.most, "who sees little of all can tell none apart")
+	}
+}
+
 func TestKeyWaitsForItsFirstServers(t *testing.T) {
 	d := deployment()
 	d.WarmKeys = true
 	k := open(t, d, 6)
-	l := &Lookup{b: k.Balancer, row: &k.rows[0], Arrival: Arrival{HardStop: 9, Key: 5}}
+	l := &Lookup{b: k.Balancer, row: &k.rows[0], place: 5, Arrival: Arrival{HardStop: 9, Key: 5}}
 	for range homes {
 		s, _ := k.pick(l)
 		s.inFlight = 1
--- a/balance/state.go
+++ b/balance/state.go
@@ -21,6 +21,7 @@
 	servable       float64 // servers admitted as of the last pick
 	keys           measure.Shares
 	usual          float64 // priority of lookups, smoothed
+	lookups        float64 // taken
 	gap, lastTake  float64 // s between lookups taken; the last one
 	shared         map[[2]int]*opinion
 	failShare      float64 // share of all results that were failures, smoothed
@@ -87,6 +88,7 @@
 	out             int
 	over, isHeld    bool
 	heavy, priority float64
+	place           uint64 // settles the noise of its draw; 0: chance does
 }
 
 // Done says that nothing more will happen to the lookup or its legs.
