--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,7 +30,7 @@
 	busyShare       = 0.9   // of the room there is: with less in flight the limits do not bind
 	homes           = 2     // backends a key is kept to at first; one alone is crowded by a popular key
 	keyShares       = 1.0   // of a server's even share of all lookups: a key with more counts as several keys
-	fewResults      = 3.0   // results a server, before they are forgotten: with fewer a proxy keeps to some servers
+	ownServers      = 4.0   // times its even part of the servers: a proxy of many keeps to so many
 	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
@@ -97,7 +97,7 @@
 	b.lastTake = now
 	if b.warm(l) { // danger: one key of many lookups crowds its homes; it counts as several keys
 		l.place = l.Key + uint64(b.chance.Float()*math.Ceil(b.keys.Add(l.Key)*b.servable/keyShares))
-	} else if n := forget / b.gap / fewResults; n < b.servable {
+	} else if n := ownServers * b.servable / float64(b.d.Proxies); n < b.servable {
 		l.place = b.d.Seed + uint64(b.chance.Float()*n) // danger: who sees little of all can tell none apart
 	}
 	for i := range b.rows {
