What is known of a model moves keys at the lower temperature

Cause: models differ threefold in strength, and keys moved by payoffs at the higher temperature only.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -432,7 +432,8 @@
 		}
 		full = true
 		pay := b.payNow(s)
-		score := pay / keyTemperature
+		m := s.opinions[1].pay * math.Exp((s.opinions[1].heard-b.now)/forget)
+		score := m/temperature + (pay-m)/keyTemperature
 		if !b.warm(l) {
 			heft := haste * max(l.heavy-1, 0) * l.row.median() * s.pace / l.row.Due // its work's cost here
 			score = (pay-heft)/temperature + math.Log(s.limit)                      // not for keys: limits differ
