--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,6 +25,7 @@
 	smoothing       = 0.1   // of a server's pace replaced a result: about ten results are remembered
 	oneResult       = 1.0   // chance in one payoff, over the usual square of what one server differs by
 	forget          = 10.0  // s; unheard this long, a payoff has gone most of the way back to the mean
+	forgetModel     = 60.0  // s; what a model can do stays, but another tariff mix may ask other things of it
 	haste           = 0.4   // payoff an answer loses by using its whole due time up
 	latePayoff      = 0.3   // payoff of a late answer: better than none, worse than any in time
 	busyShare       = 0.9   // of the room there is: with less in flight the limits do not bind
@@ -216,7 +217,8 @@
 		s := b.servers[e.Index]
 		if s == nil || s.UpSince != e.UpSince && e.State == Ready { // danger: a restart is a cold backend
 			s = &server{limit: firstLimit / float64(b.d.Proxies), pace: 1, flowed: now}
-			s.opinions = [4]*opinion{b.opinion(0, 0), b.opinion(1, e.Model), b.opinion(2, e.Pod), {}}
+			s.opinions = [4]*opinion{b.opinion(0, 0, forget), b.opinion(1, e.Model, forgetModel),
+				b.opinion(2, e.Pod, forget), {lasts: forget}}
 			b.servers[e.Index] = s
 		}
 		s.Backend = e
@@ -432,7 +434,7 @@
 		}
 		full = true
 		pay := b.payNow(s)
-		m := s.opinions[1].pay * math.Exp((s.opinions[1].heard-b.now)/forget)
+		m := s.opinions[1].pay * math.Exp((s.opinions[1].heard-b.now)/s.opinions[1].lasts)
 		score := m/temperature + (pay-m)/keyTemperature
 		if !b.warm(l) {
 			heft := haste * max(l.heavy-1, 0) * l.row.median() * s.pace / l.row.Due // its work's cost here
@@ -589,7 +591,7 @@
 func (s *server) payoff(b *Balancer, p float64) {
 	miss, total := p-b.payNow(s), oneResult
 	for _, o := range s.opinions {
-		fade := math.Exp((o.heard - b.now) / forget)
+		fade := math.Exp((o.heard - b.now) / o.lasts)
 		o.pay, o.sure, o.heard = o.pay*fade, o.sure*fade, b.now
 		total += 1 - o.sure
 	}
@@ -604,16 +606,16 @@
 func (b *Balancer) payNow(s *server) float64 {
 	p := 1.0
 	for _, o := range s.opinions {
-		p += o.pay * math.Exp((o.heard-b.now)/forget)
+		p += o.pay * math.Exp((o.heard-b.now)/o.lasts)
 	}
 	return p
 }
 
 // opinion is the one that servers of a model or of a pod share.
-func (b *Balancer) opinion(group, i int) *opinion {
+func (b *Balancer) opinion(group, i int, lasts float64) *opinion {
 	k := [2]int{group, i}
 	if b.shared[k] == nil {
-		b.shared[k] = &opinion{}
+		b.shared[k] = &opinion{lasts: lasts}
 	}
 	return b.shared[k]
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -64,7 +64,7 @@
 }
 
 // opinion is by how much the payoff of servers alike differs from what is else known of them.
-type opinion struct{ pay, sure, heard float64 }
+type opinion struct{ pay, sure, heard, lasts float64 }
 
 type cand struct {
 	s     *server
