--- a/balance/balance.go
+++ b/balance/balance.go
@@ -57,7 +57,7 @@
 	askFirst        = 0.25  // s; first pause before asking the list again
 	askMost         = 4.0   // s; longest such pause
 	paceSmoothing   = 0.05  // of a gap between sends: about twenty gaps
-	spareLegs       = 8.0   // usual legs past the room, saved up: arrivals at a quiet proxy come in clumps
+	spareLegs       = 8.0   // usual legs past the room, saved up: a proxy's part of all arrivals comes in clumps
 	meanPart        = 0.02  // smoothing of fleet-wide means: about fifty results
 )
 
@@ -68,7 +68,8 @@
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, spare: spareMost, askPause: askFirst,
-		shared: map[[2]int]*opinion{}, askAt: math.Inf(1), lastSend: now, lastTake: now}
+		shared: map[[2]int]*opinion{},
+		clumps: spareLegs * (1 - 1/float64(d.Proxies)), askAt: math.Inf(1), lastSend: now, lastTake: now}
 	for _, c := range d.Customers {
 		b.purses = append(b.purses, purse{c.Quota + quotaLeast, now})
 	}
@@ -557,7 +558,7 @@
 // never holds enough lookups at once to choose among them.
 func (b *Balancer) space(priority float64) float64 {
 	reserve := (b.usual - priority) / max(b.usual+priority, 1e-9)
-	return b.room + b.credit/b.rows[0].median() - spareLegs*reserve
+	return b.room + b.credit/b.rows[0].median() - b.clumps*reserve
 }
 
 // result keeps the breaker's row of a server.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -111,7 +111,7 @@
 func TestProxyOfManyKeepsToSomeServers(t *testing.T) {
 	for _, c := range []struct {
 		proxies     int
-		least, most int     // servers used
+		least, most int // servers used
 	}{{2, 60, 60}, {60, 2, 8}} {
 		d := deployment()
 		d.Proxies = c.proxies
