--- a/balance/balance.go
+++ b/balance/balance.go
@@ -143,9 +143,7 @@
 	g := &l.legs[i]
 	g.out, g.neverRan = false, o == NoRoom || o == NoRoute || o == NeverSent
 	l.out--
-	if !g.counted {
-		b.out--
-	}
+	b.out--
 	g.s.inFlight--
 	if !(g.started && o == Honoured) { // its time to the end is the client's
 		b.learn(l, g, o, latency)
@@ -184,7 +182,6 @@
 			continue
 		}
 		g.counted = true // danger: a hanging backend would be known only a hard stop later
-		b.out--          // danger: the legs it holds would hold all others back
 		b.result(g.s, false)
 		g.s.payoff(b, 0)
 	}
