--- a/balance/balance.go
+++ b/balance/balance.go
@@ -48,7 +48,7 @@
 	quotaSlack      = 1.2   // of this proxy's even part of a customer's share: clients do not spread evenly
 	quotaBurst      = 1.0   // s of that part, saved up
 	quotaLeast      = 6.0   // lookups saved up at least: a part of a fraction of one a second is judged by luck
-	againPart       = 0.3   // of the priority, for a client's further try: most of its due time is gone
+	againPart       = 0.2   // of the priority, for a client's further try: most of its due time is gone
 	answerEarly     = 0.01  // s before the hard stop, more than two of any proxy's ticks
 	windowMargin    = 0.01  // s before a dedup window closes, for the way to the backend
 	coldMargin      = 0.4   // of the fall budget, as it flows
@@ -68,7 +68,7 @@
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, spare: spareMost, askPause: askFirst,
-		shared: map[[2]int]*opinion{},
+		fleet:  &opinion{lasts: forget},
 		clumps: spareLegs * (1 - 1/float64(d.Proxies)), askAt: math.Inf(1), lastSend: now, lastTake: now}
 	for _, c := range d.Customers {
 		b.purses = append(b.purses, purse{c.Quota + quotaLeast, now})
@@ -215,8 +215,7 @@
 		s := b.servers[e.Index]
 		if s == nil || s.UpSince != e.UpSince && e.State == Ready { // danger: a restart is a cold backend
 			s = &server{limit: firstLimit / float64(b.d.Proxies), pace: 1, flowed: now}
-			s.opinions = [4]*opinion{b.opinion(0, 0, forget), b.opinion(1, e.Model, forgetModel),
-				b.opinion(2, e.Pod, forget), {lasts: forget}}
+			s.opinions = [3]*opinion{b.fleet, b.model(e.Model), {lasts: forget}}
 			b.servers[e.Index] = s
 		}
 		s.Backend = e
@@ -436,7 +435,7 @@
 		score := m/temperature + (pay-m)/keyTemperature
 		if !b.warm(l) {
 			heft := haste * max(l.heavy-1, 0) * l.row.median() * s.pace / l.row.Due // its work's cost here
-			score = (pay-heft)/temperature + math.Log(s.limit)                      // not for keys: limits differ
+			score = (pay - heft) / temperature
 		}
 		b.cands = append(b.cands, cand{s, score + b.noise(l, s)})
 	}
@@ -584,8 +583,8 @@
 	}
 }
 
-// payoff tells what a leg at a server was worth. What surprises goes to the server, its model, its pod and the
-// fleet by how little is known of each: a proxy of many hears too seldom from one server, often enough of its like.
+// payoff tells what a leg at a server was worth. What surprises goes to the server, its model and the fleet
+// by how little is known of each: a proxy of many hears too seldom from one server, often enough of its like.
 func (s *server) payoff(b *Balancer, p float64) {
 	miss, total := p-b.payNow(s), oneResult
 	for _, o := range s.opinions {
@@ -609,13 +608,12 @@
 	return p
 }
 
-// opinion is the one that servers of a model or of a pod share.
-func (b *Balancer) opinion(group, i int, lasts float64) *opinion {
-	k := [2]int{group, i}
-	if b.shared[k] == nil {
-		b.shared[k] = &opinion{lasts: lasts}
+// model is the opinion that servers of a model share.
+func (b *Balancer) model(i int) *opinion {
+	for len(b.models) <= i {
+		b.models = append(b.models, &opinion{lasts: forgetModel})
 	}
-	return b.shared[k]
+	return b.models[i]
 }
 
 func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.d.ColdFor }
--- a/balance/state.go
+++ b/balance/state.go
@@ -24,7 +24,8 @@
 	usual          float64 // priority of lookups, smoothed
 	lookups        float64 // taken
 	gap, lastTake  float64 // s between lookups taken; the last one
-	shared         map[[2]int]*opinion
+	fleet          *opinion
+	models         []*opinion
 	failShare      float64 // share of all results that were failures, smoothed
 	spare          float64 // further legs saved up
 	pace, lastSend float64 // s between sends while lookups are held; the last one
@@ -57,7 +58,7 @@
 	errCount, totalCount  int
 	roundLast, accessLast float64
 	cooldown              float64
-	opinions              [4]*opinion // of the fleet, its model, its pod and itself
+	opinions              [3]*opinion // of the fleet, its model and itself
 	pace                  float64     // smoothed time of its answers over the usual for their work
 	inFlight              int
 	limit                 float64 // legs it bears from this proxy; below one, only some of the time
