--- a/balance/balance.go
+++ b/balance/balance.go
@@ -500,7 +500,7 @@
 	switch o {
 	case CalledOff, NeverSent: // these count neither way
 	case NoRoom: // a busy backend is not a broken one: its row stays
-		s.limit = max(leastLimit/float64(b.d.Proxies), s.limit*limitFull)
+		b.move(s, limitFull, 1)
 		s.payoff(b, 0)
 	case Honoured:
 		b.result(s, true)
@@ -540,11 +540,12 @@
 	unsure := 1 - s.opinions[len(s.opinions)-1].sure
 	shared := math.Pow(others, unsure*unsure)
 	for _, o := range b.servers {
+		f := shared
 		if o == s {
-			o.limit *= factor / shared
+			f *= math.Pow(factor, 1-unsure*unsure)
 		}
 		if o != nil {
-			o.limit = max(leastLimit/float64(b.d.Proxies), o.limit*shared)
+			o.limit = max(leastLimit/float64(b.d.Proxies), o.limit*f)
 		}
 	}
 }
