--- a/balance/balance.go
+++ b/balance/balance.go
@@ -43,8 +43,6 @@
 	slowMedians     = 2.5   // of the tariff's median when little waited: later, it waited or was unlucky
 	baseRise        = 0.002 // smoothing of that median upwards: it follows a slower fleet, not a crowd
 	patienceFactor  = 1.5   // of the tariff's high quantile: a leg older than this is overdue
-	sparePart       = 0.1   // legs a lookup; further legs are bounded so they cannot hold an overload up
-	spareMost       = 10.0  // legs; saved up for a short trouble
 	quotaSlack      = 1.2   // of this proxy's even part of a customer's share: clients do not spread evenly
 	quotaBurst      = 1.0   // s of that part, saved up
 	quotaLeast      = 6.0   // lookups saved up at least: a part of a fraction of one a second is judged by luck
@@ -67,7 +65,7 @@
 		return nil, err
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
-	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, spare: spareMost, askPause: askFirst,
+	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, askPause: askFirst,
 		fleet:  &opinion{lasts: forget},
 		clumps: spareLegs * (1 - 1/float64(d.Proxies)), askAt: math.Inf(1), lastSend: now, lastTake: now}
 	for _, c := range d.Customers {
@@ -77,7 +75,7 @@
 		if t.Due == 0 { // no due time set: half of what the client waits
 			t.Due = t.HardStop / 2
 		}
-		b.rows = append(b.rows, row{Tariff: t, share: 1 / float64(len(d.Tariffs)), served: 1, base: t.Due / 4})
+		b.rows = append(b.rows, row{Tariff: t, share: 1 / float64(len(d.Tariffs)), base: t.Due / 4})
 	}
 	return b, nil
 }
@@ -108,7 +106,6 @@
 	r.share += meanPart
 	l.priority = b.priority(l)
 	b.usual += meanPart * (l.priority - b.usual)
-	b.spare = min(b.spare+sparePart, spareMost)
 	b.step(Step{Ref: a.Ref, Wake: a.HardStop - answerEarly})
 	b.next(l)
 	return l, b.pump()
@@ -151,17 +148,9 @@
 	switch {
 	case l.over:
 	case over:
-		if o == Honoured && now <= l.taken+l.row.Due {
-			l.row.served += meanPart
-		}
 		b.close(l, -1)
-	case g.neverRan:
-		b.next(l)
-	case b.spare >= 1:
-		b.spare--
-		b.next(l)
 	default:
-		b.giveUp(l)
+		b.next(l) // where it may have run, pick sends it only where that is harmless
 	}
 	return b.pump()
 }
@@ -293,7 +282,6 @@
 // close ends a lookup, calling off every leg but the kept one.
 func (b *Balancer) close(l *Lookup, kept int) {
 	l.over = true
-	l.row.served -= meanPart * l.row.served
 	if l.isHeld {
 		b.unhold(l)
 	}
@@ -320,22 +308,13 @@
 	return b.now+wait+b.typical(l) <= min(l.taken+l.row.Due, l.HardStop-answerEarly)
 }
 
-// priority is what answering this lookup in time adds to the operators' figure for its work: its part of all
-// value and, for the worst-served tariff, its part of that tariff.
+// priority is the part of all value that answering this lookup in time adds, for its work.
 func (b *Balancer) priority(l *Lookup) float64 {
-	total, worst := 0.0, l.row
+	total := 0.0
 	for i := range b.rows {
-		r := &b.rows[i]
-		total += r.share * b.worth(r)
-		if r.served < worst.served {
-			worst = r
-		}
+		total += b.rows[i].share * b.worth(&b.rows[i])
 	}
-	p := b.d.WholeWeight * b.worth(l.row) / max(total, 1e-9)
-	if worst == l.row {
-		p += b.d.WorstWeight / max(l.row.share, meanPart)
-	}
-	p /= l.row.median()
+	p := b.worth(l.row) / max(total, 1e-9) / l.row.median()
 	if l.Again {
 		p *= againPart
 	}
@@ -364,12 +343,6 @@
 	return within
 }
 
-func (b *Balancer) unhold(l *Lookup) {
-	i := slices.Index(b.held, l)
-	b.held = slices.Delete(b.held, i, i+1)
-	l.isHeld = false
-}
-
 // next holds a lookup with nothing out, by priority, then by age; pump sends it at once where there is room.
 func (b *Balancer) next(l *Lookup) {
 	i := len(b.held)
@@ -609,14 +582,6 @@
 	return p
 }
 
-// model is the opinion that servers of a model share.
-func (b *Balancer) model(i int) *opinion {
-	for len(b.models) <= i {
-		b.models = append(b.models, &opinion{lasts: forgetModel})
-	}
-	return b.models[i]
-}
-
 func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.d.ColdFor }
 
 // coldRoom takes a lookup's work from a leaky bucket: this proxy's part of what pushes a cold server over, at the
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -24,7 +24,7 @@
 		t.Due, t.HardStop, t.Value = 0.3, 1, max(t.Value, 1)
 	}
 	return Deployment{Seed: 7, Proxies: 2, Tariffs: tariffs, MaxLegs: 3, CallOff: true,
-		WholeWeight: 1, ColdShare: 0.2, ColdFor: 20, FallMultiple: 3, FallFor: 2, AskEvery: 10}
+		ColdShare: 0.2, ColdFor: 20, FallMultiple: 3, FallFor: 2, AskEvery: 10}
 }
 
 // open starts a proxy with n warm backends, three to a pod, two zones in turn.
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"slices"
+
 	"lockloom/internal/chance"
 	"lockloom/internal/measure"
 )
@@ -27,7 +29,6 @@
 	fleet          *opinion
 	models         []*opinion
 	failShare      float64 // share of all results that were failures, smoothed
-	spare          float64 // further legs saved up
 	pace, lastSend float64 // s between sends while lookups are held; the last one
 	credit         float64 // legs times seconds below the room, saved up
 	askPause       float64
@@ -38,11 +39,10 @@
 // row holds what differs by tariff.
 type row struct {
 	Tariff
-	times  measure.Times
-	work   float64 // mean hint, s
-	share  float64 // of all lookups
-	base   float64 // the median when little waited, s
-	served float64 // share answered in time
+	times measure.Times
+	work  float64 // mean hint, s
+	share float64 // of all lookups
+	base  float64 // the median when little waited, s
 }
 
 // median is what an answer of this tariff usually takes.
@@ -105,3 +105,17 @@
 }
 
 func (b *Balancer) step(s Step) { b.orders.Steps = append(b.orders.Steps, s) }
+
+func (b *Balancer) unhold(l *Lookup) {
+	i := slices.Index(b.held, l)
+	b.held = slices.Delete(b.held, i, i+1)
+	l.isHeld = false
+}
+
+// model is the opinion that servers of a model share.
+func (b *Balancer) model(i int) *opinion {
+	for len(b.models) <= i {
+		b.models = append(b.models, &opinion{lasts: forgetModel})
+	}
+	return b.models[i]
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -49,8 +49,6 @@
 	Tariffs      []Tariff
 	Customers    []Customer
 	ValueByWork  bool    // a lookup's value is its tariff's for each unit of its work
-	WholeWeight  float64 // what the value of all lookups weighs in the operators' figure
-	WorstWeight  float64 // and that of the worst-served tariff
 	BeyondShare  float64 // value of a lookup past its customer's share, as a fraction
 	MaxLegs      int     // legs a lookup may have
 	CallOff      bool    // legs may be called off
--- a/internal/benchwire/launch.go
+++ b/internal/benchwire/launch.go
@@ -25,8 +25,6 @@
 		Seed:         seed,
 		Proxies:      int(e.num("ReplicasOfMe")),
 		ValueByWork:  e.values["ValuePer"] == "work",
-		WholeWeight:  e.num("ObjectiveMix.Whole") + e.num("ObjectiveMix.WorstWindow"),
-		WorstWeight:  e.num("ObjectiveMix.WorstClass"),
 		BeyondShare:  e.num("BeyondShareValue"),
 		MaxLegs:      int(e.num("Ceilings.MaxLegs")),
 		CallOff:      e.bool("Ceilings.Cancel"),
