--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,7 +36,7 @@
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
 	leastLimit      = 1.0   // legs of all proxies together: a backend is never wholly shut by its limit
-	limitGain       = 1.0   // legs a second at the server, of all proxies; doubled it chokes servers, halved it starves bursts
+	limitGain       = 1.0   // legs a second at a server, of all proxies; more chokes servers, less starves
 	limitCut        = 0.9   // factor on a slow answer
 	limitFull       = 0.7   // factor on no room, a plain sign
 	slowShare       = 0.35  // of the due time: an answer slower than this was kept waiting
@@ -44,8 +44,7 @@
 	baseRise        = 0.002 // smoothing of that median upwards: it follows a slower fleet, not a crowd
 	patienceFactor  = 1.5   // of the tariff's high quantile: a leg older than this is overdue
 	quotaSlack      = 1.2   // of this proxy's even part of a customer's share: clients do not spread evenly
-	quotaBurst      = 1.0   // s of that part, saved up
-	quotaLeast      = 6.0   // lookups saved up at least: a part of a fraction of one a second is judged by luck
+	quotaLeast      = 6.0   // lookups of it saved up: less judges a part of a lookup in many seconds by luck
 	againPart       = 0.2   // of the priority, for a client's further try: most of its due time is gone
 	answerEarly     = 0.01  // s before the hard stop, more than two of any proxy's ticks
 	windowMargin    = 0.01  // s before a dedup window closes, for the way to the backend
@@ -68,14 +67,14 @@
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, askPause: askFirst,
 		fleet:  &opinion{lasts: forget},
 		clumps: spareLegs * (1 - 1/float64(d.Proxies)), askAt: math.Inf(1), lastSend: now, lastTake: now}
-	for _, c := range d.Customers {
-		b.purses = append(b.purses, purse{c.Quota + quotaLeast, now})
+	for range d.Customers {
+		b.purses = append(b.purses, purse{quotaLeast, now})
 	}
 	for _, t := range d.Tariffs {
 		if t.Due == 0 { // no due time set: half of what the client waits
 			t.Due = t.HardStop / 2
 		}
-		b.rows = append(b.rows, row{Tariff: t, share: 1 / float64(len(d.Tariffs)), base: t.Due / 4})
+		b.rows = append(b.rows, row{Tariff: t, base: t.Due / 4})
 	}
 	return b, nil
 }
@@ -100,10 +99,6 @@
 	} else if n := ownServers * b.servable / float64(b.d.Proxies); n < b.servable {
 		l.place = b.d.Seed + uint64(b.chance.Float()*n) // danger: who sees little of all can tell none apart
 	}
-	for i := range b.rows {
-		b.rows[i].share -= meanPart * b.rows[i].share
-	}
-	r.share += meanPart
 	l.priority = b.priority(l)
 	b.usual += meanPart * (l.priority - b.usual)
 	b.step(Step{Ref: a.Ref, Wake: a.HardStop - answerEarly})
@@ -308,13 +303,12 @@
 	return b.now+wait+b.typical(l) <= min(l.taken+l.row.Due, l.HardStop-answerEarly)
 }
 
-// priority is the part of all value that answering this lookup in time adds, for its work.
+// priority is the value of answering this lookup in time, for its work.
 func (b *Balancer) priority(l *Lookup) float64 {
-	total := 0.0
-	for i := range b.rows {
-		total += b.rows[i].share * b.worth(&b.rows[i])
+	p := l.row.Value
+	if !b.d.ValueByWork {
+		p /= l.row.median()
 	}
-	p := b.worth(l.row) / max(total, 1e-9) / l.row.median()
 	if l.Again {
 		p *= againPart
 	}
@@ -324,18 +318,10 @@
 	return p
 }
 
-// worth is a typical lookup's value.
-func (b *Balancer) worth(r *row) float64 {
-	if b.d.ValueByWork {
-		return r.Value * r.median()
-	}
-	return r.Value
-}
-
 // withinShare takes a lookup from its customer's purse, a client's further try excepted.
 func (b *Balancer) withinShare(l *Lookup) bool {
 	rate, p := b.d.Customers[l.Customer].Quota*quotaSlack/float64(b.d.Proxies), &b.purses[l.Customer]
-	p.left, p.at = min(p.left+(b.now-p.at)*rate, max(quotaLeast, rate*quotaBurst)), b.now
+	p.left, p.at = min(p.left+(b.now-p.at)*rate, max(quotaLeast, rate)), b.now
 	within := rate == 0 || p.left >= 1
 	if within && !l.Again {
 		p.left--
@@ -364,7 +350,8 @@
 		full := true
 		if !stuck || len(l.legs) > 0 {
 			s, full = b.pick(l)
-			stuck = stuck || s == nil && full && (float64(b.out) >= b.space(l.priority) || len(l.legs) == 0 && !b.warm(l))
+			stuck = stuck || s == nil && full &&
+				(float64(b.out) >= b.space(l.priority) || len(l.legs) == 0 && !b.warm(l))
 		}
 		switch {
 		case s != nil:
@@ -457,8 +444,8 @@
 	return !s.paused || b.now >= s.accessLast+s.cooldown && s.inFlight == 0
 }
 
-// noise is Gumbel noise: by chance or, where a lookup has its place, by that and the server. Backends that stay warm
-// for a key are its place, alike at every proxy; a quiet proxy has a few of its own. Over all places the draw is the same.
+// noise is Gumbel noise: by chance or, where a lookup has a place, by that and the server. A key's place is
+// alike at every proxy, a proxy of many has a few of its own. Over all places the draw is the same.
 func (b *Balancer) noise(l *Lookup, s *server) float64 {
 	u := b.chance.Float()
 	if l.place != 0 {
@@ -523,9 +510,9 @@
 	}
 }
 
-// space is what may be out for a lookup to be sent: the room, and what was saved up below it, spent in a usual
-// time. One that adds less than usual leaves some of that, one that adds more may run into debt: a quiet proxy
-// never holds enough lookups at once to choose among them.
+// space is what may be out for a lookup to be sent: the room and what was saved up below it, spent in a usual
+// time. One of less than the usual priority leaves some of that, one of more may run into debt: a proxy of
+// many seldom holds two lookups to choose from.
 func (b *Balancer) space(priority float64) float64 {
 	reserve := (b.usual - priority) / max(b.usual+priority, 1e-9)
 	return b.room + b.credit/b.rows[0].median() - b.clumps*reserve
@@ -584,9 +571,9 @@
 
 func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.d.ColdFor }
 
-// coldRoom takes a lookup's work from a leaky bucket: this proxy's part of what pushes a cold server over, at the
+// coldRoom takes a lookup's work from a bucket: this proxy's part of what pushes a cold server over, at the
 // least capacity it can have by now. A service time counts for the work, so one core is taken for granted.
-// What a bucket holds short of a lookup is staked for it by chance; it holds what flows until a server's turn.
+// It holds what flows until a server's turn comes; what it holds short of a lookup is staked by chance.
 func (b *Balancer) coldRoom(l *Lookup, s *server) bool {
 	part := b.d.ColdShare + (1-b.d.ColdShare)*max(b.now-s.UpSince, 0)/max(b.d.ColdFor, 1e-9)
 	rate := coldMargin * b.d.FallMultiple * part / float64(b.d.Proxies)
--- a/balance/state.go
+++ b/balance/state.go
@@ -41,7 +41,6 @@
 	Tariff
 	times measure.Times
 	work  float64 // mean hint, s
-	share float64 // of all lookups
 	base  float64 // the median when little waited, s
 }
 
