--- a/balance/balance.go
+++ b/balance/balance.go
@@ -266,11 +266,7 @@
 			ans = Forfeited // danger: it may have run, so trying again is not harmless
 		}
 	}
-	st := Step{Ref: l.Ref, Answer: ans}
-	if ans == Dismissed && b.d.RetryAdvice {
-		st.Advice = min(l.row.Due, b.d.MaxAdvice)
-	}
-	b.step(st)
+	b.step(Step{Ref: l.Ref, Answer: ans, Advice: min(l.row.Due, b.d.MaxAdvice)})
 	b.close(l, -1)
 }
 
@@ -299,8 +295,7 @@
 
 // worthHolding says whether a lookup with n held before it can still be answered in time.
 func (b *Balancer) worthHolding(l *Lookup, n int) bool {
-	wait := float64(n+1) * b.pace
-	return b.now+wait+b.typical(l) <= min(l.taken+l.row.Due, l.HardStop-answerEarly)
+	return b.now+float64(n+1)*b.pace+b.typical(l) <= min(l.taken+l.row.Due, l.HardStop-answerEarly)
 }
 
 // priority is the value of answering this lookup in time, for its work.
@@ -496,13 +491,14 @@
 }
 
 // move changes a server's limit, and the others' too as far as too little is heard from it to learn it alone.
+// A limit that cannot hold back one leg moves with the others only: it binds by their sum.
 func (b *Balancer) move(s *server, factor, others float64) {
-	unsure := 1 - s.opinions[len(s.opinions)-1].sure
-	shared := math.Pow(others, unsure*unsure)
+	alone := 1 - math.Pow(1-s.opinions[len(s.opinions)-1].sure, 2)
+	shared := math.Pow(others, 1-alone)
 	for _, o := range b.servers {
 		f := shared
 		if o == s {
-			f *= math.Pow(factor, 1-unsure*unsure)
+			f *= math.Pow(factor, alone*min(s.limit, 1))
 		}
 		if o != nil {
 			o.limit = max(leastLimit/float64(b.d.Proxies), o.limit*f)
@@ -510,9 +506,8 @@
 	}
 }
 
-// space is what may be out for a lookup to be sent: the room and what was saved up below it, spent in a usual
-// time. One of less than the usual priority leaves some of that, one of more may run into debt: a proxy of
-// many seldom holds two lookups to choose from.
+// space is what may be out: the room and what was saved up below it, spent in a usual time. A lookup of less
+// than the usual priority leaves some, one of more may run into debt: few are ever held to choose from.
 func (b *Balancer) space(priority float64) float64 {
 	reserve := (b.usual - priority) / max(b.usual+priority, 1e-9)
 	return b.room + b.credit/b.rows[0].median() - b.clumps*reserve
@@ -573,7 +568,7 @@
 
 // coldRoom takes a lookup's work from a bucket: this proxy's part of what pushes a cold server over, at the
 // least capacity it can have by now. A service time counts for the work, so one core is taken for granted.
-// It holds what flows until a server's turn comes; what it holds short of a lookup is staked by chance.
+// It holds what flows until a server's turn; what it holds short of a lookup is staked by chance.
 func (b *Balancer) coldRoom(l *Lookup, s *server) bool {
 	part := b.d.ColdShare + (1-b.d.ColdShare)*max(b.now-s.UpSince, 0)/max(b.d.ColdFor, 1e-9)
 	rate := coldMargin * b.d.FallMultiple * part / float64(b.d.Proxies)
--- a/balance/types.go
+++ b/balance/types.go
@@ -52,8 +52,7 @@
 	BeyondShare  float64 // value of a lookup past its customer's share, as a fraction
 	MaxLegs      int     // legs a lookup may have
 	CallOff      bool    // legs may be called off
-	RetryAdvice  bool    // clients are told when to come back
-	MaxAdvice    float64 // the longest advice a client keeps to
+	MaxAdvice    float64 // the longest advice when to come back that a client keeps to; 0: none
 	WarmKeys     bool    // a backend that served a key lately serves it again with less work
 	AsksList     bool    // the list of backends comes only after asking
 	AskEvery     float64 // unsubscribed for this long, the proxy counts as told
--- a/internal/benchwire/launch.go
+++ b/internal/benchwire/launch.go
@@ -28,8 +28,6 @@
 		BeyondShare:  e.num("BeyondShareValue"),
 		MaxLegs:      int(e.num("Ceilings.MaxLegs")),
 		CallOff:      e.bool("Ceilings.Cancel"),
-		RetryAdvice:  e.bool("Ceilings.RetryAfter"),
-		MaxAdvice:    e.num("Ceilings.MaxRetryAfterMs") / 1000,
 		WarmKeys:     e.bool("FamilyInfo.WarmKeys"),
 		AsksList:     e.values["Discovery"] == "subscribe",
 		AskEvery:     e.num("Rules.AskEveryMs") / 1000,
@@ -38,6 +36,9 @@
 		FallMultiple: e.num("Rules.FallMultiple"),
 		FallFor:      e.num("Rules.OverloadForMs") / 1000,
 	}
+	if e.bool("Ceilings.RetryAfter") {
+		w.MaxAdvice = e.num("Ceilings.MaxRetryAfterMs") / 1000
+	}
 	for i := range int(e.num("Profiles.count")) {
 		p := fmt.Sprintf("Profiles.%d.", i)
 		t := balance.Tariff{
