--- a/balance/balance.go
+++ b/balance/balance.go
@@ -54,7 +54,7 @@
 	askFirst        = 0.25  // s; first pause before asking the list again
 	askMost         = 4.0   // s; longest such pause
 	paceSmoothing   = 0.05  // of a gap between sends: about twenty gaps
-	spareLegs       = 8.0   // usual legs past the room, saved up: a proxy's part of all arrivals comes in clumps
+	spareLegs       = 10.0  // usual legs past a room of none, saved up; a large room smooths what comes by itself
 	meanPart        = 0.02  // smoothing of fleet-wide means: about fifty results
 )
 
@@ -65,8 +65,7 @@
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, askPause: askFirst,
-		fleet:  &opinion{lasts: forget},
-		clumps: spareLegs * (1 - 1/float64(d.Proxies)), askAt: math.Inf(1), lastSend: now, lastTake: now}
+		fleet: &opinion{lasts: forget}, askAt: math.Inf(1), lastSend: now, lastTake: now}
 	for range d.Customers {
 		b.purses = append(b.purses, purse{quotaLeast, now})
 	}
@@ -506,11 +505,14 @@
 	}
 }
 
+// clumps is how many legs past the room may be saved up: what comes to a small room comes in clumps.
+func (b *Balancer) clumps() float64 { return spareLegs / (1 + b.room) }
+
 // space is what may be out: the room and what was saved up below it, spent in a usual time. A lookup of less
 // than the usual priority leaves some, one of more may run into debt: few are ever held to choose from.
 func (b *Balancer) space(priority float64) float64 {
 	reserve := (b.usual - priority) / max(b.usual+priority, 1e-9)
-	return b.room + b.credit/b.rows[0].median() - b.clumps*reserve
+	return b.room + b.credit/b.rows[0].median() - b.clumps()*reserve
 }
 
 // result keeps the breaker's row of a server.
--- a/balance/state.go
+++ b/balance/state.go
@@ -22,7 +22,6 @@
 	room           float64 // legs all admitted servers bear, as of the last pick
 	servable       float64 // servers admitted as of the last pick
 	keys           measure.Shares
-	clumps         float64 // legs past the room that may be saved up
 	usual          float64 // priority of lookups, smoothed
 	lookups        float64 // taken
 	gap, lastTake  float64 // s between lookups taken; the last one
@@ -97,7 +96,7 @@
 
 func (b *Balancer) begin(now float64) *Balancer {
 	b.credit += (b.room - float64(b.out)) * (now - b.now)
-	b.credit = min(b.credit, b.clumps*b.rows[0].median())
+	b.credit = min(b.credit, b.clumps()*b.rows[0].median())
 	b.now = now
 	b.orders = Orders{Steps: b.orders.Steps[:0]}
 	return b
