Saved credit falls slower with the room; growth over the proxies and one

Cause: at one or two proxies growth had become quicker than before and the first credit formula starved bursts.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,8 +36,9 @@
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
 	leastLimit      = 1.0   // legs of all proxies together: a backend is never wholly shut by its limit
-	limitGain       = 1.0   // legs a second at a server, of all proxies; more chokes servers, less starves
+	limitGain       = 1.2   // legs a second at a server, over the proxies and one; more chokes, less starves
 	limitCut        = 0.9   // factor on a slow answer
+	halfLeg         = 0.5   // legs; a limit below binds by the sum of all only
 	limitFull       = 0.7   // factor on no room, a plain sign
 	slowShare       = 0.35  // of the due time: an answer slower than this was kept waiting
 	slowMedians     = 2.5   // of the tariff's median when little waited: later, it waited or was unlucky
@@ -54,7 +55,8 @@
 	askFirst        = 0.25  // s; first pause before asking the list again
 	askMost         = 4.0   // s; longest such pause
 	paceSmoothing   = 0.05  // of a gap between sends: about twenty gaps
-	spareLegs       = 10.0  // usual legs past a room of none, saved up; a large room smooths what comes by itself
+	spareLegs       = 10.0  // usual legs past a small room, saved up: a small part of all arrivals comes in clumps
+	spareRoom       = 4.0   // legs; a room of so many smooths half of that by itself
 	meanPart        = 0.02  // smoothing of fleet-wide means: about fifty results
 )
 
@@ -473,7 +475,7 @@
 		if float64(b.out+1) < busyShare*b.space(b.usual) { // with the leg that just ended
 			return // danger: a limit that moves while it does not bind is wrong when it does
 		}
-		grow := 1 + limitGain*latency/float64(b.d.Proxies)/s.limit
+		grow := 1 + limitGain*latency/float64(1+b.d.Proxies)/s.limit
 		if latency > due {
 			b.move(s, limitCut, limitCut)
 		} else if latency > min(slowShare*due, slowMedians*l.row.base*max(l.heavy, 1)) {
@@ -490,14 +492,14 @@
 }
 
 // move changes a server's limit, and the others' too as far as too little is heard from it to learn it alone.
-// A limit that cannot hold back one leg moves with the others only: it binds by their sum.
+// One too small to hold back a leg moves with the others only: it binds by their sum.
 func (b *Balancer) move(s *server, factor, others float64) {
 	alone := 1 - math.Pow(1-s.opinions[len(s.opinions)-1].sure, 2)
 	shared := math.Pow(others, 1-alone)
 	for _, o := range b.servers {
 		f := shared
 		if o == s {
-			f *= math.Pow(factor, alone*min(s.limit, 1))
+			f *= math.Pow(factor, alone*min(s.limit/halfLeg, 1))
 		}
 		if o != nil {
 			o.limit = max(leastLimit/float64(b.d.Proxies), o.limit*f)
@@ -506,7 +508,7 @@
 }
 
 // clumps is how many legs past the room may be saved up: what comes to a small room comes in clumps.
-func (b *Balancer) clumps() float64 { return spareLegs / (1 + b.room) }
+func (b *Balancer) clumps() float64 { return spareLegs / (1 + b.room/spareRoom) }
 
 // space is what may be out: the room and what was saved up below it, spent in a usual time. A lookup of less
 // than the usual priority leaves some, one of more may run into debt: few are ever held to choose from.
