--- a/balance/balance.go
+++ b/balance/balance.go
@@ -55,7 +55,7 @@
 	askFirst        = 0.25  // s; first pause before asking the list again
 	askMost         = 4.0   // s; longest such pause
 	paceSmoothing   = 0.05  // of a gap between sends: about twenty gaps
-	spareLegs       = 10.0  // usual legs past a small room, saved up: a small part of all arrivals comes in clumps
+	spareLegs       = 10.0  // usual legs past a small room, saved up: a part of all arrivals comes in clumps
 	spareRoom       = 4.0   // legs; a room of so many smooths half of that by itself
 	meanPart        = 0.02  // smoothing of fleet-wide means: about fifty results
 )
