--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -130,6 +130,15 @@
 	}
 }
 
+func TestPopularKeyCountsAsSeveral(t *testing.T) {
+	k, used := open(t, Deployment{Tariffs: deployment().Tariffs, WarmKeys: true}, 60), map[uint64]bool{}
+	for range 300 {
+		l, _ := k.take(Arrival{Key: 5})
+		used[l.place] = true
+	}
+	assert.Greater(t, len(used), 30, "alone it would crowd two homes")
+}
+
 func TestKeyWaitsForItsFirstServers(t *testing.T) {
 	d := deployment()
 	d.WarmKeys = true
@@ -348,10 +357,7 @@
 			d.Seed = d.Seed*0x9e3779b97f4a7c15 + 11
 			k := open(t, d, 2)
 			k.hear(k.servers[0], "hhhhhhhhhhhhhh")
-			list := backends(2)
-			list[1].UpSince = 0.001
-			k.Listed(0.001, false, false, list[1:])
-			k.servers[0].limit = k.servers[1].limit
+			k.Listed(0.001, false, false, []Backend{{Index: 1, Mark: 2, Zone: 1, UpSince: 0.001}})
 			bank = append(bank, k)
 		}
 		var sent float64 // in one window, as all of them want to send
