--- a/balance/balance.go
+++ b/balance/balance.go
@@ -387,7 +387,7 @@
 		}
 		full = true
 		pay := b.payNow(s)
-		m := s.opinions[1].pay * math.Exp((s.opinions[1].heard-b.now)/s.opinions[1].lasts)
+		m := s.opinions[1].at(b.now)
 		score := m/temperature + (pay-m)/keyTemperature
 		if !b.warm(l) {
 			heft := haste * max(l.heavy-1, 0) * l.row.median() * s.pace / l.row.Due // its work's cost here
@@ -548,8 +548,7 @@
 func (s *server) payoff(b *Balancer, p float64) {
 	miss, total := p-b.payNow(s), oneResult
 	for _, o := range s.opinions {
-		fade := math.Exp((o.heard - b.now) / o.lasts)
-		o.pay, o.sure, o.heard = o.pay*fade, o.sure*fade, b.now
+		o.pay, o.sure, o.heard = o.at(b.now), o.sure*o.fade(b.now), b.now
 		total += 1 - o.sure
 	}
 	for _, o := range s.opinions {
@@ -563,7 +562,7 @@
 func (b *Balancer) payNow(s *server) float64 {
 	p := 1.0
 	for _, o := range s.opinions {
-		p += o.pay * math.Exp((o.heard-b.now)/o.lasts)
+		p += o.at(b.now)
 	}
 	return p
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 
 	"lockloom/internal/chance"
@@ -66,6 +67,12 @@
 // opinion is by how much the payoff of servers alike differs from what is else known of them.
 type opinion struct{ pay, sure, heard, lasts float64 }
 
+// fade is the part of it that is not forgotten by now.
+func (o *opinion) fade(now float64) float64 { return math.Exp((o.heard - now) / o.lasts) }
+
+// at is what is left of its payoff.
+func (o *opinion) at(now float64) float64 { return o.pay * o.fade(now) }
+
 type cand struct {
 	s     *server
 	score float64
