--- a/cmd/benchlink/host.go
+++ b/cmd/benchlink/host.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"io"
 
 	"lockloom/balance"
 	"lockloom/internal/benchwire"
+	"lockloom/internal/figures"
 )
 
 // host keeps the instances of this process apart; they share nothing but the clock.
@@ -21,16 +21,11 @@
 
 // instance is one balancer with the names the bench knows things by.
 type instance struct {
-	b         *balance.Balancer
-	tariffs   map[string]int
-	customers map[string]int
-	zones     map[string]int
-	backends  map[string]int
-	models    map[string]int
-	names     []string // of backends
-	lookups   map[string]int
-	slots     []slot // by Arrival.Ref; a timer's label is one more, that of the balancer's own is 0
-	free      []int
+	b       *balance.Balancer
+	names   *figures.Register
+	lookups map[string]int
+	slots   []slot // by Arrival.Ref; a timer's label is one more, that of the balancer's own is 0
+	free    []int
 }
 
 type slot struct {
@@ -53,26 +48,15 @@
 	return nil
 }
 
-func (h *host) Launched(l benchwire.Launch) error {
+func (h *host) Launched(f figures.Figures) error {
 	if h.at < 0 {
 		return fmt.Errorf("Proxy: no instance named")
 	}
-	b, err := balance.New(l.Deployment, h.now)
+	b, err := balance.New(f.Deployment, h.now)
 	if err != nil {
 		return err
 	}
-	in := &instance{b: b, tariffs: map[string]int{}, customers: map[string]int{}, zones: map[string]int{},
-		backends: map[string]int{}, models: map[string]int{}, lookups: map[string]int{}}
-	for i, t := range l.Tariffs {
-		in.tariffs[t.Name] = i
-	}
-	for i, c := range l.Customers {
-		in.customers[c.Name] = i
-	}
-	for i, z := range l.Zones {
-		in.zones[z] = i
-	}
-	h.instances[h.at] = in
+	h.instances[h.at] = &instance{b: b, names: f.Register(), lookups: map[string]int{}}
 	return nil
 }
 
@@ -82,7 +66,7 @@
 	return err
 }
 
-func (h *host) Listed(kind benchwire.ListKind, entries []benchwire.Entry) error {
+func (h *host) Listed(kind benchwire.ListKind, entries []figures.Entry) error {
 	in, err := h.instance()
 	if err != nil {
 		return err
@@ -92,22 +76,7 @@
 	}
 	list := make([]balance.Backend, len(entries))
 	for i, e := range entries {
-		n, ok := in.backends[e.Name]
-		if !ok {
-			n = len(in.names)
-			in.backends[e.Name] = n
-			in.names = append(in.names, e.Name)
-		}
-		m, ok := in.models[e.ModelName]
-		if !ok {
-			m = len(in.models)
-			in.models[e.ModelName] = m
-		}
-		list[i] = e.Backend
-		list[i].Index, list[i].Mark, list[i].Zone, list[i].Model = n, hash(e.Name), -1, m
-		if z, ok := in.zones[e.ZoneName]; ok {
-			list[i].Zone = z
-		}
+		list[i] = in.names.Backend(e)
 	}
 	full, first := kind != benchwire.Changes, kind == benchwire.Remembered
 	return h.decide(in, func(now float64) *balance.Orders { return in.b.Listed(now, full, first, list) })
@@ -120,18 +89,13 @@
 	}
 	a := o.Arrival
 	var ok bool
-	if a.Tariff, ok = in.tariffs[o.TariffName]; !ok {
+	if a.Tariff, ok = in.names.Tariff(o.TariffName); !ok {
 		return fmt.Errorf("Class: unknown: %q", o.TariffName)
 	}
-	if a.Customer, ok = in.customers[o.CustomerName]; !ok {
-		a.Customer = -1
-	}
+	a.Customer, a.Key = in.names.Customer(o.CustomerName), figures.Hash(o.KeyName)
 	if _, ok = in.lookups[o.ID]; ok {
 		return fmt.Errorf("Job: used before: %q", o.ID)
 	}
-	if o.KeyName != "" {
-		a.Key = hash(o.KeyName)
-	}
 	if n := len(in.free); n > 0 {
 		a.Ref, in.free = in.free[n-1], in.free[:n-1]
 	} else {
@@ -223,7 +187,7 @@
 		s := &o.Steps[i]
 		id := in.slots[s.Ref].id
 		if s.Send {
-			h.w.Send(id, in.names[s.Backend], s.Until)
+			h.w.Send(id, in.names.Name(s.Backend), s.Until)
 		}
 		if s.CallOff > 0 {
 			h.w.CallOff(id, s.CallOff-1)
@@ -265,9 +229,3 @@
 		h.written = h.at
 	}
 }
-
-func hash(s string) uint64 {
-	f := fnv.New64a()
-	f.Write([]byte(s))
-	return f.Sum64()
-}
--- /dev/null
+++ b/internal/backends/conn.go
@@ -0,0 +1,220 @@
+package backends
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"lockloom/balance"
+	"lockloom/internal/heads"
+)
+
+// Exchange is one request to a backend.
+type Exchange struct {
+	Head, Tail, Body []byte       // written one after the other
+	Until            time.Time    // no answer by then: it timed out
+	Report           func(Result) // called once, on the owner's goroutine
+	off              bool         // called off; under conn.mu
+	wrote            chan struct{}
+	whole            bool // its last byte is written; read after wrote is closed
+	conn             *conn
+}
+
+// Result is what came of an exchange.
+type Result struct {
+	Outcome balance.Outcome
+	At      time.Time
+	Fields  []byte // of an honoured answer: the lines that go on
+	Body    []byte
+}
+
+// conn is one connection to a backend. One goroutine opens it and writes, one reads; the owner hands it
+// exchanges, one at a time.
+type conn struct {
+	pool  *Pool
+	to    *backend
+	era   int
+	since time.Time // idle since; the owner's
+	jobs  chan *Exchange
+
+	mu   sync.Mutex
+	nc   net.Conn
+	ex   *Exchange // the one in work
+	dead bool      // takes no more
+}
+
+// begin hands over an exchange, unless the connection was found closed.
+func (c *conn) begin(ex *Exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dead {
+		return false
+	}
+	ex.conn, c.ex = c, ex
+	c.nc.SetReadDeadline(ex.Until)
+	c.jobs <- ex // never blocks: the last one was taken before its answer came
+	return true
+}
+
+// callOff ends an exchange by closing its connection: a late answer must reach no other lookup.
+func (c *conn) callOff(ex *Exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ex != ex || ex.off {
+		return
+	}
+	ex.off = true
+	if c.nc != nil {
+		c.nc.Close()
+	}
+}
+
+// run opens the connection for its first exchange and writes.
+func (c *conn) run(ex *Exchange, addr string) {
+	nc, err := (&net.Dialer{Timeout: min(c.pool.Connect, time.Until(ex.Until))}).Dial("tcp", addr)
+	if err != nil {
+		outcome := balance.NoRoute
+		c.mu.Lock()
+		if ex.off {
+			outcome = balance.NeverSent
+		}
+		c.ex, c.dead = nil, true
+		c.mu.Unlock()
+		c.pool.post(func() {
+			c.pool.forget(c)
+			ex.Report(Result{Outcome: outcome, At: time.Now()})
+		})
+		return
+	}
+	c.mu.Lock()
+	c.nc = nc
+	off := ex.off
+	if off {
+		c.ex = nil // the connection is good for another
+	} else {
+		nc.SetReadDeadline(ex.Until)
+	}
+	c.mu.Unlock()
+	go c.read()
+	if off {
+		c.pool.post(func() {
+			c.pool.rest(c)
+			ex.Report(Result{Outcome: balance.NeverSent, At: time.Now()})
+		})
+	} else {
+		c.write(ex)
+	}
+	for ex := range c.jobs {
+		c.write(ex)
+	}
+}
+
+func (c *conn) write(ex *Exchange) {
+	c.nc.SetWriteDeadline(ex.Until)
+	bufs := net.Buffers{ex.Head, ex.Tail, ex.Body}
+	_, err := bufs.WriteTo(c.nc)
+	ex.whole = err == nil
+	close(ex.wrote)
+	if err != nil {
+		c.nc.Close() // the reader tells
+	}
+}
+
+// read reads answers, and notices while none is due that the backend closes.
+func (c *conn) read() {
+	r := heads.NewReader(c.nc)
+	for {
+		err := r.Wait()
+		c.mu.Lock()
+		ex := c.ex
+		c.dead = ex == nil
+		c.mu.Unlock()
+		if ex == nil { // closed, or an answer to nothing
+			break
+		}
+		res, keep := c.answer(r, ex, err)
+		if keep {
+			c.nc.SetReadDeadline(time.Time{})
+		} else {
+			c.nc.Close()
+		}
+		c.mu.Lock()
+		c.ex, c.dead = nil, !keep
+		c.mu.Unlock()
+		c.pool.post(func() {
+			if keep {
+				c.pool.rest(c)
+			}
+			ex.Report(res)
+		})
+		if !keep {
+			break
+		}
+	}
+	c.nc.Close()
+	close(c.jobs)
+	c.pool.post(func() { c.pool.forget(c) })
+}
+
+// answer reads the answer to an exchange, and tells whether the connection may be used again.
+func (c *conn) answer(r *heads.Reader, ex *Exchange, err error) (Result, bool) {
+	var h *heads.Head
+	var res Result
+	if err == nil {
+		h, err = r.Response()
+	}
+	never := false
+	if err == nil {
+		never = string(h.Get("X-Never-Ran")) == "1"
+		if h.Status == 200 { // copied, since reading the body moves the head
+			res.Fields = heads.AppendOnward(nil, h, "Endpoint-Load-Metrics", "X-Never-Ran")
+		}
+		res.Body, err = r.Body(h.Length, h.Chunked)
+	}
+	res.At = time.Now()
+	if err != nil {
+		c.nc.Close()
+		<-ex.wrote
+		res.Outcome = broken(err, ex.whole, c.isOff(ex))
+		return res, false
+	}
+	switch {
+	case h.Status == 200:
+		res.Outcome = balance.Honoured
+	case (h.Status == 503 || h.Status == 504) && never:
+		res.Outcome = balance.NoRoom
+	default:
+		res.Outcome = balance.Fault
+	}
+	select {
+	case <-ex.wrote:
+		return res, !h.Close && ex.whole && !r.Buffered()
+	default: // answered before it was written whole
+		c.nc.Close()
+		<-ex.wrote
+		return res, false
+	}
+}
+
+// broken is the outcome of an exchange without a whole answer.
+func broken(err error, whole, off bool) balance.Outcome {
+	switch {
+	case off && whole:
+		return balance.CalledOff
+	case off:
+		return balance.NeverSent
+	case !whole: // a backend begins a request when its last byte has come
+		return balance.NoRoute
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return balance.TooSlow
+	}
+	return balance.Cut // danger: anything malformed may have run as well
+}
+
+func (c *conn) isOff(ex *Exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return ex.off
+}
--- /dev/null
+++ b/internal/backends/pool.go
@@ -0,0 +1,143 @@
+// Package backends keeps the connections to backends. A Pool belongs to one goroutine, its owner; what its
+// connections have to tell comes back to that goroutine.
+//
+// Nothing is ever sent again from here: each exchange is written once at most, and its result says what that
+// proves.
+package backends
+
+import "time"
+
+// Pool hands out connections, the last used first.
+type Pool struct {
+	Connect time.Duration // a connection that is not up by then never comes up
+	Idle    time.Duration // one idle for so long is closed
+	Most    int           // connections at once, those being opened included
+
+	Opened, Retired, Lost, Full int // counted
+
+	post     func(func()) // runs a function on the owner's goroutine
+	backends []*backend   // by index
+	total    int
+}
+
+// backend is where one backend listens and the connections to it that are idle, the last used last.
+type backend struct {
+	addr    string
+	started float64
+	era     int // a connection of an earlier one is not used again
+	idle    []*conn
+}
+
+// New makes a pool whose connections report through post.
+func New(post func(func())) *Pool { return &Pool{post: post} }
+
+// Place says where a backend listens. What is idle to it is closed where it moved or began anew.
+func (p *Pool) Place(index int, addr string, started float64) {
+	for len(p.backends) <= index {
+		p.backends = append(p.backends, &backend{})
+	}
+	b := p.backends[index]
+	if b.addr != addr || b.started != started {
+		b.addr, b.started = addr, started
+		p.Close(index)
+	}
+}
+
+// Close ends the idle connections of a backend; those in use end with their exchange.
+func (p *Pool) Close(index int) {
+	b := p.backends[index]
+	b.era++
+	for _, c := range b.idle {
+		p.retire(c)
+	}
+	b.idle = b.idle[:0]
+}
+
+// Send starts an exchange on an idle connection or a new one. It is false where there may be no more: nothing
+// was sent then, and nothing will be reported.
+func (p *Pool) Send(index int, ex *Exchange) bool {
+	b, now := p.backends[index], time.Now()
+	ex.wrote = make(chan struct{})
+	for n := len(b.idle); n > 0; n = len(b.idle) {
+		c := b.idle[n-1]
+		b.idle = b.idle[:n-1]
+		if now.Sub(c.since) >= p.Idle { // danger: a request to a connection that is being closed ends as a reset
+			p.retire(c)
+		} else if c.begin(ex) {
+			return true
+		}
+	}
+	if p.total >= p.Most && !p.spare() {
+		p.Full++
+		return false
+	}
+	p.total++
+	p.Opened++
+	c := &conn{pool: p, to: b, era: b.era, jobs: make(chan *Exchange, 1), ex: ex}
+	ex.conn = c
+	go c.run(ex, b.addr)
+	return true
+}
+
+// CallOff gives an exchange up. It is still reported.
+func (p *Pool) CallOff(ex *Exchange) { ex.conn.callOff(ex) }
+
+// Sweep closes what was idle for too long.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	for _, b := range p.backends {
+		n := 0
+		for n < len(b.idle) && now.Sub(b.idle[n].since) >= p.Idle {
+			p.retire(b.idle[n])
+			n++
+		}
+		b.idle = append(b.idle[:0], b.idle[n:]...)
+	}
+}
+
+// Total is how many connections there are.
+func (p *Pool) Total() int { return p.total }
+
+// spare closes the connection that was idle for longest, to make room for another.
+func (p *Pool) spare() bool {
+	var oldest *backend
+	for _, b := range p.backends {
+		if len(b.idle) > 0 && (oldest == nil || b.idle[0].since.Before(oldest.idle[0].since)) {
+			oldest = b
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.retire(oldest.idle[0])
+	oldest.idle = append(oldest.idle[:0], oldest.idle[1:]...)
+	return true
+}
+
+// retire closes an idle connection; its reader tells when it is gone.
+func (p *Pool) retire(c *conn) {
+	p.Retired++
+	c.nc.Close()
+}
+
+// rest takes back a connection whose exchange is over.
+func (p *Pool) rest(c *conn) {
+	if c.era != c.to.era {
+		p.retire(c)
+		return
+	}
+	c.since = time.Now()
+	c.to.idle = append(c.to.idle, c)
+}
+
+// forget drops a connection that has ended.
+func (p *Pool) forget(c *conn) {
+	p.total--
+	for i, o := range c.to.idle {
+		if o == c {
+			c.to.idle = append(c.to.idle[:i], c.to.idle[i+1:]...)
+			p.Lost++
+			return
+		}
+	}
+}
--- a/internal/benchwire/reader.go
+++ b/internal/benchwire/reader.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"lockloom/balance"
+	"lockloom/internal/figures"
 )
 
 // Receiver is told what the wire says. Times are in seconds.
@@ -18,9 +19,9 @@
 	Batch(now float64, number string) // a batch begins
 	Finish() error                    // and ends: its reply is due
 	Instance(n int) error             // the calls below are for this one
-	Launched(Launch) error
+	Launched(figures.Figures) error
 	Stopped() error
-	Listed(kind ListKind, entries []Entry) error
+	Listed(kind ListKind, entries []figures.Entry) error
 	Order(Order) error
 	Started(id string, leg int) error
 	Ended(End) error
@@ -39,18 +40,6 @@
 	Failed     // none: asking failed
 )
 
-// Launch is a new instance. The zones are numbered as they are listed.
-type Launch struct {
-	balance.Deployment
-	Zones []string
-}
-
-// Entry is a backend with its names; the rest is as the module takes it, but for Index, Mark, Zone and Model.
-type Entry struct {
-	balance.Backend
-	Name, ZoneName, ModelName string
-}
-
 // Order is a lookup with its names; the rest is as the module takes it, but for Ref, Tariff, Customer and Key.
 type Order struct {
 	balance.Arrival
@@ -72,9 +61,6 @@
 		"cut": balance.Cut, "undone": balance.CalledOff, "stale_send": balance.NeverSent}
 	states = map[string]balance.State{"Ready": balance.Ready, "Terminating": balance.Draining, "Gone": balance.Gone}
 	lists  = map[string]ListKind{"D": Changes, "F": Whole, "C": Remembered, "X": Failed}
-	kinds  = map[string]balance.Kind{"retryable": balance.Replayable, "dedup": balance.Referenced,
-		"fragile": balance.SingleUse}
-	scopes = map[string]balance.Scope{"all": balance.ScopeAll, "zone": balance.ScopeZone, "cell": balance.ScopePod}
 )
 
 // line is one message: its name, its fields, and the first thing found wrong with them.
@@ -157,7 +143,7 @@
 // Read hands on all messages of in until its end, which is no error.
 func Read(in io.Reader, to Receiver) error {
 	src := bufio.NewReaderSize(in, 1<<20)
-	pages := map[int][]Entry{}
+	pages := map[int][]figures.Entry{}
 	page, left, inBatch := 0, 0, false
 	for n := 1; ; n++ {
 		raw, err := src.ReadString('\n')
@@ -203,7 +189,7 @@
 			pages[page] = nil
 		case "entry":
 			left--
-			e := Entry{Name: l.must("Backend")}
+			e := figures.Entry{Name: l.must("Backend")}
 			e.ZoneName, _ = l.text("Az")
 			e.ModelName, _ = l.text("Flavor")
 			e.State = word(l, "StageState", states)
@@ -212,7 +198,7 @@
 			pages[page] = append(pages[page], e)
 		case "view":
 			kind := word(l, "How", lists)
-			var entries []Entry
+			var entries []figures.Entry
 			if kind != Failed {
 				i := l.whole("List")
 				var ok bool
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,136 @@
+// Package command is the command line of lockloom.
+package command
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"lockloom/proxy"
+)
+
+// What a command ends with.
+const (
+	done   = 0
+	failed = 1
+	misuse = 2
+)
+
+const usage = `usage: lockloom COMMAND [FLAGS]
+
+  serve     run a proxy, told by ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY and ROUTER_CONFIG
+  check     read what serve would be told, and say what is wrong with it
+  version   say what this is
+
+lockloom COMMAND -h tells a command's flags.
+`
+
+// Run runs one command and returns what the program ends with.
+func Run(args []string, out, errs io.Writer) int {
+	if len(args) == 0 {
+		fmt.Fprint(errs, usage)
+		return misuse
+	}
+	flags := flag.NewFlagSet("lockloom "+args[0], flag.ContinueOnError)
+	flags.SetOutput(errs)
+	level := "info"
+	var run func() error
+	switch args[0] {
+	case "serve":
+		flags.StringVar(&level, "log", level, "the least level that is logged: debug, info, warning or error")
+		run = func() error { return serve(level, errs) }
+	case "check":
+		run = func() error { return check(out) }
+	case "version":
+		run = func() error {
+			fmt.Fprintln(out, "lockloom", version())
+			return nil
+		}
+	case "help", "-h", "-help", "--help":
+		fmt.Fprint(out, usage)
+		return done
+	default:
+		fmt.Fprintf(errs, "lockloom: unknown command %q\n%s", args[0], usage)
+		return misuse
+	}
+	if err := flags.Parse(args[1:]); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return done
+		}
+		return misuse
+	}
+	if flags.NArg() > 0 {
+		fmt.Fprintf(errs, "lockloom: %s takes no further words\n%s", args[0], usage)
+		return misuse
+	}
+	if err := run(); err != nil {
+		fmt.Fprintln(errs, "lockloom:", err)
+		return failed
+	}
+	return done
+}
+
+func serve(level string, errs io.Writer) error {
+	log := logrus.New()
+	log.SetOutput(errs)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
+		TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	least, err := logrus.ParseLevel(level)
+	if err != nil {
+		return fmt.Errorf("-log: %w", err)
+	}
+	log.SetLevel(least)
+	l, err := proxy.ReadLaunch(os.Getenv)
+	if err != nil {
+		return err
+	}
+	p, err := proxy.New(l, log)
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", l.Listen)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return p.Serve(ctx, ln)
+}
+
+// check reads what serve would be told.
+func check(out io.Writer) error {
+	l, err := proxy.ReadLaunch(os.Getenv)
+	if err != nil {
+		return err
+	}
+	if _, err := proxy.New(l, logrus.New()); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s on %s: %d tariffs, %d known backends, %d proxies, %g cores, %d MB, %d sockets\n", l.Name,
+		l.Listen, len(l.Tariffs), len(l.Known.Entries), l.Proxies, l.Limits.Cores, l.Limits.Memory>>20, l.Limits.Sockets)
+	return nil
+}
+
+// version is what the build says of itself.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	text := info.Main.Version + " " + info.GoVersion
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			text += " " + s.Value
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/internal/discovery/list.go
@@ -0,0 +1,65 @@
+// Package discovery follows the list of backends: lists in discovery's form, and a watch on its changes.
+package discovery
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+
+	"lockloom/balance"
+	"lockloom/internal/figures"
+)
+
+// List is a list of backends, or the changes of one.
+type List struct {
+	Version int64
+	Full    bool // what is missing is gone
+	Entries []Entry
+}
+
+// Entry is a backend and where it listens.
+type Entry struct {
+	figures.Entry
+	Addr string
+}
+
+var states = map[string]balance.State{"active": balance.Ready, "leaving": balance.Draining, "left": balance.Gone}
+
+// UnmarshalJSON reads discovery's form and refuses what cannot be followed.
+func (l *List) UnmarshalJSON(text []byte) error {
+	var in struct {
+		Version *int64
+		Full    bool
+		Servers []struct {
+			ID, Addr, Zone, Kind, State string
+			Cell                        int
+			StartedMs                   float64 `json:"started_ms"`
+		}
+	}
+	if err := json.Unmarshal(text, &in); err != nil {
+		return err
+	}
+	if in.Version == nil {
+		return fmt.Errorf("version: missing")
+	}
+	*l = List{Version: *in.Version, Full: in.Full}
+	for _, s := range in.Servers {
+		e := Entry{Addr: s.Addr}
+		e.Name, e.ZoneName, e.ModelName, e.Pod, e.UpSince = s.ID, s.Zone, s.Kind, s.Cell, s.StartedMs/1000
+		var ok bool
+		if e.State, ok = states[s.State]; !ok {
+			return fmt.Errorf("%q: state: unknown: %q", s.ID, s.State)
+		}
+		if s.ID == "" {
+			return fmt.Errorf("id: missing")
+		}
+		if _, _, err := net.SplitHostPort(s.Addr); err != nil && e.State != balance.Gone {
+			return fmt.Errorf("%q: addr: %w", s.ID, err)
+		}
+		if !(s.StartedMs >= 0) {
+			return fmt.Errorf("%q: started_ms: negative: %v", s.ID, s.StartedMs)
+		}
+		l.Entries = append(l.Entries, e)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/discovery/watch.go
@@ -0,0 +1,94 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lockloom/internal/heads"
+)
+
+const (
+	dialFor    = time.Second            // to reach an agent on this machine
+	silentFor  = 3 * time.Second        // without a line: its beat comes every 2 s
+	pauseFirst = 100 * time.Millisecond // before the first new try
+	pauseMost  = 2 * time.Second        // before a later one: what is to be told counts as told within 6 s
+	lineMost   = 4 << 20                // bytes of a line: a list of some ten thousand backends
+)
+
+// Watch follows a list from a version on.
+type Watch struct {
+	Addr    string
+	Version int64
+	Told    func(List) // each list, in order
+	Log     logrus.FieldLogger
+}
+
+// Run watches until the context ends, connecting anew after a growing pause spread by chance.
+func (w *Watch) Run(ctx context.Context) {
+	pause := pauseFirst
+	for ctx.Err() == nil {
+		before := w.Version
+		err := w.follow(ctx, func() { pause = pauseFirst })
+		if ctx.Err() != nil {
+			return
+		}
+		w.Log.WithError(err).WithFields(logrus.Fields{"from": before, "version": w.Version}).Warn("watch lost")
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(pause))):
+		}
+		pause = min(2*pause, pauseMost)
+	}
+}
+
+// follow holds one watch until it breaks.
+func (w *Watch) follow(ctx context.Context, good func()) error {
+	conn, err := (&net.Dialer{Timeout: dialFor}).DialContext(ctx, "tcp", w.Addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	conn.SetDeadline(time.Now().Add(silentFor))
+	head := fmt.Appendf(nil, "GET /discovery/hosts?stream=1&index=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.Version, w.Addr)
+	if _, err := conn.Write(head); err != nil {
+		return err
+	}
+	r := heads.NewReader(conn)
+	h, err := r.Response()
+	if err != nil {
+		return err
+	}
+	if h.Status != 200 || !h.Chunked {
+		return fmt.Errorf("no stream: status %d", h.Status)
+	}
+	lines := bufio.NewScanner(r.Stream())
+	lines.Buffer(nil, lineMost)
+	for lines.Scan() {
+		conn.SetDeadline(time.Now().Add(silentFor))
+		text := strings.TrimSpace(lines.Text())
+		if text == "" {
+			continue
+		}
+		var l List
+		if err := json.Unmarshal([]byte(text), &l); err != nil {
+			return fmt.Errorf("malformed line: %w", err) // the list as it was still holds
+		}
+		good()
+		w.Version = l.Version
+		w.Told(l)
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return errors.New("ended by discovery")
+}
--- /dev/null
+++ b/internal/figures/figures.go
@@ -0,0 +1,113 @@
+// Package figures reads what a deployment says of itself, and gives its names the small numbers and marks
+// that the decisions know them by. The bench's wire and the proxy share it, so that both are told alike.
+package figures
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"lockloom/balance"
+)
+
+// Figures is a deployment with what only its sockets need. Times are in seconds.
+type Figures struct {
+	balance.Deployment
+	Zones      []string // numbered as they are listed
+	ConnectFor float64  // a connection that is not up by then counts as never coming up; 0: not told
+	IdleFor    float64  // a backend closes a connection idle for this long, or earlier; 0: not told
+}
+
+var (
+	kinds = map[string]balance.Kind{"retryable": balance.Replayable, "dedup": balance.Referenced,
+		"fragile": balance.SingleUse}
+	scopes = map[string]balance.Scope{"all": balance.ScopeAll, "zone": balance.ScopeZone, "cell": balance.ScopePod}
+)
+
+// Read takes the figures from values by path, lists with their length under .count. Unknown ones are skipped.
+func Read(values map[string]string, seed uint64) (Figures, error) {
+	e := env{values: values}
+	f := Figures{
+		Zones:      strings.Split(values["Zones"], ","),
+		ConnectFor: e.num("Ceilings.ConnectTimeoutMs") / 1000,
+		IdleFor:    e.num("Ceilings.ConnIdleMs") / 1000,
+	}
+	f.Deployment = balance.Deployment{
+		Seed:         seed,
+		Proxies:      int(e.num("ReplicasOfMe")),
+		ValueByWork:  values["ValuePer"] == "work",
+		BeyondShare:  e.num("BeyondShareValue"),
+		MaxLegs:      int(e.num("Ceilings.MaxLegs")),
+		CallOff:      e.bool("Ceilings.Cancel"),
+		WarmKeys:     e.bool("FamilyInfo.WarmKeys"),
+		AsksList:     values["Discovery"] == "subscribe",
+		AskEvery:     e.num("Rules.AskEveryMs") / 1000,
+		ColdShare:    e.num("Rules.ColdFrom"),
+		ColdFor:      e.num("Rules.ColdMs") / 1000,
+		FallMultiple: e.num("Rules.FallMultiple"),
+		FallFor:      e.num("Rules.OverloadForMs") / 1000,
+	}
+	if e.bool("Ceilings.RetryAfter") {
+		f.MaxAdvice = e.num("Ceilings.MaxRetryAfterMs") / 1000
+	}
+	for i := range int(e.num("Profiles.count")) {
+		p := fmt.Sprintf("Profiles.%d.", i)
+		t := balance.Tariff{
+			Name:     values[p+"Name"],
+			Window:   e.num(p+"WindowMs") / 1000,
+			Due:      e.num(p+"DueTimeMs") / 1000,
+			HardStop: e.num(p+"HardStopMs") / 1000,
+			Value:    e.num(p + "Value"),
+		}
+		t.Kind = choice(&e, p+"Effect", kinds)
+		if t.Kind == balance.Referenced {
+			t.Scope = choice(&e, p+"DedupScope", scopes)
+		}
+		f.Tariffs = append(f.Tariffs, t)
+	}
+	for i := range int(e.num("Realms.count")) {
+		p := fmt.Sprintf("Realms.%d.", i)
+		f.Customers = append(f.Customers, balance.Customer{Name: values[p+"Name"], Quota: e.num(p + "QuotaPerS")})
+	}
+	return f, e.err
+}
+
+// env is the values and the first thing found wrong with them.
+type env struct {
+	values map[string]string
+	err    error
+}
+
+func (e *env) fail(path, what, value string) {
+	if e.err == nil {
+		e.err = fmt.Errorf("%s: %s: %q", path, what, value)
+	}
+}
+
+func (e *env) num(path string) float64 {
+	v, ok := e.values[path]
+	if !ok {
+		return 0
+	}
+	x, err := strconv.ParseFloat(v, 64)
+	if err != nil {
+		e.fail(path, "not a number", v)
+	}
+	return x
+}
+
+func (e *env) bool(path string) bool {
+	v, ok := e.values[path]
+	if ok && v != "true" && v != "false" && v != "1" && v != "0" {
+		e.fail(path, "not true or false", v)
+	}
+	return v == "true" || v == "1"
+}
+
+func choice[T any](e *env, path string, words map[string]T) T {
+	w, ok := words[e.values[path]]
+	if !ok {
+		e.fail(path, "unknown", e.values[path])
+	}
+	return w
+}
--- /dev/null
+++ b/internal/heads/write.go
@@ -0,0 +1,70 @@
+package heads
+
+import "strconv"
+
+// reasons are the words after a status that this project sends; they mean nothing to a program.
+var reasons = map[int]string{100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found",
+	408: "Request Timeout", 413: "Content Too Large", 417: "Expectation Failed", 429: "Too Many Requests",
+	431: "Request Header Fields Too Large", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable"}
+
+// hop are the fields that concern one connection only, or that a writer settles anew.
+var hop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
+	"Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
+
+// AppendOnward appends those fields of a head that go on, but for the left-out ones.
+func AppendOnward(out []byte, h *Head, left ...string) []byte {
+	named := h.Get("Connection") // fields that it names concern this connection too
+next:
+	for _, f := range h.Fields {
+		for _, name := range hop {
+			if Is(f.Name, name) {
+				continue next
+			}
+		}
+		for _, name := range left {
+			if Is(f.Name, name) {
+				continue next
+			}
+		}
+		if named != nil && lists(named, f.Name) {
+			continue
+		}
+		out = AppendField(out, f.Name, f.Value)
+	}
+	return out
+}
+
+// AppendField appends a field's line.
+func AppendField[N, V string | []byte](out []byte, name N, value V) []byte {
+	out = append(out, name...)
+	out = append(out, ": "...)
+	out = append(out, value...)
+	return append(out, "\r\n"...)
+}
+
+// AppendRequest appends a request's first line.
+func AppendRequest(out []byte, method, target []byte) []byte {
+	out = append(out, method...)
+	out = append(out, ' ')
+	out = append(out, target...)
+	return append(out, " HTTP/1.1\r\n"...)
+}
+
+// AppendStatus appends a response's first line.
+func AppendStatus(out []byte, status int) []byte {
+	out = append(out, "HTTP/1.1 "...)
+	out = strconv.AppendInt(out, int64(status), 10)
+	out = append(out, ' ')
+	out = append(out, reasons[status]...)
+	return append(out, "\r\n"...)
+}
+
+// AppendLength appends the length of a body.
+func AppendLength(out []byte, n int) []byte {
+	out = append(out, "Content-Length: "...)
+	out = strconv.AppendInt(out, int64(n), 10)
+	return append(out, "\r\n"...)
+}
+
+// AppendSeconds appends a time in seconds with three decimals.
+func AppendSeconds(out []byte, s float64) []byte { return strconv.AppendFloat(out, s, 'f', 3, 64) }
--- /dev/null
+++ b/internal/invariant/debug.go
@@ -0,0 +1,8 @@
+//go:build debug
+
+package invariant
+
+// Asserted says whether a broken invariant ends the program.
+const Asserted = true
+
+func fail(name string) { panic("does not hold: " + name) }
--- /dev/null
+++ b/internal/invariant/release.go
@@ -0,0 +1,12 @@
+//go:build !debug
+
+package invariant
+
+// Asserted says whether a broken invariant ends the program.
+const Asserted = false
+
+func fail(name string) {
+	mu.Lock()
+	broken[name]++
+	mu.Unlock()
+}
--- /dev/null
+++ b/proxy/admit.go
@@ -0,0 +1,62 @@
+package proxy
+
+import (
+	"lockloom/balance"
+	"lockloom/internal/invariant"
+)
+
+// lookup is a lookup from its taking in to its end; after that of its client's goroutine it is the owner's.
+type lookup struct {
+	row        *balance.Tariff
+	handle     *balance.Lookup
+	ref        int
+	hardStop   float64
+	head, body []byte // what goes to a backend, alike for all its legs
+	legs       []*leg
+	answered   bool // or its client has left
+	released   bool
+	answer     chan reply // holds the one answer; the owner never waits for the client
+}
+
+// admit hands a lookup to the decisions. One that came over the bound on connections is dismissed unseen.
+func (p *Proxy) admit(l *lookup, a balance.Arrival, over bool) {
+	p.counts.Taken++
+	if over {
+		p.finish(l, balance.Dismissed, p.launch.MaxAdvice)
+		return
+	}
+	if n := len(p.free); n > 0 {
+		l.ref, p.free = p.free[n-1], p.free[:n-1]
+		p.slots[l.ref] = l
+	} else {
+		l.ref = len(p.slots)
+		p.slots = append(p.slots, l)
+	}
+	a.Ref = l.ref
+	p.timers.add(timer{at: l.hardStop - backstop, call: func() { p.expired(l) }})
+	p.decide(func(now float64) *balance.Orders {
+		handle, orders := p.b.Take(now, a)
+		l.handle = handle
+		return orders
+	})
+}
+
+// expired answers a lookup that the decisions have not. Danger: one without an answer breaks rule 1.
+func (p *Proxy) expired(l *lookup) {
+	if !invariant.Holds(l.answered, "every lookup is answered before its hard stop") {
+		p.finish(l, balance.Forfeited, 0)
+	}
+}
+
+// left tells the decisions that a client has gone.
+func (p *Proxy) left(l *lookup) {
+	if l.answered {
+		return
+	}
+	l.answered = true
+	p.counts.Left++
+	if l.handle != nil {
+		p.decide(l.handle.Left)
+		p.release(l)
+	}
+}
--- /dev/null
+++ b/proxy/book.go
@@ -0,0 +1,58 @@
+package proxy
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"lockloom/balance"
+	"lockloom/internal/backends"
+	"lockloom/internal/invariant"
+)
+
+// counts are what the owner has seen since the start.
+type counts struct {
+	Taken, Honoured, Dismissed, Forfeited, Left, TurnedAway, Legs, Late int
+	Outcomes                                                            [8]int // of legs
+}
+
+// book tells the decisions how a leg ended. The first honoured one answers its lookup.
+func (p *Proxy) book(l *lookup, g *leg, r backends.Result) {
+	invariant.Holds(!g.ended, "a leg ends once")
+	g.ended = true
+	g.neverRan = r.Outcome == balance.NoRoom || r.Outcome == balance.NoRoute || r.Outcome == balance.NeverSent
+	p.counts.Outcomes[r.Outcome]++
+	if p.now()-p.stamp(r.At) > lateEvent {
+		p.counts.Late++
+	}
+	if r.Outcome == balance.Honoured && !l.answered {
+		l.answered = true
+		p.counts.Honoured++
+		l.answer <- reply{status: 200, fields: r.Fields, body: r.Body}
+	}
+	over := l.answered
+	p.decide(func(now float64) *balance.Orders {
+		return l.handle.Ended(now, g.number, r.Outcome, p.stamp(r.At)-g.sent, over)
+	})
+	p.release(l)
+}
+
+// report logs the counts, and now and then does so again.
+func (p *Proxy) report() {
+	c, pool := &p.counts, p.pool
+	fields := logrus.Fields{"taken": c.Taken, "honoured": c.Honoured, "dismissed": c.Dismissed,
+		"forfeited": c.Forfeited, "left": c.Left, "turned_away": c.TurnedAway, "legs": c.Legs, "late": c.Late,
+		"fault": c.Outcomes[balance.Fault], "no_room": c.Outcomes[balance.NoRoom],
+		"too_slow": c.Outcomes[balance.TooSlow], "no_route": c.Outcomes[balance.NoRoute],
+		"cut": c.Outcomes[balance.Cut], "called_off": c.Outcomes[balance.CalledOff],
+		"never_sent": c.Outcomes[balance.NeverSent], "connections": pool.Total(), "opened": pool.Opened,
+		"retired": pool.Retired, "lost_idle": pool.Lost, "no_connection": pool.Full}
+	p.door.mu.Lock()
+	fields["clients"], fields["crowded"] = p.door.count, p.door.Crowded
+	p.door.mu.Unlock()
+	line := p.log.WithFields(fields)
+	if broken := invariant.Broken(); len(broken) > 0 {
+		line.WithField("broken", broken).Error("counts")
+	} else {
+		line.Info("counts")
+	}
+	p.timers.add(timer{at: p.now() + reportEvery.Seconds(), call: p.report})
+}
--- /dev/null
+++ b/proxy/owner.go
@@ -0,0 +1,148 @@
+package proxy
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"runtime/debug"
+	"time"
+
+	"lockloom/balance"
+	"lockloom/internal/invariant"
+)
+
+// own is the owner's goroutine: it runs what the connections post and what has come due.
+func (p *Proxy) own() {
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	p.timers.add(timer{at: p.now(), call: p.sweep})
+	p.timers.add(timer{at: p.now() + reportEvery.Seconds(), call: p.report})
+	for {
+		select {
+		case f := <-p.events:
+			p.guard(f)
+		case <-wake.C:
+		case <-p.quit:
+			p.report()
+			return
+		}
+		for len(p.timers) > 0 && p.timers[0].at <= p.now() {
+			p.guard(heap.Pop(&p.timers).(timer).call)
+		}
+		next := math.Inf(1)
+		if len(p.timers) > 0 {
+			next = p.timers[0].at
+		}
+		wake.Reset(seconds(min(next-p.now(), 1)))
+	}
+}
+
+// guard runs one call and what it left for later. A panic costs one lookup, not the lookups of all: its
+// backstop still answers it.
+func (p *Proxy) guard(f func()) {
+	defer func() {
+		if r := recover(); r != nil {
+			if invariant.Asserted {
+				panic(r)
+			}
+			invariant.Holds(false, "no call panics")
+			p.log.WithField("stack", string(debug.Stack())).Error(fmt.Sprint("panic: ", r))
+		}
+	}()
+	f()
+	for len(p.later) > 0 {
+		f := p.later[0]
+		p.later = p.later[1:]
+		f()
+	}
+}
+
+// decide makes one call on the decisions and carries out what they order. The orders are good until the next
+// call, so whatever would lead to one is left for later.
+func (p *Proxy) decide(call func(now float64) *balance.Orders) {
+	o := call(p.now())
+	for i := range o.Steps {
+		p.route(&o.Steps[i])
+	}
+	if o.Wake > 0 {
+		p.timers.add(timer{at: o.Wake, call: func() { p.decide(p.b.Wake) }})
+	}
+	// Orders to subscribe need no act: on sockets the watch is always held.
+	for i := range o.Steps {
+		p.release(p.slots[o.Steps[i].Ref])
+	}
+}
+
+// release frees the slot of a lookup to which nothing more will happen.
+func (p *Proxy) release(l *lookup) {
+	if l != nil && !l.released && l.handle != nil && l.handle.Done() {
+		l.released = true
+		invariant.Holds(l.answered, "a lookup is done only once answered")
+		p.slots[l.ref] = nil
+		p.free = append(p.free, l.ref)
+	}
+}
+
+// list takes in a list of backends.
+func (p *Proxy) list(l List, first bool) {
+	list := make([]balance.Backend, len(l.Entries))
+	listed := map[int]bool{}
+	for i, e := range l.Entries {
+		b := p.names.Backend(e.Entry)
+		list[i] = b
+		listed[b.Index] = true
+		p.pool.Place(b.Index, e.Addr, b.UpSince)
+		if b.State != balance.Ready {
+			p.pool.Close(b.Index)
+		}
+		p.told(b.Index, b.State == balance.Ready)
+	}
+	if l.Full {
+		for i := range p.stopSend {
+			if !listed[i] {
+				p.pool.Close(i)
+				p.told(i, false)
+			}
+		}
+	}
+	p.decide(func(now float64) *balance.Orders { return p.b.Listed(now, l.Full, first, list) })
+}
+
+// told notes from when on nothing may be sent to a backend.
+func (p *Proxy) told(index int, ready bool) {
+	for len(p.stopSend) <= index {
+		p.stopSend = append(p.stopSend, math.Inf(1))
+	}
+	if ready {
+		p.stopSend[index] = math.Inf(1)
+	} else {
+		p.stopSend[index] = min(p.stopSend[index], p.now())
+	}
+}
+
+func (p *Proxy) sweep() {
+	p.pool.Sweep()
+	p.timers.add(timer{at: p.now() + sweepEvery.Seconds(), call: p.sweep})
+}
+
+// timers is a heap of what will come due.
+type timers []timer
+
+type timer struct {
+	at   float64
+	call func()
+}
+
+func (t *timers) add(x timer)       { heap.Push(t, x) }
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	n := len(old) - 1
+	x := old[n]
+	old[n] = timer{}
+	*t = old[:n]
+	return x
+}
--- /dev/null
+++ b/proxy/proxy.go
@@ -0,0 +1,193 @@
+// Package proxy serves lookups on sockets round the decisions of package balance.
+//
+// A lookup passes six stages, each in a file of its own: it is taken in from its client, admitted to the
+// decisions, routed as they order, sent to a backend, its answer relayed, and what came of it booked. One
+// goroutine, the owner, makes every call on the Balancer and keeps all that is about lookups; each connection
+// has goroutines of its own that tell the owner what happened. The owner never waits for a socket.
+package proxy
+
+import (
+	"context"
+	"math"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lockloom/balance"
+	"lockloom/internal/backends"
+	"lockloom/internal/discovery"
+	"lockloom/internal/figures"
+	"lockloom/internal/invariant"
+	"lockloom/internal/launch"
+)
+
+// What a proxy is told when it starts.
+type (
+	Launch  = launch.Launch
+	Limits  = launch.Limits
+	Figures = figures.Figures
+	List    = discovery.List
+)
+
+// ReadLaunch reads it from the environment's variables, by get, and the file that they name.
+func ReadLaunch(get func(string) string) (Launch, error) { return launch.Read(get) }
+
+// Every constant of the network code but those of a package's own wire.
+const (
+	eventsKept   = 1024                   // events not yet taken by the owner; then connections wait
+	reserve      = 64                     // descriptors for files, listener, discovery and what is just closing
+	clientPart   = 0.5                    // of the other descriptors; backends have the rest
+	overPart     = 0.2                    // of the clients': taken over the bound, to be dismissed at once
+	memoryPart   = 0.6                    // of the memory limit is the collector's aim; buffers come in bursts
+	gcPercent    = 300                    // a small heap: collect seldom, the memory aim permitting
+	idlePart     = 0.8                    // of the time after which a backend closes an idle connection
+	idleUntold   = 2 * time.Second        // where that time is not told
+	connectFor   = time.Second            // where the deployment does not tell it
+	sweepEvery   = 100 * time.Millisecond // between looks for connections idle too long
+	reportEvery  = 10 * time.Second       // between lines of counts in the log
+	firstList    = 300 * time.Millisecond // to wait for discovery before being ready with the known list
+	clientIdle   = 75 * time.Second       // a client's connection without a request
+	clientSlow   = 5 * time.Second        // for a request to come whole, and for an answer to be taken
+	longestWait  = 60.0                   // s; a client that says it waits longer is taken to wait so long
+	lingerFor    = 500 * time.Millisecond // to read on after an error, so that the client can read it
+	backstop     = 0.002                  // s before the hard stop when a lookup with no answer is forfeited
+	closeAfter   = 600 * time.Millisecond // from the order to stop to the end of accepting
+	lateEvent    = 0.02                   // s from an event to the owner's call: more is counted
+	followedLate = 2.5                    // s; longest time from being told of a drain to the last send
+)
+
+// Proxy is one proxy of the bank.
+type Proxy struct {
+	launch Launch
+	log    logrus.FieldLogger
+	began  time.Time
+
+	// The owner's.
+	b        *balance.Balancer
+	names    *figures.Register
+	pool     *backends.Pool
+	timers   timers
+	slots    []*lookup // by Arrival.Ref
+	free     []int
+	later    []func() // what came up while orders were carried out
+	stopSend []float64
+	counts   counts
+
+	events chan func()
+	quit   chan struct{} // closed when the owner has ended
+	ready  atomic.Bool
+	stops  atomic.Bool // ordered to stop: each connection ends with its answer
+	door   door
+	work   sync.WaitGroup // client connections
+}
+
+// New makes a proxy that is not serving yet.
+func New(l Launch, log logrus.FieldLogger) (*Proxy, error) {
+	p := &Proxy{launch: l, log: log.WithField("proxy", l.Name), began: time.Now(), names: l.Register(),
+		events: make(chan func(), eventsKept), quit: make(chan struct{})}
+	b, err := balance.New(l.Deployment, p.now())
+	if err != nil {
+		return nil, err
+	}
+	p.b = b
+	most := max(l.Limits.Sockets-reserve, 4)
+	p.door.most = max(int(clientPart*float64(most)), 2)
+	p.door.over = max(int(overPart*float64(p.door.most)), 1)
+	p.pool = backends.New(p.post)
+	p.pool.Most = most - p.door.most
+	p.pool.Connect, p.pool.Idle = connectFor, idleUntold
+	if l.ConnectFor > 0 {
+		p.pool.Connect = seconds(l.ConnectFor)
+	}
+	if l.IdleFor > 0 {
+		p.pool.Idle = seconds(idlePart * l.IdleFor)
+	}
+	p.door.most -= p.door.over
+	return p, nil
+}
+
+// Serve serves the listener's connections until the context ends; then it answers all it has taken and what
+// still comes for a short time, and returns.
+func (p *Proxy) Serve(ctx context.Context, ln net.Listener) error {
+	defer p.bound()()
+	watching, unwatch := context.WithCancel(context.Background())
+	defer unwatch()
+	told := make(chan struct{})
+	p.list(p.launch.Known, true)
+	go p.own()
+	watch := &discovery.Watch{Addr: p.launch.Discovery, Version: p.launch.Known.Version, Log: p.log,
+		Told: func(l List) {
+			p.post(func() { p.list(l, false) })
+			if told != nil {
+				close(told)
+				told = nil
+			}
+		}}
+	first := told
+	go watch.Run(watching)
+	go func() {
+		select {
+		case <-first:
+		case <-time.After(firstList):
+		}
+		p.post(func() { p.ready.Store(true) })
+	}()
+	accepted := make(chan error, 1)
+	go func() { accepted <- p.accept(ln) }()
+	p.log.WithFields(logrus.Fields{"listen": ln.Addr().String(), "backends": len(p.launch.Known.Entries),
+		"clients": p.door.most, "connections": p.pool.Most, "asserted": invariant.Asserted}).Info("serving")
+	var err error
+	select {
+	case err = <-accepted:
+	case <-ctx.Done():
+		p.log.Info("stopping")
+		p.stops.Store(true)
+		time.Sleep(closeAfter)
+		ln.Close()
+		<-accepted
+	}
+	p.stops.Store(true)
+	p.door.closeIdle()
+	p.work.Wait()
+	close(p.quit)
+	return err
+}
+
+// bound keeps the process within its machine's limits, and gives back what was set before.
+func (p *Proxy) bound() func() {
+	cores := runtime.GOMAXPROCS(max(1, int(math.Ceil(p.launch.Limits.Cores))))
+	memory := debug.SetMemoryLimit(int64(memoryPart * float64(p.launch.Limits.Memory)))
+	percent := debug.SetGCPercent(gcPercent)
+	return func() {
+		runtime.GOMAXPROCS(cores)
+		debug.SetMemoryLimit(memory)
+		debug.SetGCPercent(percent)
+	}
+}
+
+// now is the time in seconds since 1970, as the backends' starts are told. It never steps back.
+func (p *Proxy) now() float64 { return p.stamp(time.Now()) }
+
+func (p *Proxy) stamp(t time.Time) float64 {
+	return float64(p.began.UnixMicro())/1e6 + t.Sub(p.began).Seconds()
+}
+
+// at is the time of a stamp.
+func (p *Proxy) at(stamp float64) time.Time {
+	return p.began.Add(seconds(stamp - float64(p.began.UnixMicro())/1e6))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// post has the owner run a function soon. Only the owner itself must not call it: it would wait for itself.
+func (p *Proxy) post(f func()) {
+	select {
+	case p.events <- f:
+	case <-p.quit:
+	}
+}
--- /dev/null
+++ b/proxy/relay.go
@@ -0,0 +1,34 @@
+package proxy
+
+import (
+	"net"
+	"time"
+
+	"lockloom/internal/heads"
+)
+
+// reply is what a client is answered.
+type reply struct {
+	status int
+	fields []byte // lines of an honoured answer's head that go on
+	body   []byte
+	advice float64 // s; when to come back; 0: no advice
+}
+
+// relay writes an answer to its client, who may be slow to take it but not for ever.
+func (c *client) relay(a reply, closing bool) error {
+	head := heads.AppendStatus(make([]byte, 0, 256), a.status)
+	head = append(head, a.fields...)
+	head = heads.AppendLength(head, len(a.body))
+	if a.advice > 0 {
+		head = heads.AppendField(head, "Retry-After", heads.AppendSeconds(nil, a.advice))
+	}
+	if closing {
+		head = heads.AppendField(head, "Connection", "close")
+	}
+	head = append(head, "\r\n"...)
+	c.nc.SetWriteDeadline(time.Now().Add(clientSlow))
+	bufs := net.Buffers{head, a.body}
+	_, err := bufs.WriteTo(c.nc)
+	return err
+}
--- /dev/null
+++ b/proxy/route.go
@@ -0,0 +1,59 @@
+package proxy
+
+import (
+	"lockloom/balance"
+	"lockloom/internal/invariant"
+)
+
+// route carries out one step that the decisions order.
+func (p *Proxy) route(s *balance.Step) {
+	l := p.slots[s.Ref]
+	if s.Send {
+		p.send(l, s.Backend, s.Until)
+	}
+	if s.CallOff > 0 {
+		if g := l.legs[s.CallOff-1]; !g.ended && g.begun {
+			p.pool.CallOff(&g.ex)
+		}
+	}
+	if s.Answer != balance.NoAnswer {
+		p.finish(l, s.Answer, s.Advice)
+	}
+	if s.Wake > 0 {
+		p.timers.add(timer{at: s.Wake, call: func() {
+			if !l.released {
+				p.decide(l.handle.Wake)
+				p.release(l)
+			}
+		}})
+	}
+}
+
+// harmless says whether a client may try the lookup again: rule 2.
+func (l *lookup) harmless() bool {
+	for _, g := range l.legs {
+		if !g.neverRan && (l.row.Kind == balance.SingleUse ||
+			l.row.Kind == balance.Referenced && l.row.Scope != balance.ScopeAll) {
+			return false
+		}
+	}
+	return true
+}
+
+// finish gives a lookup its final answer.
+func (p *Proxy) finish(l *lookup, answer balance.Answer, advice float64) {
+	if !invariant.Holds(!l.answered, "a lookup gets one answer") {
+		return
+	}
+	if answer == balance.Dismissed && !invariant.Holds(l.harmless(), "a dismissed lookup may be tried again") {
+		answer = balance.Forfeited
+	}
+	l.answered = true
+	if answer == balance.Dismissed {
+		p.counts.Dismissed++
+		l.answer <- reply{status: 503, advice: advice, body: []byte("dismissed\n")}
+		return
+	}
+	p.counts.Forfeited++
+	l.answer <- reply{status: 502, body: []byte("forfeited\n")}
+}
--- /dev/null
+++ b/proxy/send.go
@@ -0,0 +1,40 @@
+package proxy
+
+import (
+	"time"
+
+	"lockloom/balance"
+	"lockloom/internal/backends"
+	"lockloom/internal/heads"
+	"lockloom/internal/invariant"
+)
+
+// leg is one leg of a lookup.
+type leg struct {
+	number   int
+	ex       backends.Exchange
+	sent     float64
+	begun    bool // on a connection, or on one that is being opened
+	ended    bool
+	neverRan bool
+}
+
+// send starts a leg. What it came to is booked, also where no connection may be had.
+func (p *Proxy) send(l *lookup, backend int, until float64) {
+	now := p.now()
+	invariant.Holds(!l.answered, "nothing is sent for an answered lookup")
+	invariant.Holds(now <= p.stopSend[backend]+followedLate, "nothing is sent past the grace of a drain")
+	invariant.Holds(len(l.legs) == 0 || l.row.Kind != balance.SingleUse || l.harmless(),
+		"a single-use lookup is sent again only where it never ran")
+	g := &leg{number: len(l.legs), sent: now}
+	l.legs = append(l.legs, g)
+	p.counts.Legs++
+	g.ex = backends.Exchange{Head: l.head, Body: l.body, Until: p.at(until),
+		Report: func(r backends.Result) { p.book(l, g, r) }}
+	g.ex.Tail = append(heads.AppendField(nil, "X-Expires-In", heads.AppendSeconds(nil, max(until-now, 0.001))), "\r\n"...)
+	if g.begun = p.pool.Send(backend, &g.ex); !g.begun {
+		p.later = append(p.later, func() {
+			p.book(l, g, backends.Result{Outcome: balance.NeverSent, At: time.Now()})
+		})
+	}
+}
--- /dev/null
+++ b/proxy/takein.go
@@ -0,0 +1,289 @@
+package proxy
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"lockloom/balance"
+	"lockloom/internal/figures"
+	"lockloom/internal/heads"
+)
+
+// door counts the clients' connections and knows the idle ones, oldest first.
+type door struct {
+	mu         sync.Mutex
+	cond       sync.Cond
+	most, over int // connections served; further ones that are dismissed at once
+	count      int
+	idle       []*client
+	Crowded    int // connections taken over the bound
+}
+
+// client is a client's connection.
+type client struct {
+	p      *Proxy
+	nc     net.Conn
+	r      *heads.Reader
+	over   bool // taken over the bound
+	closed bool // while idle, to make room; under door.mu
+}
+
+// accept takes connections until the listener ends.
+func (p *Proxy) accept(ln net.Listener) error {
+	p.door.cond.L = &p.door.mu
+	for {
+		p.door.mu.Lock()
+		for p.door.count >= p.door.most+p.door.over && !p.stops.Load() { // waits, it does not spin
+			p.door.cond.Wait()
+		}
+		p.door.mu.Unlock()
+		nc, err := ln.Accept()
+		if err != nil {
+			if p.stops.Load() && errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			var temporary net.Error
+			if errors.As(err, &temporary) && !errors.Is(err, net.ErrClosed) {
+				p.log.WithError(err).Error("accept")
+				time.Sleep(10 * time.Millisecond) // danger: out of descriptors, the loop would spin
+				continue
+			}
+			return err
+		}
+		c := &client{p: p, nc: nc, r: heads.NewReader(nc)}
+		c.over = p.door.enter()
+		p.work.Add(1)
+		go c.serve()
+	}
+}
+
+// enter counts a connection, and closes an idle one where there are too many.
+func (d *door) enter() (over bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.count++
+	if d.count <= d.most {
+		return false
+	}
+	if len(d.idle) > 0 {
+		d.idle[0].closed = true
+		d.idle[0].nc.Close()
+		d.idle = d.idle[1:]
+		return false
+	}
+	d.Crowded++
+	return true
+}
+
+func (d *door) leave() {
+	d.mu.Lock()
+	d.count--
+	d.cond.Signal()
+	d.mu.Unlock()
+}
+
+// rest notes that a connection is idle.
+func (d *door) rest(c *client) {
+	d.mu.Lock()
+	d.idle = append(d.idle, c)
+	d.mu.Unlock()
+}
+
+// rouse notes that it is not idle any more. It is false where it was closed in the meantime.
+func (d *door) rouse(c *client) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, o := range d.idle {
+		if o == c {
+			d.idle = append(d.idle[:i], d.idle[i+1:]...)
+			break
+		}
+	}
+	return !c.closed
+}
+
+// closeIdle closes the connections without a request.
+func (d *door) closeIdle() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.idle {
+		c.closed = true
+		c.nc.Close()
+	}
+	d.idle = nil
+}
+
+// serve takes in the requests of one connection, one after the other.
+func (c *client) serve() {
+	defer c.p.work.Done()
+	defer c.p.door.leave()
+	defer c.nc.Close()
+	came := make(chan error, 1)
+	c.nc.SetReadDeadline(time.Now().Add(clientIdle))
+	go func() { came <- c.r.Wait() }()
+	for {
+		c.p.door.rest(c)
+		err := <-came
+		if !c.p.door.rouse(c) || err != nil {
+			return
+		}
+		if !c.one(came) {
+			return
+		}
+	}
+}
+
+// one takes in a request, has it answered, and tells whether the connection stays. When it returns, what
+// comes next is being waited for.
+func (c *client) one(came chan error) bool {
+	arrived := time.Now()
+	c.nc.SetReadDeadline(arrived.Add(clientSlow))
+	h, err := c.r.Request()
+	if err != nil {
+		return c.turnAway(err)
+	}
+	closing := h.Close
+	l, a, err := c.read(h, arrived)
+	if err != nil {
+		return c.turnAway(err)
+	}
+	var answer reply
+	if l == nil { // nothing to decide
+		answer = c.p.up()
+	} else {
+		c.nc.SetReadDeadline(time.Time{})
+		go func() { came <- c.r.Wait() }() // ends too when the client goes
+		c.p.post(func() { c.p.admit(l, a, c.over) })
+		select {
+		case answer = <-l.answer:
+		case err := <-came:
+			if err != nil {
+				c.p.post(func() { c.p.left(l) })
+				return false
+			}
+			answer = <-l.answer // more came already: it stays in the buffer
+			came <- nil
+		}
+	}
+	closing = closing || c.over || c.p.stops.Load()
+	if err := c.relay(answer, closing); err != nil || closing {
+		return false
+	}
+	c.nc.SetReadDeadline(time.Now().Add(clientIdle))
+	if l == nil {
+		go func() { came <- c.r.Wait() }()
+	}
+	return true
+}
+
+// read reads the rest of a request and what it says of its lookup; there is none in a question of readiness.
+func (c *client) read(h *heads.Head, arrived time.Time) (*lookup, balance.Arrival, error) {
+	a := balance.Arrival{Customer: -1}
+	path, query, _ := bytes.Cut(h.Target, []byte{'?'})
+	if string(path) == "/up" {
+		_, err := c.r.Body(h.Length, h.Chunked)
+		return nil, a, err
+	}
+	refuse := func(status int, text string) (*lookup, balance.Arrival, error) {
+		return nil, a, &heads.Error{Status: status, Text: text}
+	}
+	first, _, _ := bytes.Cut(bytes.TrimPrefix(path, []byte{'/'}), []byte{'/'})
+	named := h.Get("X-Qos")
+	tariff, ok := c.p.names.Tariff(string(named))
+	if _, there := c.p.names.Tariff(string(first)); !there && (ok || named == nil) || path[0] != '/' {
+		return refuse(404, "no such path")
+	}
+	switch row := c.p.launch.Tariffs[tariff]; {
+	case !ok:
+		return refuse(400, "unknown tariff")
+	case !bytes.Equal(first, named):
+		return refuse(400, "path and X-Qos differ")
+	case len(h.Get("X-Trace-Id")) == 0:
+		return refuse(400, "no X-Trace-Id")
+	case string(h.Method) != "GET" && string(h.Method) != "POST":
+		return refuse(501, "method not known")
+	case row.Kind != balance.Replayable && string(h.Method) == "GET":
+		return refuse(400, "method does not fit the tariff")
+	case row.Kind == balance.Referenced && len(h.Get("Idempotency-Key")) == 0:
+		return refuse(400, "no Idempotency-Key")
+	}
+	wait, err := strconv.ParseFloat(string(h.Get("X-Expires-In")), 64)
+	if err != nil || math.IsNaN(wait) || math.IsInf(wait, 0) {
+		return refuse(400, "no X-Expires-In")
+	}
+	a.Tariff = tariff
+	a.HardStop = c.p.stamp(arrived) + min(wait, longestWait)
+	a.Again = string(h.Get("X-Second-Try")) == "1"
+	if name := h.Get("X-Customer"); name != nil {
+		a.Customer = c.p.names.Customer(string(name))
+	}
+	for part := range bytes.SplitSeq(query, []byte{'&'}) {
+		if key, ok := bytes.CutPrefix(part, []byte("user=")); ok {
+			a.Key = figures.Hash(string(key))
+		}
+	}
+	for part := range bytes.SplitSeq(h.Get("X-Props"), []byte{','}) {
+		if hint, ok := bytes.CutPrefix(bytes.TrimSpace(part), []byte("ExpectedMs=")); ok {
+			if ms, err := strconv.ParseFloat(string(hint), 64); err == nil && ms > 0 && !math.IsInf(ms, 0) {
+				a.Work = ms / 1000
+			}
+		}
+	}
+	l := &lookup{row: &c.p.launch.Tariffs[tariff], hardStop: a.HardStop, answer: make(chan reply, 1)}
+	l.head = heads.AppendRequest(make([]byte, 0, 512), h.Method, h.Target)
+	l.head = heads.AppendOnward(l.head, h, "X-Expires-In")
+	length, chunked, get := h.Length, h.Chunked, string(h.Method) == "GET"
+	if h.Continue && !c.r.Buffered() {
+		c.nc.SetWriteDeadline(time.Now().Add(clientSlow))
+		c.nc.Write(append(heads.AppendStatus(nil, 100), "\r\n"...))
+	}
+	if l.body, err = c.r.Body(length, chunked); err != nil {
+		return nil, a, err
+	}
+	if !get || len(l.body) > 0 {
+		l.head = heads.AppendLength(l.head, len(l.body))
+	}
+	return l, a, nil
+}
+
+// turnAway answers what cannot be taken, and reads on a little so that the answer is not lost to a reset.
+func (c *client) turnAway(err error) bool {
+	status, text := 0, err.Error()
+	var wrong *heads.Error
+	switch {
+	case errors.As(err, &wrong):
+		status = wrong.Status
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status, text = 408, "request not whole in time"
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		status, text = 400, "request not whole"
+	default: // the connection is gone
+		return false
+	}
+	c.p.post(func() { c.p.counts.TurnedAway++ })
+	c.p.log.WithField("client", c.nc.RemoteAddr().String()).Debug("turned away: ", text)
+	if c.relay(reply{status: status, body: []byte(text + "\n")}, true) != nil {
+		return false
+	}
+	if half, ok := c.nc.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+		c.nc.SetReadDeadline(time.Now().Add(lingerFor))
+		io.CopyN(io.Discard, c.nc, 2*heads.Most)
+	}
+	return false
+}
+
+// up answers whether the proxy takes lookups.
+func (p *Proxy) up() reply {
+	if p.ready.Load() && !p.stops.Load() {
+		return reply{status: 200, body: []byte("up\n")}
+	}
+	return reply{status: 503, body: []byte("not up\n")}
+}
