--- /dev/null
+++ b/internal/backends/backends_test.go
@@ -0,0 +1,308 @@
+package backends
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"lockloom/balance"
+)
+
+// bank is a pool whose owner is the test, and the backends' ends of its connections as they are opened.
+type bank struct {
+	*Pool
+	posted  chan func()
+	ends    chan net.Conn
+	refuses bool
+	hangs   bool
+	dials   []string
+}
+
+func open() *bank {
+	b := &bank{posted: make(chan func(), 100), ends: make(chan net.Conn, 100)}
+	b.Pool = New(func(ctx context.Context, addr string) (net.Conn, error) {
+		b.dials = append(b.dials, addr)
+		if b.refuses {
+			return nil, errors.New("refused")
+		}
+		if b.hangs {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		ours, theirs := net.Pipe()
+		b.ends <- theirs
+		return ours, nil
+	}, func(f func()) { b.posted <- f })
+	b.Connect, b.Idle, b.Most = 75*time.Millisecond, 4*time.Second, 2
+	b.Place(0, "one:1", 0)
+	b.Place(1, "two:1", 0)
+	return b
+}
+
+// settle lets everything that can happen now happen.
+func (b *bank) settle() {
+	for {
+		synctest.Wait()
+		select {
+		case f := <-b.posted:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// leg sends an exchange; its results come one by one.
+func (b *bank) leg(index int) (*Exchange, *[]Result) {
+	results := &[]Result{}
+	ex := &Exchange{Head: []byte("GET /a HTTP/1.1\r\n"), Tail: []byte("\r\n"), Until: time.Now().Add(time.Second),
+		Report: func(r Result) { *results = append(*results, r) }}
+	if !b.Send(index, ex) {
+		return nil, results
+	}
+	return ex, results
+}
+
+// asked reads a request at a backend's end.
+func asked(t *testing.T, end net.Conn) {
+	buf := make([]byte, 100)
+	n := 0
+	for !strings.HasSuffix(string(buf[:n]), "\r\n\r\n") {
+		m, err := end.Read(buf[n:])
+		if !assert.NoError(t, err) {
+			return
+		}
+		n += m
+	}
+}
+
+const honoured = "HTTP/1.1 200 OK\r\nX-Kept: 1\r\nEndpoint-Load-Metrics: TEXT util=1\r\nContent-Length: 2\r\n\r\nok"
+
+// What comes back, and what it proves.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		ends         bool // the backend closes after it
+		want         balance.Outcome
+		kept         bool
+	}{
+		{"honoured", honoured, false, balance.Honoured, true},
+		{"honoured to the close", "HTTP/1.1 200 OK\r\n\r\nok", true, balance.Honoured, false},
+		{"honoured and closing", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", false, balance.Honoured, false},
+		{"more than its answer", honoured + "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", false, balance.Honoured, false},
+		{"error", "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", false, balance.Fault, true},
+		{"turned away", "HTTP/1.1 503 x\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", false, balance.NoRoom, true},
+		{"turned away late", "HTTP/1.1 504 x\r\nx-never-ran: 1\r\nContent-Length: 0\r\n\r\n", false, balance.NoRoom, true},
+		{"503 that may have run", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", false, balance.Fault, true},
+		{"never ran, but of no such status", "HTTP/1.1 500 x\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", false, balance.Fault, true},
+		{"other success", "HTTP/1.1 206 x\r\nContent-Length: 0\r\n\r\n", false, balance.Fault, true},
+		{"reset", "", true, balance.Cut, false},
+		{"cut within the body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", true, balance.Cut, false},
+		{"malformed", "what?\r\n\r\n", false, balance.Cut, false},
+		{"too large", "HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", false, balance.Cut, false},
+		{"silent", "", false, balance.TooSlow, false},
+		{"silent within the body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", false, balance.TooSlow, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := open()
+			_, got := b.leg(0)
+			end := <-b.ends
+			asked(t, end)
+			io.WriteString(end, c.answer)
+			if c.ends {
+				end.Close()
+			}
+			b.settle()
+			if c.want == balance.TooSlow {
+				assert.Empty(t, *got, c.name)
+				time.Sleep(time.Second)
+				b.settle()
+			}
+			if assert.Len(t, *got, 1, c.name) {
+				r := (*got)[0]
+				assert.Equal(t, c.want, r.Outcome, c.name)
+				if c.want == balance.Honoured {
+					assert.Equal(t, "ok", string(r.Body), c.name)
+				}
+				if c.answer == honoured {
+					assert.Equal(t, "X-Kept: 1\r\n", string(r.Fields))
+				}
+			}
+			assert.Equal(t, c.kept, b.Total() == 1, c.name)
+			b.Shut()
+			b.settle()
+			assert.Zero(t, b.Total(), c.name)
+			end.Close()
+		})
+	}
+}
+
+func TestNeverRan(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		set  func(*bank)
+		part bool // the backend reads a part of the request, then closes
+		want balance.Outcome
+	}{
+		{"refused", func(b *bank) { b.refuses = true }, false, balance.NoRoute},
+		{"never up", func(b *bank) { b.hangs = true }, false, balance.NoRoute},
+		{"broken before the last byte", func(*bank) {}, true, balance.NoRoute},
+		{"not taken in time", func(*bank) {}, false, balance.NoRoute},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := open()
+			c.set(b)
+			began := time.Now()
+			_, got := b.leg(0)
+			if c.part {
+				end := <-b.ends
+				end.Read(make([]byte, 5))
+				end.Close()
+			}
+			b.settle()
+			time.Sleep(75 * time.Millisecond)
+			b.settle()
+			if len(*got) == 0 {
+				time.Sleep(time.Second)
+				b.settle()
+			}
+			if assert.Len(t, *got, 1, c.name) {
+				assert.Equal(t, c.want, (*got)[0].Outcome, c.name)
+			}
+			if c.name == "never up" {
+				assert.Equal(t, b.Connect, (*got)[0].At.Sub(began))
+			}
+			assert.Zero(t, b.Total())
+		})
+	}
+}
+
+// Danger: a late answer that stays in a connection would reach the next lookup.
+func TestCallOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := open()
+		ex, got := b.leg(0)
+		end := <-b.ends
+		b.settle() // not read yet: it may not have run, but is not written whole
+		b.CallOff(ex)
+		b.settle()
+		assert.Equal(t, balance.NeverSent, (*got)[0].Outcome)
+
+		ex, got = b.leg(0)
+		end = <-b.ends
+		asked(t, end)
+		b.CallOff(ex)
+		b.CallOff(ex)
+		b.settle()
+		assert.Equal(t, balance.CalledOff, (*got)[0].Outcome)
+		_, err := end.Write([]byte(honoured))
+		assert.Error(t, err)
+		assert.Zero(t, b.Total())
+
+		b.hangs = true
+		ex, got = b.leg(0)
+		b.settle()
+		b.CallOff(ex)
+		time.Sleep(b.Connect)
+		b.settle()
+		assert.Equal(t, balance.NeverSent, (*got)[0].Outcome)
+	})
+}
+
+func TestReuse(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before func(b *bank, end net.Conn) // the next leg
+		dials  []string
+	}{
+		{"at once", func(*bank, net.Conn) {}, []string{"one:1"}},
+		{"idle for a while", func(b *bank, _ net.Conn) { time.Sleep(b.Idle - 1); b.Sweep() }, []string{"one:1"}},
+		// Danger: a request to a connection that the backend is closing ends as a reset, and may have run.
+		{"idle for long", func(b *bank, _ net.Conn) { time.Sleep(b.Idle) }, []string{"one:1", "one:1"}},
+		{"idle for long and swept", func(b *bank, _ net.Conn) { time.Sleep(b.Idle); b.Sweep() }, []string{"one:1", "one:1"}},
+		{"closed by the backend, owner told", func(b *bank, end net.Conn) { end.Close(); b.settle() }, []string{"one:1", "one:1"}},
+		{"closed by the backend, owner not told", func(b *bank, end net.Conn) { end.Close(); synctest.Wait() }, []string{"one:1", "one:1"}},
+		{"answer to nothing", func(b *bank, end net.Conn) { io.WriteString(end, honoured[:1]) }, []string{"one:1", "one:1"}},
+		{"backend began anew", func(b *bank, _ net.Conn) { b.Place(0, "one:1", 7) }, []string{"one:1", "one:1"}},
+		{"backend moved", func(b *bank, _ net.Conn) { b.Place(0, "one:2", 0) }, []string{"one:1", "one:2"}},
+		{"backend listed again", func(b *bank, _ net.Conn) { b.Place(0, "one:1", 0) }, []string{"one:1"}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := open()
+			_, first := b.leg(0)
+			end := <-b.ends
+			asked(t, end)
+			io.WriteString(end, honoured)
+			b.settle()
+			assert.Len(t, *first, 1)
+			c.before(b, end)
+			_, second := b.leg(0)
+			b.settle()
+			assert.Equal(t, c.dials, b.dials, c.name)
+			if len(c.dials) > 1 {
+				end = <-b.ends
+			}
+			asked(t, end)
+			io.WriteString(end, honoured)
+			b.settle()
+			if assert.Len(t, *second, 1, c.name) {
+				assert.Equal(t, balance.Honoured, (*second)[0].Outcome, c.name)
+			}
+			assert.Equal(t, 1, b.Total(), c.name)
+			b.Shut()
+			b.settle()
+		})
+	}
+}
+
+// A backend that moved while a leg was out there: its connection ends with the leg.
+func TestMovedWhileBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := open()
+		_, got := b.leg(0)
+		end := <-b.ends
+		asked(t, end)
+		b.Place(0, "one:2", 0)
+		io.WriteString(end, honoured)
+		b.settle()
+		assert.Equal(t, balance.Honoured, (*got)[0].Outcome)
+		assert.Zero(t, b.Total())
+	})
+}
+
+func TestBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := open()
+		_, first := b.leg(0)
+		one := <-b.ends
+		b.leg(0)
+		two := <-b.ends
+		b.settle()
+		ex, _ := b.leg(1)
+		assert.Nil(t, ex, "both are in use")
+		assert.Equal(t, 1, b.Full)
+		asked(t, one)
+		io.WriteString(one, honoured)
+		b.settle()
+		assert.Len(t, *first, 1)
+		_, third := b.leg(1)
+		b.settle()
+		end := <-b.ends
+		asked(t, end)
+		io.WriteString(end, honoured)
+		b.settle()
+		assert.Len(t, *third, 1, "the idle one made room")
+		assert.Equal(t, 2, b.Total())
+		two.Close()
+		b.Shut()
+		b.settle()
+		assert.Zero(t, b.Total())
+	})
+}
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -1,6 +1,7 @@
 package backends
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -73,7 +74,9 @@
 
 // run opens the connection for its first exchange and writes.
 func (c *conn) run(ex *Exchange, addr string) {
-	nc, err := (&net.Dialer{Timeout: min(c.pool.Connect, time.Until(ex.Until))}).Dial("tcp", addr)
+	ctx, cancel := context.WithTimeout(context.Background(), min(c.pool.Connect, time.Until(ex.Until)))
+	nc, err := c.pool.dial(ctx, addr)
+	cancel()
 	if err != nil {
 		outcome := balance.NoRoute
 		c.mu.Lock()
@@ -113,7 +116,10 @@
 
 func (c *conn) write(ex *Exchange) {
 	c.nc.SetWriteDeadline(ex.Until)
-	bufs := net.Buffers{ex.Head, ex.Tail, ex.Body}
+	bufs := net.Buffers{ex.Head, ex.Tail}
+	if len(ex.Body) > 0 {
+		bufs = append(bufs, ex.Body)
+	}
 	_, err := bufs.WriteTo(c.nc)
 	ex.whole = err == nil
 	close(ex.wrote)
@@ -135,6 +141,7 @@
 			break
 		}
 		res, keep := c.answer(r, ex, err)
+		keep = keep && !c.pool.shut.Load()
 		if keep {
 			c.nc.SetReadDeadline(time.Time{})
 		} else {
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -5,7 +5,12 @@
 // proves.
 package backends
 
-import "time"
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+)
 
 // Pool hands out connections, the last used first.
 type Pool struct {
@@ -15,7 +20,9 @@
 
 	Opened, Retired, Lost, Full int // counted
 
+	dial     func(ctx context.Context, addr string) (net.Conn, error)
 	post     func(func()) // runs a function on the owner's goroutine
+	shut     atomic.Bool  // no connection is kept any more
 	backends []*backend   // by index
 	total    int
 }
@@ -28,8 +35,10 @@
 	idle    []*conn
 }
 
-// New makes a pool whose connections report through post.
-func New(post func(func())) *Pool { return &Pool{post: post} }
+// New makes a pool whose connections are opened by dial and report through post.
+func New(dial func(ctx context.Context, addr string) (net.Conn, error), post func(func())) *Pool {
+	return &Pool{dial: dial, post: post}
+}
 
 // Place says where a backend listens. What is idle to it is closed where it moved or began anew.
 func (p *Pool) Place(index int, addr string, started float64) {
@@ -95,6 +104,14 @@
 	}
 }
 
+// Shut closes what is idle; what is in use ends with its exchange.
+func (p *Pool) Shut() {
+	p.shut.Store(true)
+	for i := range p.backends {
+		p.Close(i)
+	}
+}
+
 // Total is how many connections there are.
 func (p *Pool) Total() int { return p.total }
 
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -7,9 +7,11 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -79,6 +81,12 @@
 	return done
 }
 
+// What of the machine's limits the runtime is told.
+const (
+	memoryPart = 0.6 // of the memory limit is the collector's aim; buffers come in bursts
+	gcPercent  = 300 // a small heap: collect seldom, the memory aim permitting
+)
+
 func serve(level string, errs io.Writer) error {
 	log := logrus.New()
 	log.SetOutput(errs)
@@ -97,6 +105,9 @@
 	if err != nil {
 		return err
 	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Limits.Cores))))
+	debug.SetMemoryLimit(int64(memoryPart * float64(l.Limits.Memory)))
+	debug.SetGCPercent(gcPercent)
 	ln, err := net.Listen("tcp", l.Listen)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,132 @@
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/assert"
+
+	"lockloom/balance"
+)
+
+const entry = `{"id":"s-1","addr":"127.0.0.1:70","zone":"a","kind":"m2","cell":3,"state":"active","weight":1.0,"started_ms":1500}`
+
+func TestList(t *testing.T) {
+	for _, c := range []struct{ in, err string }{
+		{`{"version":41,"full":true,"servers":[` + entry + `]}`, ""},
+		{`{"version":41,"full":true,"servers":[]}`, ""},
+		{`{"full":true,"servers":[]}`, "version: missing"},
+		{`{"version":41,"servers":[` + strings.Replace(entry, "active", "odd", 1) + `]}`, `state: unknown: "odd"`},
+		{`{"version":41,"servers":[` + strings.Replace(entry, "s-1", "", 1) + `]}`, "id: missing"},
+		{`{"version":41,"servers":[` + strings.Replace(entry, ":70", "", 1) + `]}`, "addr: "},
+		{`{"version":41,"servers":[` + strings.Replace(entry, "1500", "-1", 1) + `]}`, "started_ms"},
+		{`{"version":41,"servers":[` + entry, "unexpected end"},
+		{`[]`, "cannot unmarshal"},
+	} {
+		var l List
+		err := json.Unmarshal([]byte(c.in), &l)
+		if c.err != "" {
+			assert.ErrorContains(t, err, c.err)
+			continue
+		}
+		assert.NoError(t, err, c.in)
+		assert.Equal(t, int64(41), l.Version)
+		assert.True(t, l.Full)
+		for _, e := range l.Entries {
+			assert.Equal(t, "s-1", e.Name)
+			assert.Equal(t, "127.0.0.1:70", e.Addr)
+			assert.Equal(t, balance.Backend{Pod: 3, State: balance.Ready, UpSince: 1.5}, e.Backend)
+		}
+	}
+}
+
+// agent is discovery's end of each watch, in order: what it was asked and how to go on.
+type agent struct {
+	asked []string
+	at    []time.Duration
+	began time.Time
+	plays []func(end net.Conn)
+}
+
+func (a *agent) dial(_ context.Context, addr string) (net.Conn, error) {
+	a.at = append(a.at, time.Since(a.began).Round(time.Millisecond))
+	if len(a.plays) == 0 {
+		return nil, errors.New("refused")
+	}
+	play := a.plays[0]
+	a.plays = a.plays[1:]
+	ours, theirs := net.Pipe()
+	go func() {
+		buf := make([]byte, 1000)
+		n, _ := theirs.Read(buf)
+		line, _, _ := strings.Cut(string(buf[:n]), "\r\n")
+		a.asked = append(a.asked, line)
+		play(theirs)
+	}()
+	return ours, nil
+}
+
+const stream = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+func line(version int, full bool) string {
+	return chunk(fmt.Sprintf(`{"version":%d,"full":%v,"servers":[%s]}`+"\n", version, full, entry))
+}
+
+func TestWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var told []List
+		log, _ := test.NewNullLogger()
+		a := &agent{began: time.Now()}
+		a.plays = []func(net.Conn){
+			func(end net.Conn) { // lists, beats, a line in two chunks, a line that is none
+				io.WriteString(end, stream+line(42, true)+chunk("\n"))
+				time.Sleep(2 * time.Second)
+				io.WriteString(end, chunk("\n"))
+				time.Sleep(2 * time.Second)
+				whole := `{"version":43,"full":false,"servers":[]}` + "\n"
+				io.WriteString(end, chunk(whole[:9])+chunk(whole[9:])+chunk(`{"version":44,"servers":[{"id":"x"}]}`+"\n")+line(45, true))
+			},
+			func(end net.Conn) { end.Close() },
+			func(end net.Conn) { io.WriteString(end, "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n") },
+			func(end net.Conn) { io.WriteString(end, stream+line(46, false)+"0\r\n\r\n") },
+			func(end net.Conn) { // silent past its beat
+				io.WriteString(end, stream)
+				time.Sleep(time.Minute)
+			},
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		w := &Watch{Addr: "agent:1", Version: 41, Dial: a.dial, Log: log, Told: func(l List) { told = append(told, l) }}
+		go w.Run(ctx)
+		time.Sleep(30 * time.Second)
+		stop()
+		synctest.Wait()
+		var versions []int64
+		for _, l := range told {
+			versions = append(versions, l.Version)
+		}
+		assert.Equal(t, []int64{42, 43, 46}, versions, "what follows a malformed line is not believed")
+		assert.Equal(t, []string{"GET /discovery/hosts?stream=1&index=41 HTTP/1.1", "GET /discovery/hosts?stream=1&index=43 HTTP/1.1",
+			"GET /discovery/hosts?stream=1&index=43 HTTP/1.1", "GET /discovery/hosts?stream=1&index=43 HTTP/1.1",
+			"GET /discovery/hosts?stream=1&index=46 HTTP/1.1"}, a.asked)
+		if assert.Greater(t, len(a.at), 8, "it goes on trying") {
+			silent := a.at[5] - a.at[4]
+			assert.True(t, silent >= silentFor && silent <= silentFor+2*pauseFirst, silent)
+			for i := 6; i < len(a.at); i++ {
+				assert.LessOrEqual(t, a.at[i]-a.at[i-1], 3*pauseMost/2)
+			}
+			assert.GreaterOrEqual(t, a.at[8]-a.at[7], 2*pauseFirst, "pauses grow")
+		}
+		time.Sleep(time.Minute) // the silent agent's own end
+	})
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -28,6 +28,7 @@
 type Watch struct {
 	Addr    string
 	Version int64
+	Dial    func(ctx context.Context, addr string) (net.Conn, error)
 	Told    func(List) // each list, in order
 	Log     logrus.FieldLogger
 }
@@ -52,7 +53,9 @@
 
 // follow holds one watch until it breaks.
 func (w *Watch) follow(ctx context.Context, good func()) error {
-	conn, err := (&net.Dialer{Timeout: dialFor}).DialContext(ctx, "tcp", w.Addr)
+	dialing, cancel := context.WithTimeout(ctx, dialFor)
+	conn, err := w.Dial(dialing, w.Addr)
+	cancel()
 	if err != nil {
 		return err
 	}
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -16,6 +16,7 @@
 	Zones      []string // numbered as they are listed
 	ConnectFor float64  // a connection that is not up by then counts as never coming up; 0: not told
 	IdleFor    float64  // a backend closes a connection idle for this long, or earlier; 0: not told
+	DrainGrace float64  // from being told that a backend drains or is gone to the last send there
 }
 
 var (
@@ -31,6 +32,7 @@
 		Zones:      strings.Split(values["Zones"], ","),
 		ConnectFor: e.num("Ceilings.ConnectTimeoutMs") / 1000,
 		IdleFor:    e.num("Ceilings.ConnIdleMs") / 1000,
+		DrainGrace: e.num("Rules.StopSendingWithinMs") / 1000,
 	}
 	f.Deployment = balance.Deployment{
 		Seed:         seed,
--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -94,6 +94,18 @@
 	return err
 }
 
+// More blocks until further bytes have come behind those that are buffered, or until no more fit.
+func (r *Reader) More() error {
+	_, err := r.R.Peek(r.R.Buffered() + 1)
+	if err == bufio.ErrBufferFull {
+		return nil
+	}
+	return err
+}
+
+// Room tells whether the buffer can hold more bytes.
+func (r *Reader) Room() bool { return r.R.Buffered() < r.R.Size() }
+
 // Buffered tells whether bytes have come that were not read yet.
 func (r *Reader) Buffered() bool { return r.R.Buffered() > 0 }
 
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -45,14 +45,14 @@
 		"cut": c.Outcomes[balance.Cut], "called_off": c.Outcomes[balance.CalledOff],
 		"never_sent": c.Outcomes[balance.NeverSent], "connections": pool.Total(), "opened": pool.Opened,
 		"retired": pool.Retired, "lost_idle": pool.Lost, "no_connection": pool.Full}
-	p.door.mu.Lock()
-	fields["clients"], fields["crowded"] = p.door.count, p.door.Crowded
-	p.door.mu.Unlock()
-	line := p.log.WithFields(fields)
-	if broken := invariant.Broken(); len(broken) > 0 {
-		line.WithField("broken", broken).Error("counts")
-	} else {
-		line.Info("counts")
-	}
+	fields["clients"], fields["crowded"] = p.door.counted()
+	line, broken := p.log.WithFields(fields), invariant.Broken()
+	go func() { // danger: whoever reads the log may be slow, and the owner waits for nobody
+		if len(broken) > 0 {
+			line.WithField("broken", broken).Error("counts")
+		} else {
+			line.Info("counts")
+		}
+	}()
 	p.timers.add(timer{at: p.now() + reportEvery.Seconds(), call: p.report})
 }
--- /dev/null
+++ b/proxy/door.go
@@ -0,0 +1,107 @@
+package proxy
+
+import "sync"
+
+// door knows the clients' connections, and which are idle, those for longest first.
+type door struct {
+	mu         sync.Mutex
+	room       sync.Cond
+	most, over int // connections served; further ones that are dismissed at once
+	all        map[*client]bool
+	idle       []*client
+	crowded    int // connections taken over the bound
+	closed     bool
+}
+
+// wait blocks while there is room for no connection at all, unless the door was woken to stop.
+func (d *door) wait(stops func() bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for len(d.all) >= d.most+d.over && !stops() {
+		d.room.Wait()
+	}
+}
+
+func (d *door) wake() { d.room.Broadcast() }
+
+// enter takes a connection in, and closes an idle one where there are too many. It tells whether even so there
+// is one too many.
+func (d *door) enter(c *client) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.all[c] = true
+	if len(d.all) <= d.most {
+		return false
+	}
+	if len(d.idle) > 0 {
+		d.idle[0].end()
+		d.idle = d.idle[1:]
+		return false
+	}
+	d.crowded++
+	return true
+}
+
+func (d *door) leave(c *client) {
+	d.mu.Lock()
+	delete(d.all, c)
+	d.room.Signal()
+	d.mu.Unlock()
+}
+
+// rest notes that a connection is idle.
+func (d *door) rest(c *client) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		c.end()
+		return
+	}
+	d.idle = append(d.idle, c)
+}
+
+// rouse notes that it is not idle any more. It is false where it was closed in the meantime.
+func (d *door) rouse(c *client) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, o := range d.idle {
+		if o == c {
+			d.idle = append(d.idle[:i], d.idle[i+1:]...)
+			break
+		}
+	}
+	return !c.closed
+}
+
+// shut closes the connections without a request, from now on as soon as they have none.
+func (d *door) shut() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	for _, c := range d.idle {
+		c.end()
+	}
+	d.idle = nil
+}
+
+// cut closes every connection.
+func (d *door) cut() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.all {
+		c.end()
+	}
+}
+
+// counted tells how many connections there are, and how many came over the bound.
+func (d *door) counted() (int, int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.all), d.crowded
+}
+
+// end closes a connection; the caller holds the door.
+func (c *client) end() {
+	c.closed = true
+	c.nc.Close()
+}
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -23,7 +23,9 @@
 			p.guard(f)
 		case <-wake.C:
 		case <-p.quit:
+			p.pool.Shut()
 			p.report()
+			close(p.ended)
 			return
 		}
 		for len(p.timers) > 0 && p.timers[0].at <= p.now() {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -8,10 +8,7 @@
 
 import (
 	"context"
-	"math"
 	"net"
-	"runtime"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,26 +36,24 @@
 
 // Every constant of the network code but those of a package's own wire.
 const (
-	eventsKept   = 1024                   // events not yet taken by the owner; then connections wait
-	reserve      = 64                     // descriptors for files, listener, discovery and what is just closing
-	clientPart   = 0.5                    // of the other descriptors; backends have the rest
-	overPart     = 0.2                    // of the clients': taken over the bound, to be dismissed at once
-	memoryPart   = 0.6                    // of the memory limit is the collector's aim; buffers come in bursts
-	gcPercent    = 300                    // a small heap: collect seldom, the memory aim permitting
-	idlePart     = 0.8                    // of the time after which a backend closes an idle connection
-	idleUntold   = 2 * time.Second        // where that time is not told
-	connectFor   = time.Second            // where the deployment does not tell it
-	sweepEvery   = 100 * time.Millisecond // between looks for connections idle too long
-	reportEvery  = 10 * time.Second       // between lines of counts in the log
-	firstList    = 300 * time.Millisecond // to wait for discovery before being ready with the known list
-	clientIdle   = 75 * time.Second       // a client's connection without a request
-	clientSlow   = 5 * time.Second        // for a request to come whole, and for an answer to be taken
-	longestWait  = 60.0                   // s; a client that says it waits longer is taken to wait so long
-	lingerFor    = 500 * time.Millisecond // to read on after an error, so that the client can read it
-	backstop     = 0.002                  // s before the hard stop when a lookup with no answer is forfeited
-	closeAfter   = 600 * time.Millisecond // from the order to stop to the end of accepting
-	lateEvent    = 0.02                   // s from an event to the owner's call: more is counted
-	followedLate = 2.5                    // s; longest time from being told of a drain to the last send
+	eventsKept  = 1024                   // events not yet taken by the owner; then connections wait
+	reserve     = 64                     // descriptors for files, listener, discovery and what is just closing
+	clientPart  = 0.5                    // of the other descriptors; backends have the rest
+	overPart    = 0.2                    // of the clients': taken over the bound, to be dismissed at once
+	idlePart    = 0.8                    // of the time after which a backend closes an idle connection
+	idleUntold  = 2 * time.Second        // where that time is not told
+	connectFor  = time.Second            // where the deployment does not tell it
+	sweepEvery  = 100 * time.Millisecond // between looks for connections idle too long
+	reportEvery = 10 * time.Second       // between lines of counts in the log
+	firstList   = 300 * time.Millisecond // to wait for discovery before being ready with the known list
+	clientIdle  = 75 * time.Second       // a client's connection without a request
+	clientSlow  = 5 * time.Second        // for a request to come whole, and for an answer to be taken
+	longestWait = 60.0                   // s; a client that says it waits longer is taken to wait so long
+	lingerFor   = 500 * time.Millisecond // to read on after an error, so that the client can read it
+	backstop    = 0.002                  // s before the hard stop when a lookup with no answer is forfeited
+	closeAfter  = 500 * time.Millisecond // from the order to stop to the end of accepting: the front needs 0.4 s
+	endMargin   = 100 * time.Millisecond // past the longest hard stop; then what a client has not taken is cut
+	lateEvent   = 0.02                   // s from an event to the owner's call: more is counted
 )
 
 // Proxy is one proxy of the bank.
@@ -66,6 +61,7 @@
 	launch Launch
 	log    logrus.FieldLogger
 	began  time.Time
+	dial   func(ctx context.Context, addr string) (net.Conn, error)
 
 	// The owner's.
 	b        *balance.Balancer
@@ -79,7 +75,8 @@
 	counts   counts
 
 	events chan func()
-	quit   chan struct{} // closed when the owner has ended
+	quit   chan struct{} // closed when the owner is to end
+	ended  chan struct{} // closed when it has
 	ready  atomic.Bool
 	stops  atomic.Bool // ordered to stop: each connection ends with its answer
 	door   door
@@ -89,7 +86,8 @@
 // New makes a proxy that is not serving yet.
 func New(l Launch, log logrus.FieldLogger) (*Proxy, error) {
 	p := &Proxy{launch: l, log: log.WithField("proxy", l.Name), began: time.Now(), names: l.Register(),
-		events: make(chan func(), eventsKept), quit: make(chan struct{})}
+		events: make(chan func(), eventsKept), quit: make(chan struct{}),
+		ended: make(chan struct{}), dial: dial}
 	b, err := balance.New(l.Deployment, p.now())
 	if err != nil {
 		return nil, err
@@ -98,7 +96,7 @@
 	most := max(l.Limits.Sockets-reserve, 4)
 	p.door.most = max(int(clientPart*float64(most)), 2)
 	p.door.over = max(int(overPart*float64(p.door.most)), 1)
-	p.pool = backends.New(p.post)
+	p.pool = backends.New(p.dial, p.post)
 	p.pool.Most = most - p.door.most
 	p.pool.Connect, p.pool.Idle = connectFor, idleUntold
 	if l.ConnectFor > 0 {
@@ -108,19 +106,24 @@
 		p.pool.Idle = seconds(idlePart * l.IdleFor)
 	}
 	p.door.most -= p.door.over
+	p.door.all = map[*client]bool{}
+	p.door.room.L = &p.door.mu
 	return p, nil
 }
 
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+}
+
 // Serve serves the listener's connections until the context ends; then it answers all it has taken and what
 // still comes for a short time, and returns.
 func (p *Proxy) Serve(ctx context.Context, ln net.Listener) error {
-	defer p.bound()()
 	watching, unwatch := context.WithCancel(context.Background())
 	defer unwatch()
 	told := make(chan struct{})
 	p.list(p.launch.Known, true)
 	go p.own()
-	watch := &discovery.Watch{Addr: p.launch.Discovery, Version: p.launch.Known.Version, Log: p.log,
+	watch := &discovery.Watch{Addr: p.launch.Discovery, Version: p.launch.Known.Version, Dial: p.dial, Log: p.log,
 		Told: func(l List) {
 			p.post(func() { p.list(l, false) })
 			if told != nil {
@@ -148,26 +151,27 @@
 		p.log.Info("stopping")
 		p.stops.Store(true)
 		time.Sleep(closeAfter)
+		p.door.wake()
 		ln.Close()
 		<-accepted
 	}
 	p.stops.Store(true)
-	p.door.closeIdle()
+	p.door.shut()
+	longest := time.AfterFunc(seconds(p.longest())+endMargin, p.door.cut)
 	p.work.Wait()
+	longest.Stop()
 	close(p.quit)
+	<-p.ended
 	return err
 }
 
-// bound keeps the process within its machine's limits, and gives back what was set before.
-func (p *Proxy) bound() func() {
-	cores := runtime.GOMAXPROCS(max(1, int(math.Ceil(p.launch.Limits.Cores))))
-	memory := debug.SetMemoryLimit(int64(memoryPart * float64(p.launch.Limits.Memory)))
-	percent := debug.SetGCPercent(gcPercent)
-	return func() {
-		runtime.GOMAXPROCS(cores)
-		debug.SetMemoryLimit(memory)
-		debug.SetGCPercent(percent)
+// longest is the time in which every lookup taken now is answered.
+func (p *Proxy) longest() float64 {
+	most := 0.0
+	for _, t := range p.launch.Tariffs {
+		most = max(most, t.HardStop)
 	}
+	return most
 }
 
 // now is the time in seconds since 1970, as the backends' starts are told. It never steps back.
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -28,7 +28,10 @@
 	}
 	head = append(head, "\r\n"...)
 	c.nc.SetWriteDeadline(time.Now().Add(clientSlow))
-	bufs := net.Buffers{head, a.body}
+	bufs := net.Buffers{head}
+	if len(a.body) > 0 {
+		bufs = append(bufs, a.body)
+	}
 	_, err := bufs.WriteTo(c.nc)
 	return err
 }
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -23,7 +23,7 @@
 func (p *Proxy) send(l *lookup, backend int, until float64) {
 	now := p.now()
 	invariant.Holds(!l.answered, "nothing is sent for an answered lookup")
-	invariant.Holds(now <= p.stopSend[backend]+followedLate, "nothing is sent past the grace of a drain")
+	invariant.Holds(now <= p.stopSend[backend]+p.launch.DrainGrace, "nothing is sent past the grace of a drain")
 	invariant.Holds(len(l.legs) == 0 || l.row.Kind != balance.SingleUse || l.harmless(),
 		"a single-use lookup is sent again only where it never ran")
 	g := &leg{number: len(l.legs), sent: now}
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -8,7 +8,6 @@
 	"net"
 	"os"
 	"strconv"
-	"sync"
 	"time"
 
 	"lockloom/balance"
@@ -16,34 +15,19 @@
 	"lockloom/internal/heads"
 )
 
-// door counts the clients' connections and knows the idle ones, oldest first.
-type door struct {
-	mu         sync.Mutex
-	cond       sync.Cond
-	most, over int // connections served; further ones that are dismissed at once
-	count      int
-	idle       []*client
-	Crowded    int // connections taken over the bound
-}
-
 // client is a client's connection.
 type client struct {
 	p      *Proxy
 	nc     net.Conn
 	r      *heads.Reader
 	over   bool // taken over the bound
-	closed bool // while idle, to make room; under door.mu
+	closed bool // by the door; under door.mu
 }
 
 // accept takes connections until the listener ends.
 func (p *Proxy) accept(ln net.Listener) error {
-	p.door.cond.L = &p.door.mu
 	for {
-		p.door.mu.Lock()
-		for p.door.count >= p.door.most+p.door.over && !p.stops.Load() { // waits, it does not spin
-			p.door.cond.Wait()
-		}
-		p.door.mu.Unlock()
+		p.door.wait(p.stops.Load)
 		nc, err := ln.Accept()
 		if err != nil {
 			if p.stops.Load() && errors.Is(err, net.ErrClosed) {
@@ -58,72 +42,16 @@
 			return err
 		}
 		c := &client{p: p, nc: nc, r: heads.NewReader(nc)}
-		c.over = p.door.enter()
+		c.over = p.door.enter(c)
 		p.work.Add(1)
 		go c.serve()
 	}
 }
 
-// enter counts a connection, and closes an idle one where there are too many.
-func (d *door) enter() (over bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.count++
-	if d.count <= d.most {
-		return false
-	}
-	if len(d.idle) > 0 {
-		d.idle[0].closed = true
-		d.idle[0].nc.Close()
-		d.idle = d.idle[1:]
-		return false
-	}
-	d.Crowded++
-	return true
-}
-
-func (d *door) leave() {
-	d.mu.Lock()
-	d.count--
-	d.cond.Signal()
-	d.mu.Unlock()
-}
-
-// rest notes that a connection is idle.
-func (d *door) rest(c *client) {
-	d.mu.Lock()
-	d.idle = append(d.idle, c)
-	d.mu.Unlock()
-}
-
-// rouse notes that it is not idle any more. It is false where it was closed in the meantime.
-func (d *door) rouse(c *client) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for i, o := range d.idle {
-		if o == c {
-			d.idle = append(d.idle[:i], d.idle[i+1:]...)
-			break
-		}
-	}
-	return !c.closed
-}
-
-// closeIdle closes the connections without a request.
-func (d *door) closeIdle() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, c := range d.idle {
-		c.closed = true
-		c.nc.Close()
-	}
-	d.idle = nil
-}
-
 // serve takes in the requests of one connection, one after the other.
 func (c *client) serve() {
 	defer c.p.work.Done()
-	defer c.p.door.leave()
+	defer c.p.door.leave(c)
 	defer c.nc.Close()
 	came := make(chan error, 1)
 	c.nc.SetReadDeadline(time.Now().Add(clientIdle))
@@ -161,15 +89,9 @@
 		c.nc.SetReadDeadline(time.Time{})
 		go func() { came <- c.r.Wait() }() // ends too when the client goes
 		c.p.post(func() { c.p.admit(l, a, c.over) })
-		select {
-		case answer = <-l.answer:
-		case err := <-came:
-			if err != nil {
-				c.p.post(func() { c.p.left(l) })
-				return false
-			}
-			answer = <-l.answer // more came already: it stays in the buffer
-			came <- nil
+		if answer, err = c.await(l, came); err != nil {
+			c.p.post(func() { c.p.left(l) })
+			return false
 		}
 	}
 	closing = closing || c.over || c.p.stops.Load()
@@ -183,6 +105,40 @@
 	return true
 }
 
+// await waits for a lookup's answer, and for its client to go. What a client sends before it has its answer stays
+// in the buffer, and is watched in turn.
+func (c *client) await(l *lookup, came chan error) (reply, error) {
+	select {
+	case answer := <-l.answer:
+		return answer, nil
+	case err := <-came:
+		if err != nil {
+			return reply{}, err
+		}
+	}
+	gone := make(chan error, 1)
+	go func() {
+		err := c.r.More()
+		for err == nil && c.r.Room() {
+			err = c.r.More()
+		}
+		gone <- err
+	}()
+	select {
+	case answer := <-l.answer:
+		c.nc.SetReadDeadline(time.Unix(1, 0)) // ends the watch
+		<-gone
+		came <- nil
+		return answer, nil
+	case err := <-gone:
+		if err != nil {
+			return reply{}, err
+		}
+		came <- nil
+		return <-l.answer, nil
+	}
+}
+
 // read reads the rest of a request and what it says of its lookup; there is none in a question of readiness.
 func (c *client) read(h *heads.Head, arrived time.Time) (*lookup, balance.Arrival, error) {
 	a := balance.Arrival{Customer: -1}
