--- a/internal/backends/backends_test.go
+++ b/internal/backends/backends_test.go
@@ -184,6 +184,24 @@
 	}
 }
 
+// Danger: an answer that comes while the request is still being written waits for a body that nobody reads.
+func TestAnsweredEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := open()
+		began := time.Now()
+		_, got := b.leg(0)
+		end := <-b.ends
+		io.WriteString(end, "HTTP/1.1 503 too many connections\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(writeOn)
+		b.settle()
+		if assert.Len(t, *got, 1) {
+			assert.Equal(t, balance.NoRoom, (*got)[0].Outcome)
+			assert.Equal(t, began, (*got)[0].At)
+		}
+		assert.Zero(t, b.Total())
+	})
+}
+
 // Danger: a late answer that stays in a connection would reach the next lookup.
 func TestCallOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -12,6 +12,8 @@
 	"lockloom/internal/heads"
 )
 
+const writeOn = 10 * time.Millisecond // for the rest of a request that is answered already
+
 // Exchange is one request to a backend.
 type Exchange struct {
 	Head, Tail, Body []byte       // written one after the other
@@ -195,14 +197,11 @@
 	default:
 		res.Outcome = balance.Fault
 	}
-	select {
-	case <-ex.wrote:
-		return res, !h.Close && ex.whole && !r.Buffered()
-	default: // answered before it was written whole
-		c.nc.Close()
-		<-ex.wrote
-		return res, false
-	}
+	// Danger: the writer may not have run on since its last byte went, which must not cost the connection; or it
+	// is at a long body that the backend answered without reading, which must not keep the answer.
+	c.nc.SetWriteDeadline(res.At.Add(writeOn))
+	<-ex.wrote
+	return res, !h.Close && ex.whole && !r.Buffered()
 }
 
 // broken is the outcome of an exchange without a whole answer.
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -14,9 +14,11 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"lockloom/internal/heads"
 	"lockloom/proxy"
 )
 
@@ -30,6 +32,7 @@
 const usage = `usage: lockloom COMMAND [FLAGS]
 
   serve     run a proxy, told by ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY and ROUTER_CONFIG
+  up ADDR   ask the proxy that listens at ADDR whether it takes lookups
   check     read what serve would be told, and say what is wrong with it
   version   say what this is
 
@@ -44,12 +47,15 @@
 	}
 	flags := flag.NewFlagSet("lockloom "+args[0], flag.ContinueOnError)
 	flags.SetOutput(errs)
-	level := "info"
+	level, words := "info", 0
 	var run func() error
 	switch args[0] {
 	case "serve":
 		flags.StringVar(&level, "log", level, "the least level that is logged: debug, info, warning or error")
 		run = func() error { return serve(level, errs) }
+	case "up":
+		words = 1
+		run = func() error { return up(flags.Arg(0), out) }
 	case "check":
 		run = func() error { return check(out) }
 	case "version":
@@ -70,7 +76,11 @@
 		}
 		return misuse
 	}
-	if flags.NArg() > 0 {
+	if flags.NArg() < words {
+		fmt.Fprintf(errs, "lockloom: %s: the proxy's address is missing\n%s", args[0], usage)
+		return misuse
+	}
+	if flags.NArg() > words {
 		fmt.Fprintf(errs, "lockloom: %s takes no further words\n%s", args[0], usage)
 		return misuse
 	}
@@ -81,10 +91,11 @@
 	return done
 }
 
-// What of the machine's limits the runtime is told.
+// The constants of the command line, and what of the machine's limits the runtime is told.
 const (
-	memoryPart = 0.6 // of the memory limit is the collector's aim; buffers come in bursts
-	gcPercent  = 300 // a small heap: collect seldom, the memory aim permitting
+	askFor     = 2 * time.Second // for a proxy to tell whether it is up
+	memoryPart = 0.6             // of the memory limit is the collector's aim; buffers come in bursts
+	gcPercent  = 300             // a small heap: collect seldom, the memory aim permitting
 )
 
 func serve(level string, errs io.Writer) error {
@@ -117,6 +128,28 @@
 	return p.Serve(ctx, ln)
 }
 
+// up asks a proxy whether it is ready.
+func up(addr string, out io.Writer) error {
+	conn, err := net.DialTimeout("tcp", addr, askFor)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(askFor))
+	if _, err := fmt.Fprintf(conn, "GET /up HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", addr); err != nil {
+		return err
+	}
+	h, err := heads.NewReader(conn).Response()
+	if err != nil {
+		return err
+	}
+	if h.Status != 200 {
+		return fmt.Errorf("%s does not take lookups: %d", addr, h.Status)
+	}
+	fmt.Fprintln(out, addr, "takes lookups")
+	return nil
+}
+
 // check reads what serve would be told.
 func check(out io.Writer) error {
 	l, err := proxy.ReadLaunch(os.Getenv)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -58,10 +58,12 @@
 
 // Proxy is one proxy of the bank.
 type Proxy struct {
+	// Dial opens the connections to discovery and backends; whoever embeds a proxy may set it before Serve.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+
 	launch Launch
 	log    logrus.FieldLogger
 	began  time.Time
-	dial   func(ctx context.Context, addr string) (net.Conn, error)
 
 	// The owner's.
 	b        *balance.Balancer
@@ -87,7 +89,7 @@
 func New(l Launch, log logrus.FieldLogger) (*Proxy, error) {
 	p := &Proxy{launch: l, log: log.WithField("proxy", l.Name), began: time.Now(), names: l.Register(),
 		events: make(chan func(), eventsKept), quit: make(chan struct{}),
-		ended: make(chan struct{}), dial: dial}
+		ended: make(chan struct{}), Dial: dial}
 	b, err := balance.New(l.Deployment, p.now())
 	if err != nil {
 		return nil, err
@@ -96,7 +98,7 @@
 	most := max(l.Limits.Sockets-reserve, 4)
 	p.door.most = max(int(clientPart*float64(most)), 2)
 	p.door.over = max(int(overPart*float64(p.door.most)), 1)
-	p.pool = backends.New(p.dial, p.post)
+	p.pool = backends.New(func(ctx context.Context, addr string) (net.Conn, error) { return p.Dial(ctx, addr) }, p.post)
 	p.pool.Most = most - p.door.most
 	p.pool.Connect, p.pool.Idle = connectFor, idleUntold
 	if l.ConnectFor > 0 {
@@ -123,7 +125,7 @@
 	told := make(chan struct{})
 	p.list(p.launch.Known, true)
 	go p.own()
-	watch := &discovery.Watch{Addr: p.launch.Discovery, Version: p.launch.Known.Version, Dial: p.dial, Log: p.log,
+	watch := &discovery.Watch{Addr: p.launch.Discovery, Version: p.launch.Known.Version, Dial: p.Dial, Log: p.log,
 		Told: func(l List) {
 			p.post(func() { p.list(l, false) })
 			if told != nil {
--- /dev/null
+++ b/proxy/proxy_test.go
@@ -0,0 +1,569 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/assert"
+
+	"lockloom/balance"
+	"lockloom/internal/discovery"
+	"lockloom/internal/figures"
+	"lockloom/internal/heads"
+	"lockloom/internal/invariant"
+)
+
+const (
+	ok       = "HTTP/1.1 200 OK\r\nX-From: b\r\nContent-Length: 4\r\n\r\nbody"
+	neverRan = "HTTP/1.1 503 x\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+	own503   = "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n"
+	fault    = "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n"
+	cut      = "cut"
+	refused  = "refused"
+	silent   = ""
+)
+
+// yard is a proxy with stand-ins for all that it talks to, over connections in memory.
+type yard struct {
+	*Proxy
+	t       *testing.T
+	ends    chan net.Conn // clients' connections on their way in
+	closed  chan struct{}
+	mu      sync.Mutex
+	plays   map[string][]string // by address, or for any: what backends do one time after the other; the last stays
+	got     []string            // requests at backends: address and head
+	dials   []string
+	gone    int // connections that ended at a backend's end
+	changes chan string
+	stop    context.CancelFunc
+	broken  int // invariants, before
+	served  chan error
+}
+
+func (y *yard) Accept() (net.Conn, error) {
+	select {
+	case c := <-y.ends:
+		return c, nil
+	case <-y.closed:
+		return nil, net.ErrClosed
+	}
+}
+func (y *yard) Close() error   { close(y.closed); return nil }
+func (y *yard) Addr() net.Addr { return &net.TCPAddr{} }
+
+func entry(id string, state balance.State, started float64) discovery.Entry {
+	return discovery.Entry{Entry: figures.Entry{Name: id, Backend: balance.Backend{State: state, UpSince: started}}, Addr: id}
+}
+
+// serve starts a proxy before the backends, each named and listening by its id.
+func serve(t *testing.T, plays map[string][]string, set func(*Launch)) *yard {
+	l := Launch{Name: "n0", Discovery: "agent", Limits: Limits{Cores: 1, Memory: 1 << 27, Sockets: 264},
+		Figures: Figures{ConnectFor: 0.075, IdleFor: 5, DrainGrace: 2.5, Deployment: balance.Deployment{
+			Seed: 1, Proxies: 1, MaxLegs: 4, CallOff: true, MaxAdvice: 1, ColdShare: 1, ColdFor: 1, FallMultiple: 3, FallFor: 1,
+			Tariffs: []balance.Tariff{
+				{Name: "look", Due: 0.3, HardStop: 1, Value: 1},
+				{Name: "sign", Kind: balance.Referenced, Scope: balance.ScopePod, Window: 0.3, Due: 0.2, HardStop: 0.5, Value: 5},
+				{Name: "sms", Kind: balance.SingleUse, Due: 0.3, HardStop: 1.2, Value: 2}}}},
+		Known: List{Version: 1, Full: true}}
+	for _, id := range []string{"b1", "b2", "b3"} {
+		if plays[id] != nil {
+			l.Known.Entries = append(l.Known.Entries, entry(id, balance.Ready, 0))
+		}
+	}
+	if set != nil {
+		set(&l)
+	}
+	log, _ := test.NewNullLogger()
+	p, err := New(l, log)
+	assert.NoError(t, err)
+	y := &yard{Proxy: p, t: t, ends: make(chan net.Conn, 100), closed: make(chan struct{}), plays: plays,
+		changes: make(chan string, 10), served: make(chan error, 1), broken: broken()}
+	p.Dial = y.open
+	ctx, stop := context.WithCancel(context.Background())
+	y.stop = stop
+	go func() { y.served <- p.Serve(ctx, y) }()
+	synctest.Wait()
+	return y
+}
+
+// broken is how many invariants were broken so far.
+func broken() int {
+	n := 0
+	for _, times := range invariant.Broken() {
+		n += times
+	}
+	return n
+}
+
+// end stops the proxy and waits until all of it has ended.
+func (y *yard) end() {
+	y.stop()
+	assert.NoError(y.t, <-y.served)
+	time.Sleep(time.Minute)
+	synctest.Wait()
+	assert.Equal(y.t, y.broken, broken(), "invariants")
+}
+
+// open is how the proxy reaches discovery and backends.
+func (y *yard) open(ctx context.Context, addr string) (net.Conn, error) {
+	ours, theirs := net.Pipe()
+	if addr == "agent" {
+		go y.agent(theirs)
+		return ours, nil
+	}
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.dials = append(y.dials, addr)
+	if y.next(addr, refused) == refused {
+		return nil, errors.New("refused")
+	}
+	go y.backend(addr, theirs)
+	return ours, nil
+}
+
+// agent is discovery: a watch that tells the changes.
+func (y *yard) agent(end net.Conn) {
+	heads.NewReader(end).Request()
+	io.WriteString(end, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for line := "\n"; ; {
+		if _, err := fmt.Fprintf(end, "%x\r\n%s\r\n", len(line), line); err != nil {
+			return
+		}
+		select {
+		case line = <-y.changes:
+			line += "\n"
+		case <-time.After(2 * time.Second):
+			line = "\n"
+		}
+	}
+}
+
+// next is what a backend does now. To be refused is done with when a connection is opened, all else later.
+func (y *yard) next(addr string, only string) string {
+	if y.plays["any"] != nil {
+		addr = "any"
+	}
+	plays := y.plays[addr]
+	if len(plays) > 1 && (only == "" || plays[0] == only) {
+		y.plays[addr] = plays[1:]
+	}
+	return plays[0]
+}
+
+func (y *yard) backend(addr string, end net.Conn) {
+	defer func() {
+		end.Close()
+		y.mu.Lock()
+		y.gone++
+		y.mu.Unlock()
+	}()
+	r := heads.NewReader(end)
+	for {
+		h, err := r.Request()
+		if err != nil {
+			return
+		}
+		head := addr + " " + string(h.Method) + " " + string(h.Target) + " "
+		for _, name := range []string{"X-Trace-Id", "Idempotency-Key", "X-Expires-In"} {
+			head += string(h.Get(name)) + " "
+		}
+		body, err := r.Body(h.Length, h.Chunked)
+		if err != nil {
+			return
+		}
+		y.mu.Lock()
+		y.got = append(y.got, head+string(body))
+		play := y.next(addr, "")
+		y.mu.Unlock()
+		switch play {
+		case cut:
+			return
+		case silent:
+			r.Wait()
+			return
+		}
+		io.WriteString(end, play)
+	}
+}
+
+// client opens a connection to the proxy.
+func (y *yard) client() net.Conn {
+	ours, theirs := net.Pipe()
+	y.ends <- theirs
+	return ours
+}
+
+// answer reads an answer: status, whole head and body.
+func answer(c net.Conn) (int, *heads.Head, string, error) {
+	r := heads.NewReader(c)
+	h, err := r.Response()
+	if err != nil {
+		return 0, nil, "", err
+	}
+	status, copied := h.Status, *h
+	copied.Fields = nil
+	for _, f := range h.Fields {
+		copied.Fields = append(copied.Fields, heads.Field{Name: []byte(string(f.Name)), Value: []byte(string(f.Value))})
+	}
+	body, err := r.Body(h.Length, h.Chunked)
+	return status, &copied, string(body), err
+}
+
+// ask sends a request on a connection of its own and reads the answer.
+func (y *yard) ask(request string) (int, *heads.Head, string, error) {
+	c := y.client()
+	go io.WriteString(c, request)
+	status, h, body, err := answer(c)
+	synctest.Wait()
+	c.Close()
+	return status, h, body, err
+}
+
+const (
+	look = "GET /look?user=7 HTTP/1.1\r\nX-Trace-Id: t1\r\nX-Qos: look\r\nX-Expires-In: 0.5\r\n\r\n"
+	sign = "POST /sign HTTP/1.1\r\nX-Trace-Id: t2\r\nX-Qos: sign\r\nX-Expires-In: 0.5\r\nIdempotency-Key: k\r\nContent-Length: 3\r\n\r\nabc"
+	sms  = "POST /sms HTTP/1.1\r\nX-Trace-Id: t3\r\nX-Qos: sms\r\nX-Expires-In: 0.5\r\nContent-Length: 3\r\n\r\nabc"
+)
+
+// What a client is answered, and how often its lookup was sent, by what the first backend reached does; the
+// other one honours.
+func TestChain(t *testing.T) {
+	for _, c := range []struct {
+		name, request, play string
+		status, sent        int
+	}{
+		{"honoured", look, ok, 200, 1},
+		{"replayable, cut", look, cut, 200, 2},
+		{"replayable, error", look, fault, 200, 2},
+		{"replayable, turned away", look, neverRan, 200, 2},
+		{"replayable, no answer", look, silent, 503, 1},
+		{"single-use, honoured", sms, ok, 200, 1},
+		{"single-use, turned away", sms, neverRan, 200, 2},
+		{"single-use, no connection", sms, refused, 200, 1},
+		{"single-use, cut", sms, cut, 502, 1},
+		{"single-use, error", sms, fault, 502, 1},
+		{"single-use, a backend's own 503", sms, own503, 502, 1}, // danger: passed on it would be a dismissal
+		{"single-use, no answer", sms, silent, 502, 1},
+		{"referenced, cut", sign, cut, 200, 2},
+		{"referenced, no answer", sign, silent, 502, 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			y := serve(t, map[string][]string{"b1": {ok}, "b2": {ok}}, nil)
+			y.plays["any"] = []string{c.play, ok}
+			came := time.Now()
+			status, h, body, err := y.ask(c.request)
+			assert.NoError(t, err, c.name)
+			assert.Equal(t, c.status, status, c.name)
+			assert.Len(t, y.got, c.sent, c.name)
+			assert.Less(t, time.Since(came), 500*time.Millisecond, c.name)
+			if status == 200 {
+				assert.Equal(t, "body", body, c.name)
+				assert.Equal(t, "b", string(h.Get("X-From")), c.name)
+			}
+			assert.Equal(t, status == 503, h.Get("Retry-After") != nil, c.name)
+			y.end()
+		})
+	}
+}
+
+func TestOnward(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := serve(t, map[string][]string{"b1": {ok}}, nil)
+		chunked := strings.Replace(sign, "Content-Length: 3\r\n\r\nabc", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 1)
+		for _, request := range []string{look, sign, chunked} {
+			status, _, _, err := y.ask(request)
+			assert.NoError(t, err)
+			assert.Equal(t, 200, status)
+		}
+		assert.Equal(t, []string{"b1 GET /look?user=7 t1  0.500 ", "b1 POST /sign t2 k 0.500 abc", "b1 POST /sign t2 k 0.500 abc"}, y.got)
+		assert.Equal(t, []string{"b1"}, y.dials, "one connection serves one after the other")
+		y.end()
+	})
+}
+
+func TestNoBackendAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		plays map[string][]string
+		set   func(*Launch)
+	}{
+		{"none listed", nil, nil},
+		{"all refuse", map[string][]string{"b1": {refused}, "b2": {refused}}, nil},
+		{"none cold may be sent to", map[string][]string{"b1": {ok}}, func(l *Launch) {
+			l.ColdFor, l.ColdShare = 1e9, 0
+			l.Known.Entries[0].UpSince = float64(time.Now().Unix())
+		}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			y := serve(t, c.plays, c.set)
+			status, _, _, err := y.ask(sms)
+			assert.NoError(t, err, c.name)
+			assert.Equal(t, 503, status, c.name)
+			assert.Empty(t, y.got, c.name)
+			y.end()
+		})
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	for _, c := range []struct {
+		in     string
+		status int
+	}{
+		{"nonsense\r\n\r\n", 400},
+		{strings.Replace(look, "X-Qos: look", "X-Qos: sms", 1), 400},
+		{strings.Replace(look, "X-Qos: look", "X-Qos: none", 1), 400},
+		{strings.Replace(look, "X-Trace-Id: t1\r\n", "", 1), 400},
+		{strings.Replace(look, "0.5", "soon", 1), 400},
+		{strings.Replace(look, "0.5", "NaN", 1), 400},
+		{strings.Replace(look, "X-Expires-In: 0.5\r\n", "", 1), 400},
+		{strings.Replace(sign, "Idempotency-Key: k\r\n", "", 1), 400},
+		{strings.Replace(sms, "POST", "GET", 1), 400},
+		{strings.Replace(look, "GET", "PATCH", 1), 501},
+		{strings.Replace(look, "/look?user=7", "/elsewhere", 1), 404},
+		{strings.Replace(look, "/look?user=7", "look", 1), 404},
+		{"GET /elsewhere HTTP/1.1\r\n\r\n", 404},
+		{strings.Replace(sms, "Content-Length: 3", "Content-Length: 70000", 1), 413},
+		{strings.Replace(look, "t1", strings.Repeat("x", heads.Most), 1), 431},
+		{sms[:len(sms)-1], 408},
+		{look[:30], 408},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			y := serve(t, map[string][]string{"b1": {ok}}, nil)
+			status, h, _, err := y.ask(c.in)
+			assert.NoError(t, err, c.in)
+			assert.Equal(t, c.status, status, c.in)
+			assert.True(t, h.Close, c.in)
+			assert.Empty(t, y.got, c.in)
+			status, _, _, err = y.ask(look)
+			assert.NoError(t, err)
+			assert.Equal(t, 200, status, "serves on")
+			y.end()
+		})
+	}
+}
+
+func TestClients(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := serve(t, map[string][]string{"b1": {ok}}, nil)
+		c := y.client()
+		go io.WriteString(c, look+sms+look[:20]) // danger: what came ahead is lost
+		for range 2 {
+			status, _, _, err := answer(c)
+			assert.NoError(t, err)
+			assert.Equal(t, 200, status)
+		}
+		go io.WriteString(c, look[20:])
+		status, _, _, err := answer(c)
+		assert.NoError(t, err)
+		assert.Equal(t, 200, status)
+		time.Sleep(clientIdle + 1)
+		_, err = c.Write([]byte("x"))
+		assert.Error(t, err, "idle for too long")
+
+		for _, ahead := range []string{"", look[:20]} { // leaves while its lookup waits, also with bytes ahead
+			y.plays["b1"] = []string{silent}
+			c = y.client()
+			go io.WriteString(c, look+ahead)
+			synctest.Wait()
+			n := y.gone
+			c.Close()
+			synctest.Wait()
+			assert.Equal(t, n+1, y.gone, "its leg is called off")
+		}
+		assert.Equal(t, 2, y.counts.Left)
+
+		y.plays["b1"] = []string{ok}
+		c = y.client()
+		go io.WriteString(c, look)
+		time.Sleep(clientSlow + 1) // never reads its answer
+		_, err = c.Write([]byte("x"))
+		assert.Error(t, err)
+
+		c = y.client()
+		go io.WriteString(c, strings.Replace(sms, "Content-Length: 3\r\n\r\nabc", "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n", 1))
+		leave := make([]byte, len("HTTP/1.1 100 Continue\r\n\r\n"))
+		_, err = io.ReadFull(c, leave)
+		assert.NoError(t, err)
+		assert.Contains(t, string(leave), "100")
+		go io.WriteString(c, "abc")
+		status, _, _, err = answer(c)
+		assert.NoError(t, err)
+		assert.Equal(t, 200, status)
+		y.end()
+	})
+}
+
+// tell has discovery tell a change, and waits until it has been taken in.
+func (y *yard) tell(line string) {
+	y.changes <- line
+	synctest.Wait()
+}
+
+func change(version int, id, state string, started int) string {
+	return fmt.Sprintf(`{"version":%d,"full":false,"servers":[{"id":%q,"addr":%q,"state":%q,"started_ms":%d}]}`,
+		version, id, id+":1", state, started)
+}
+
+func TestListChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		plays := map[string][]string{"b1": {ok}, "b1:1": {ok}, "b2:1": {ok}}
+		y := serve(t, plays, func(l *Launch) { l.ColdFor = 0 })
+		to := func() (string, int) {
+			status, _, _, err := y.ask(look)
+			assert.NoError(t, err)
+			return y.dials[len(y.dials)-1], status
+		}
+		addr, _ := to()
+		assert.Equal(t, "b1", addr)
+		y.tell(change(2, "b1", "active", 0))
+		addr, _ = to()
+		assert.Equal(t, "b1:1", addr, "moved")
+		n := len(y.dials)
+		y.tell(change(3, "b1", "active", 946684800000))
+		to()
+		assert.Len(t, y.dials, n+1, "began anew")
+		y.tell(change(4, "b2", "active", 0))
+		y.tell(change(5, "b1", "leaving", 946684800000))
+		assert.Equal(t, 3, y.gone, "what was idle to the drained one is closed")
+		for range 3 {
+			addr, _ = to()
+			assert.Equal(t, "b2:1", addr)
+		}
+		y.tell(`{"version":6,"full":true,"servers":[]}`)
+		_, status := to()
+		assert.Equal(t, 503, status, "all are gone")
+		y.end()
+	})
+}
+
+func TestStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := serve(t, map[string][]string{"b1": {silent}}, nil)
+		up := "GET /up HTTP/1.1\r\n\r\n"
+		time.Sleep(firstList)
+		synctest.Wait()
+		status, _, _, _ := y.ask(up)
+		assert.Equal(t, 200, status)
+		waiting, kept, unused, partly := y.client(), y.client(), y.client(), y.client()
+		go io.WriteString(kept, up)
+		answer(kept)
+		go io.WriteString(waiting, look)
+		go io.WriteString(partly, sms[:20])
+		synctest.Wait()
+		y.plays["b1"] = []string{ok}
+		ordered := time.Now()
+		y.stop()
+		synctest.Wait()
+		status, _, _, _ = y.ask(up)
+		assert.Equal(t, 503, status, "the front is told")
+		time.Sleep(400 * time.Millisecond)
+		for _, request := range []string{look, sms} { // on a kept connection, then on a new one
+			c := kept
+			if request == sms {
+				c = y.client()
+			}
+			go io.WriteString(c, request)
+			status, h, _, err := answer(c)
+			assert.NoError(t, err)
+			assert.Equal(t, 200, status)
+			assert.True(t, h.Close)
+		}
+		status, h, _, err := answer(waiting)
+		assert.NoError(t, err)
+		assert.Equal(t, 503, status, "what it had taken is answered")
+		assert.True(t, h.Close)
+		assert.NoError(t, <-y.served)
+		assert.LessOrEqual(t, time.Since(ordered), closeAfter+seconds(y.longest())+endMargin)
+		for _, c := range []net.Conn{unused, partly} {
+			_, err = c.Read(make([]byte, 1))
+			assert.Error(t, err)
+		}
+		time.Sleep(time.Minute) // nothing of it is left running
+	})
+}
+
+func TestReadyWithoutDiscovery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := serve(t, map[string][]string{"b1": {ok}}, nil)
+		status, _, _, _ := y.ask("GET /up HTTP/1.1\r\n\r\n")
+		assert.Equal(t, 503, status)
+		time.Sleep(firstList)
+		status, _, _, _ = y.ask("GET /up HTTP/1.1\r\n\r\n")
+		assert.Equal(t, 200, status)
+		y.end()
+	})
+}
+
+func TestBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := serve(t, map[string][]string{"b1": {silent}}, nil)
+		y.door.most, y.door.over, y.pool.Most = 2, 1, 1
+		one := y.client()
+		synctest.Wait()
+		two := y.client()
+		synctest.Wait()
+		three := y.client()
+		synctest.Wait()
+		_, err := one.Read(make([]byte, 1))
+		assert.Error(t, err, "the one idle for longest makes room")
+		for _, c := range []net.Conn{two, three} {
+			go io.WriteString(c, strings.Replace(look, "0.5", "10", 1))
+			synctest.Wait()
+		}
+		status, _, _, err := answer(three)
+		assert.NoError(t, err)
+		assert.Equal(t, 503, status, "no connection to a backend may be had")
+		go io.WriteString(three, strings.Replace(look, "0.5", "10", 1))
+		synctest.Wait()
+		four, five := y.client(), y.client()
+		go io.WriteString(five, look)
+		synctest.Wait()
+		count, crowded := y.door.counted()
+		assert.Equal(t, []int{3, 1}, []int{count, crowded}, "the fifth is not accepted yet")
+		for _, c := range []net.Conn{four, five} {
+			if c == four {
+				go io.WriteString(c, look)
+			}
+			status, h, _, err := answer(c)
+			assert.NoError(t, err)
+			assert.Equal(t, 503, status, "over the bound it is dismissed")
+			assert.True(t, h.Close)
+		}
+		y.plays["b1"] = []string{ok}
+		two.Close()
+		synctest.Wait()
+		status, _, _, err = y.ask(look)
+		assert.NoError(t, err)
+		assert.Equal(t, 200, status)
+		three.Close()
+		y.end()
+	})
+}
+
+// A lookup that the decisions forgot is forfeited before its hard stop; a call that panics ends no proxy.
+func TestBackstop(t *testing.T) {
+	log, _ := test.NewNullLogger()
+	y := &Proxy{log: log}
+	l := &lookup{row: &balance.Tariff{}, answer: make(chan reply, 1)}
+	forget, panics := func() { y.expired(l) }, func() { y.guard(func() { panic("x") }) }
+	if invariant.Asserted {
+		assert.Panics(t, forget)
+		assert.Panics(t, panics)
+		return
+	}
+	before := broken()
+	forget()
+	panics()
+	assert.Equal(t, 502, (<-l.answer).status)
+	assert.Equal(t, before+2, broken())
+}
