Clients get three quarters of the descriptors; bodies kept are bounded by memory

Now idle connections make room before accepting pauses, and clients have 720 of 1,024 with those dismissed unseen. Bodies kept to be sent hold a quarter of the memory at most; past that lookups are dismissed unseen. A test over the bound showed that a new connection counted as idle before its first request, so a burst of new ones passed the bound (7 of 4) and could close each other; new ones are not idle now.

--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -18,10 +18,12 @@
 	answer     chan reply // holds the one answer; the owner never waits for the client
 }
 
-// admit hands a lookup to the decisions. One that came over the bound on connections is dismissed unseen.
+// admit hands a lookup to the decisions. One over a bound of this machine, of connections or of memory, is
+// dismissed unseen.
 func (p *Proxy) admit(l *lookup, a balance.Arrival, over bool) {
 	p.counts.Taken++
 	if over {
+		p.counts.Unseen++
 		p.finish(l, balance.Dismissed, p.launch.MaxAdvice)
 		return
 	}
--- a/proxy/door.go
+++ b/proxy/door.go
@@ -2,7 +2,8 @@
 
 import "sync"
 
-// door knows the clients' connections, and which are idle, those for longest first.
+// door knows the clients' connections, and which have been idle since an answer, those for longest first.
+// Danger: a new one is not idle, though it looks so: its request is on the way.
 type door struct {
 	mu         sync.Mutex
 	room       sync.Cond
@@ -13,11 +14,12 @@
 	closed     bool
 }
 
-// wait blocks while there is room for no connection at all, unless the door was woken to stop.
+// wait blocks while there is room for no connection at all and none is idle, unless the door was woken to stop.
+// One that was idle then may be so no more when the next comes: there is one more than the bound at most.
 func (d *door) wait(stops func() bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for len(d.all) >= d.most+d.over && !stops() {
+	for len(d.all) >= d.most+d.over && len(d.idle) == 0 && !stops() {
 		d.room.Wait()
 	}
 }
@@ -49,21 +51,24 @@
 	d.mu.Unlock()
 }
 
-// rest notes that a connection is idle.
-func (d *door) rest(c *client) {
+// rest notes that a connection waits for a request, its first or a later one.
+func (d *door) rest(c *client, first bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	c.waits = true
 	if d.closed {
 		c.end()
-		return
+	} else if !first {
+		d.idle = append(d.idle, c)
+		d.room.Signal()
 	}
-	d.idle = append(d.idle, c)
 }
 
-// rouse notes that it is not idle any more. It is false where it was closed in the meantime.
+// rouse notes that it waits no more. It is false where it was closed in the meantime.
 func (d *door) rouse(c *client) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	c.waits = false
 	for i, o := range d.idle {
 		if o == c {
 			d.idle = append(d.idle[:i], d.idle[i+1:]...)
@@ -78,8 +83,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.closed = true
-	for _, c := range d.idle {
-		c.end()
+	for c := range d.all {
+		if c.waits {
+			c.end()
+		}
 	}
 	d.idle = nil
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -38,8 +38,9 @@
 const (
 	eventsKept  = 1024                   // events not yet taken by the owner; then connections wait
 	reserve     = 64                     // descriptors for files, listener, discovery and what is just closing
-	clientPart  = 0.5                    // of the other descriptors; backends have the rest
+	clientPart  = 0.75                   // of the other descriptors: a lookup may wait longer than its legs take
 	overPart    = 0.2                    // of the clients': taken over the bound, to be dismissed at once
+	heldPart    = 0.25                   // of the memory limit, for what is kept to be sent to backends
 	idlePart    = 0.8                    // of the time after which a backend closes an idle connection
 	idleUntold  = 2 * time.Second        // where that time is not told
 	connectFor  = time.Second            // where the deployment does not tell it
@@ -82,6 +83,7 @@
 	ready  atomic.Bool
 	stops  atomic.Bool // ordered to stop: each connection ends with its answer
 	door   door
+	held   atomic.Int64   // bytes kept to be sent to backends
 	work   sync.WaitGroup // client connections
 }
 
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -21,6 +21,7 @@
 	nc     net.Conn
 	r      *heads.Reader
 	over   bool // taken over the bound
+	waits  bool // for a request; under door.mu
 	closed bool // by the door; under door.mu
 }
 
@@ -54,10 +55,10 @@
 	defer c.p.door.leave(c)
 	defer c.nc.Close()
 	came := make(chan error, 1)
-	c.nc.SetReadDeadline(time.Now().Add(clientIdle))
+	c.nc.SetReadDeadline(time.Now().Add(clientSlow))
 	go func() { came <- c.r.Wait() }()
-	for {
-		c.p.door.rest(c)
+	for first := true; ; first = false {
+		c.p.door.rest(c, first)
 		err := <-came
 		if !c.p.door.rouse(c) || err != nil {
 			return
@@ -83,12 +84,18 @@
 		return c.turnAway(err)
 	}
 	var answer reply
+	var over bool
+	if l != nil {
+		size := int64(len(l.head) + len(l.body))
+		defer c.p.held.Add(-size)
+		over = float64(c.p.held.Add(size)) > heldPart*float64(c.p.launch.Limits.Memory) || c.over
+	}
 	if l == nil { // nothing to decide
 		answer = c.p.up()
 	} else {
 		c.nc.SetReadDeadline(time.Time{})
 		go func() { came <- c.r.Wait() }() // ends too when the client goes
-		c.p.post(func() { c.p.admit(l, a, c.over) })
+		c.p.post(func() { c.p.admit(l, a, over) })
 		if answer, err = c.await(l, came); err != nil {
 			c.p.post(func() { c.p.left(l) })
 			return false
