--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -10,6 +10,7 @@
 	row        *balance.Tariff
 	handle     *balance.Lookup
 	ref        int
+	arrived    float64
 	hardStop   float64
 	head, body []byte // what goes to a backend, alike for all its legs
 	legs       []*leg
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -10,7 +10,7 @@
 
 // counts are what the owner has seen since the start.
 type counts struct {
-	Taken, Honoured, Dismissed, Forfeited, Left, TurnedAway, Unseen, Legs, Late int
+	Taken, Honoured, Dismissed, Forfeited, Left, TurnedAway, Unseen, InVain, Legs, Late int
 	Outcomes                                                                    [8]int // of legs
 }
 
@@ -39,7 +39,7 @@
 func (p *Proxy) report() {
 	c, pool := &p.counts, p.pool
 	fields := logrus.Fields{"taken": c.Taken, "honoured": c.Honoured, "dismissed": c.Dismissed,
-		"forfeited": c.Forfeited, "left": c.Left, "turned_away": c.TurnedAway, "unseen": c.Unseen, "legs": c.Legs, "late": c.Late,
+		"forfeited": c.Forfeited, "left": c.Left, "turned_away": c.TurnedAway, "unseen": c.Unseen, "in_vain": c.InVain, "legs": c.Legs, "late": c.Late,
 		"fault": c.Outcomes[balance.Fault], "no_room": c.Outcomes[balance.NoRoom],
 		"too_slow": c.Outcomes[balance.TooSlow], "no_route": c.Outcomes[balance.NoRoute],
 		"cut": c.Outcomes[balance.Cut], "called_off": c.Outcomes[balance.CalledOff],
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"slices"
+
 	"lockloom/balance"
 	"lockloom/internal/invariant"
 )
@@ -49,6 +51,9 @@
 		answer = balance.Forfeited
 	}
 	l.answered = true
+	if p.now() > (l.arrived+l.hardStop)/2 && !slices.ContainsFunc(l.legs, func(g *leg) bool { return !g.neverRan }) {
+		p.counts.InVain++
+	}
 	if answer == balance.Dismissed {
 		p.counts.Dismissed++
 		l.answer <- reply{status: 503, advice: advice, body: []byte("dismissed\n")}
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -199,7 +199,7 @@
 			}
 		}
 	}
-	l := &lookup{row: &c.p.launch.Tariffs[tariff], hardStop: a.HardStop, answer: make(chan reply, 1)}
+	l := &lookup{row: &c.p.launch.Tariffs[tariff], arrived: c.p.stamp(arrived), hardStop: a.HardStop, answer: make(chan reply, 1)}
 	l.head = heads.AppendRequest(make([]byte, 0, 512), h.Method, h.Target)
 	l.head = heads.AppendOnward(l.head, h, "X-Expires-In")
 	length, chunked, get := h.Length, h.Chunked, string(h.Method) == "GET"
