--- a/proxy/book.go
+++ b/proxy/book.go
@@ -11,7 +11,7 @@
 // counts are what the owner has seen since the start.
 type counts struct {
 	Taken, Honoured, Dismissed, Forfeited, Left, TurnedAway, Unseen, InVain, Legs, Late int
-	Outcomes                                                                    [8]int // of legs
+	Outcomes                                                                            [8]int // of legs
 }
 
 // book tells the decisions how a leg ended. The first honoured one answers its lookup.
