A first leg is waited for until 0.4 of a lookup's time only

At fault: worthHolding looked at the due time only; clients give up after 0.4 to 0.55 of the hard stop, so half of their time is often over before the due time is.

The stake of coldRoom lost a line for it, unchanged in effect.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,6 +47,7 @@
 	quotaSlack      = 1.2   // of this proxy's even part of a customer's share: clients do not spread evenly
 	quotaLeast      = 6.0   // lookups of it saved up: less judges a part of a lookup in many seconds by luck
 	againPart       = 0.2   // of the priority, for a client's further try: most of its due time is gone
+	holdPart        = 0.4   // of the time to the hard stop to wait for a first leg: past half it costs more
 	answerEarly     = 0.01  // s before the hard stop, more than two of any proxy's ticks
 	windowMargin    = 0.01  // s before a dedup window closes, for the way to the backend
 	coldMargin      = 0.4   // of the fall budget, as it flows
@@ -296,7 +297,9 @@
 
 // worthHolding says whether a lookup with n held before it can still be answered in time.
 func (b *Balancer) worthHolding(l *Lookup, n int) bool {
-	return b.now+float64(n+1)*b.pace+b.typical(l) <= min(l.taken+l.row.Due, l.HardStop-answerEarly)
+	sent := b.now + float64(n+1)*b.pace // danger: turned away with nothing sent, its client has waited in vain
+	return sent+b.typical(l) <= min(l.taken+l.row.Due, l.HardStop-answerEarly) &&
+		(len(l.legs) > 0 || sent <= l.taken+holdPart*(l.HardStop-l.taken))
 }
 
 // priority is the value of answering this lookup in time, for its work.
@@ -577,8 +580,7 @@
 	rate := coldMargin * b.d.FallMultiple * part / float64(b.d.Proxies)
 	turn := max(b.d.FallFor*coldDepth, b.gap*b.servable)
 	s.bucket, s.flowed = min(s.bucket+(b.now-s.flowed)*rate, rate*turn), b.now
-	work := b.typical(l)
-	stake := min(s.bucket, work)
+	stake := min(s.bucket, b.typical(l))
 	s.bucket -= stake
-	return b.chance.Float()*work < stake // danger: one lookup each from hundreds of proxies is a flood
+	return b.chance.Float()*b.typical(l) < stake // danger: one lookup each from hundreds of proxies is a flood
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -404,6 +404,30 @@
 	assert.Zero(t, k.Wake(0.5).Wake)
 }
 
+// Danger: a client that waited more than half of its time and is turned away with nothing sent waited in vain.
+func TestNobodyWaitsInVain(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		hardStop float64
+		sent     bool // a leg that never ran
+		until    float64
+	}{
+		{"a short hard stop binds", 0.2, false, 0.2 * holdPart},
+		{"not where a leg was sent", 0.2, true, 0.2 - answerEarly - 0.075},
+		{"the due time binds before a long one", 10, false, 0.3 - 0.075},
+	} {
+		k := open(t, deployment(), 1)
+		l, _ := k.take(Arrival{HardStop: c.hardStop})
+		if l.legs = nil; c.sent {
+			l.legs = []leg{{neverRan: true}}
+		}
+		k.pace = 0
+		for k.now = 0; k.worthHolding(l, 0); k.now += 0.001 {
+		}
+		assert.InDelta(t, c.until, k.now, 0.002, c.name)
+	}
+}
+
 func TestOneTimerForHeldLookups(t *testing.T) {
 	k := open(t, deployment(), 1)
 	asked := 0
