A repeat is not sent where its connection comes up after its window

Found by reading: the module orders a referenced lookup's further leg within the window in which its repeat is known (may, balance.go), but a new connection may take 75 ms, and the leg was written whenever it was up (run, backends/conn.go). Now the exchange has a time after which it is not sent; its leg never ran. Both tests fail without it. Limits that are not told no longer mean none at all, for those who embed the proxy.

--- a/internal/backends/backends_test.go
+++ b/internal/backends/backends_test.go
@@ -234,6 +234,37 @@
 	})
 }
 
+// Danger: a repeat that is known for some time only is sent after that, because its connection was slow to come up.
+func TestTooLateToSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := open()
+		b.dials = nil
+		dial := b.dial
+		b.dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			time.Sleep(50 * time.Millisecond)
+			return dial(ctx, addr)
+		}
+		var got []Result
+		ex := &Exchange{Head: []byte("GET /a HTTP/1.1\r\n"), Tail: []byte("\r\n"), Until: time.Now().Add(time.Second),
+			Before: time.Now().Add(40 * time.Millisecond), Report: func(r Result) { got = append(got, r) }}
+		b.Send(0, ex)
+		time.Sleep(60 * time.Millisecond)
+		b.settle()
+		if assert.Len(t, got, 1) {
+			assert.Equal(t, balance.NeverSent, got[0].Outcome)
+		}
+		_, second := b.leg(0)
+		end := <-b.ends
+		asked(t, end)
+		io.WriteString(end, honoured)
+		b.settle()
+		assert.Len(t, *second, 1, "the connection is good for another")
+		assert.Len(t, b.dials, 1)
+		b.Shut()
+		b.settle()
+	})
+}
+
 func TestReuse(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -18,6 +18,7 @@
 type Exchange struct {
 	Head, Tail, Body []byte       // written one after the other
 	Until            time.Time    // no answer by then: it timed out
+	Before           time.Time    // not sent where no connection is up by then; zero: no such bound
 	Report           func(Result) // called once, on the owner's goroutine
 	off              bool         // called off; under conn.mu
 	wrote            chan struct{}
@@ -95,7 +96,7 @@
 	}
 	c.mu.Lock()
 	c.nc = nc
-	off := ex.off
+	off := ex.off || !ex.Before.IsZero() && time.Now().After(ex.Before)
 	if off {
 		c.ex = nil // the connection is good for another
 	} else {
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -24,7 +24,7 @@
 	Limits Limits
 }
 
-// Limits are those of the proxy's machine.
+// Limits are those of the proxy's machine; 0: not told.
 type Limits struct {
 	Cores   float64
 	Memory  int64 // bytes
--- a/proxy/door.go
+++ b/proxy/door.go
@@ -7,7 +7,8 @@
 type door struct {
 	mu         sync.Mutex
 	room       sync.Cond
-	most, over int // connections served; further ones that are dismissed at once
+	most, over int   // connections served; further ones that are dismissed at once
+	held       int64 // bytes that may be kept to be sent to backends
 	all        map[*client]bool
 	idle       []*client
 	crowded    int // connections taken over the bound
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -37,6 +38,7 @@
 // Every constant of the network code but those of a package's own wire.
 const (
 	eventsKept  = 1024                   // events not yet taken by the owner; then connections wait
+	socketsFor  = 1024                   // descriptors where the limit is not told
 	reserve     = 64                     // descriptors for files, listener, discovery and what is just closing
 	clientPart  = 0.75                   // of the other descriptors: a lookup may wait longer than its legs take
 	overPart    = 0.2                    // of the clients': taken over the bound, to be dismissed at once
@@ -97,6 +99,9 @@
 		return nil, err
 	}
 	p.b = b
+	if l.Limits.Sockets == 0 {
+		l.Limits.Sockets = socketsFor
+	}
 	most := max(l.Limits.Sockets-reserve, 4)
 	p.door.most = max(int(clientPart*float64(most)), 2)
 	p.door.over = max(int(overPart*float64(p.door.most)), 1)
@@ -110,6 +115,9 @@
 		p.pool.Idle = seconds(idlePart * l.IdleFor)
 	}
 	p.door.most -= p.door.over
+	if p.door.held = int64(heldPart * float64(l.Limits.Memory)); p.door.held == 0 {
+		p.door.held = math.MaxInt64
+	}
 	p.door.all = map[*client]bool{}
 	p.door.room.L = &p.door.mu
 	return p, nil
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -28,6 +28,7 @@
 	own503   = "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n"
 	fault    = "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n"
 	cut      = "cut"
+	cutLate  = "cut after 0.23 s"
 	refused  = "refused"
 	silent   = ""
 )
@@ -42,7 +43,8 @@
 	plays   map[string][]string // by address, or for any: what backends do one time after the other; the last stays
 	got     []string            // requests at backends: address and head
 	dials   []string
-	gone    int // connections that ended at a backend's end
+	slow    time.Duration // that opening a connection takes
+	gone    int           // connections that ended at a backend's end
 	changes chan string
 	stop    context.CancelFunc
 	broken  int // invariants, before
@@ -120,6 +122,7 @@
 		go y.agent(theirs)
 		return ours, nil
 	}
+	time.Sleep(y.slow)
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	y.dials = append(y.dials, addr)
@@ -187,6 +190,9 @@
 		switch play {
 		case cut:
 			return
+		case cutLate:
+			time.Sleep(230 * time.Millisecond)
+			return
 		case silent:
 			r.Wait()
 			return
@@ -275,6 +281,25 @@
 	}
 }
 
+// Danger: a repeat is known for 0.3 s; one ordered in time is written later where its connection is slow to come up.
+func TestRepeatWithinItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		slow   time.Duration
+		status int
+		sent   int
+	}{{0, 200, 2}, {50 * time.Millisecond, 502, 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			y := serve(t, map[string][]string{"b1": {ok}, "b2": {ok}, "any": {cutLate, ok}}, nil)
+			y.slow = c.slow
+			status, _, _, err := y.ask(sign)
+			assert.NoError(t, err)
+			assert.Equal(t, c.status, status)
+			assert.Len(t, y.got, c.sent)
+			y.end()
+		})
+	}
+}
+
 func TestOnward(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		y := serve(t, map[string][]string{"b1": {ok}}, nil)
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -26,10 +26,18 @@
 	invariant.Holds(now <= p.stopSend[backend]+p.launch.DrainGrace, "nothing is sent past the grace of a drain")
 	invariant.Holds(len(l.legs) == 0 || l.row.Kind != balance.SingleUse || l.harmless(),
 		"a single-use lookup is sent again only where it never ran")
+	var before time.Time // danger: opening a connection outlasts what is left of a repeat's window
+	if l.row.Kind == balance.Referenced {
+		for _, g := range l.legs {
+			if end := p.at(g.sent + l.row.Window); !g.neverRan && (before.IsZero() || end.Before(before)) {
+				before = end
+			}
+		}
+	}
 	g := &leg{number: len(l.legs), sent: now}
 	l.legs = append(l.legs, g)
 	p.counts.Legs++
-	g.ex = backends.Exchange{Head: l.head, Body: l.body, Until: p.at(until),
+	g.ex = backends.Exchange{Head: l.head, Body: l.body, Until: p.at(until), Before: before,
 		Report: func(r backends.Result) { p.book(l, g, r) }}
 	g.ex.Tail = append(heads.AppendField(nil, "X-Expires-In", heads.AppendSeconds(nil, max(until-now, 0.001))), "\r\n"...)
 	if g.begun = p.pool.Send(backend, &g.ex); !g.begun {
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -88,7 +88,7 @@
 	if l != nil {
 		size := int64(len(l.head) + len(l.body))
 		defer c.p.held.Add(-size)
-		over = float64(c.p.held.Add(size)) > heldPart*float64(c.p.launch.Limits.Memory) || c.over
+		over = c.p.held.Add(size) > c.p.door.held || c.over
 	}
 	if l == nil { // nothing to decide
 		answer = c.p.up()
