--- a/proxy/book.go
+++ b/proxy/book.go
@@ -35,8 +35,8 @@
 	p.release(l)
 }
 
-// report logs the counts, and now and then does so again.
-func (p *Proxy) report() {
+// counted returns what logs the counts as they are now.
+func (p *Proxy) counted() func() {
 	c, pool := &p.counts, p.pool
 	fields := logrus.Fields{"taken": c.Taken, "honoured": c.Honoured, "dismissed": c.Dismissed,
 		"forfeited": c.Forfeited, "left": c.Left, "turned_away": c.TurnedAway, "unseen": c.Unseen, "in_vain": c.InVain, "legs": c.Legs, "late": c.Late,
@@ -47,12 +47,11 @@
 		"retired": pool.Retired, "lost_idle": pool.Lost, "no_connection": pool.Full}
 	fields["clients"], fields["crowded"] = p.door.counted()
 	line, broken := p.log.WithFields(fields), invariant.Broken()
-	go func() { // danger: whoever reads the log may be slow, and the owner waits for nobody
+	return func() {
 		if len(broken) > 0 {
 			line.WithField("broken", broken).Error("counts")
 		} else {
 			line.Info("counts")
 		}
-	}()
-	p.timers.add(timer{at: p.now() + reportEvery.Seconds(), call: p.report})
+	}
 }
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -24,7 +24,7 @@
 		case <-wake.C:
 		case <-p.quit:
 			p.pool.Shut()
-			p.report()
+			p.counted()()
 			close(p.ended)
 			return
 		}
@@ -122,6 +122,12 @@
 	}
 }
 
+// report logs the counts from time to time. Danger: whoever reads the log may be slow, and the owner waits for nobody.
+func (p *Proxy) report() {
+	go p.counted()()
+	p.timers.add(timer{at: p.now() + reportEvery.Seconds(), call: p.report})
+}
+
 func (p *Proxy) sweep() {
 	p.pool.Sweep()
 	p.timers.add(timer{at: p.now() + sweepEvery.Seconds(), call: p.sweep})
