Silent and unfinished clients do not keep others out; heads of 200 fields at most

Found by reading with the bounds in mind: connections that send nothing, or a part of a request, held their place for 5 s each, so as many as the bound of them kept accepting paused, and what waits there counts as taken. Now they may go after 0.1 s where others wait, and a request has to come whole within the longest hard stop. A head of 64 KiB of empty fields took 0.8 MB of field records, kept for the connection; more than 200 fields is a 431 now. Both tests fail without.

--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -14,6 +14,7 @@
 const (
 	Most       = 64 << 10 // bytes of a head, and of a body: the protocol's
 	slack      = 4 << 10  // bytes of chunk sizes and trailers that a message may have besides
+	mostFields = 200      // of a head; one needs ten times the memory of its bytes at least
 	firstBytes = 4 << 10  // bytes of a buffer at first: most heads take a tenth of it
 )
 
@@ -248,6 +249,9 @@
 		if !ok || !token(name) { // a folded line begins with a space, which is in no token
 			return bad(400, "malformed field")
 		}
+		if len(h.Fields) == mostFields {
+			return bad(431, "too many fields")
+		}
 		value = textproto.TrimBytes(value)
 		if !printable(value) {
 			return bad(400, "malformed value")
--- a/internal/heads/heads_test.go
+++ b/internal/heads/heads_test.go
@@ -34,6 +34,7 @@
 		{"long head", "GET /a HTTP/1.1\r\nX: " + strings.Repeat("x", 60000) + "\r\n\r\nGET /b HTTP/1.1\r\n\r\n", 0, "", "/b"},
 		{"head too large", "GET /a HTTP/1.1\r\nX: " + strings.Repeat("x", Most) + "\r\n\r\n", 431, "", ""},
 		{"endless head", "GET /" + strings.Repeat("x", 3*Most), 431, "", ""},
+		{"too many fields", "GET /a HTTP/1.1\r\n" + strings.Repeat("a:\r\n", mostFields+1) + "\r\n", 431, "", ""},
 		{"body too large", "POST /a HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413, "", ""},
 		{"huge length", "POST /a HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", 400, "", ""},
 		{"chunks too large", "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
--- a/proxy/door.go
+++ b/proxy/door.go
@@ -1,9 +1,12 @@
 package proxy
 
-import "sync"
+import (
+	"slices"
+	"sync"
+	"time"
+)
 
-// door knows the clients' connections, and which have been idle since an answer, those for longest first.
-// Danger: a new one is not idle, though it looks so: its request is on the way.
+// door knows the clients' connections, and which wait for a request, those for longest first.
 type door struct {
 	mu         sync.Mutex
 	room       sync.Cond
@@ -20,11 +23,24 @@
 func (d *door) wait(stops func() bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for len(d.all) >= d.most+d.over && len(d.idle) == 0 && !stops() {
+	for len(d.all) >= d.most+d.over && d.idlest() < 0 && !stops() {
+		look := time.AfterFunc(freshFor, d.wake) // fresh ones may turn out to be idle
 		d.room.Wait()
+		look.Stop()
 	}
 }
 
+// idlest is the place of a connection that may go, idle for longest, or -1. Danger: a new one looks idle while its
+// first request is on the way; but one that never sends it, or sends a part only, must not keep others out.
+func (d *door) idlest() int {
+	for i, c := range d.idle {
+		if !c.fresh || time.Since(c.since) >= freshFor {
+			return i
+		}
+	}
+	return -1
+}
+
 func (d *door) wake() { d.room.Broadcast() }
 
 // enter takes a connection in, and closes an idle one where there are too many. It tells whether even so there
@@ -36,9 +52,10 @@
 	if len(d.all) <= d.most {
 		return false
 	}
-	if len(d.idle) > 0 {
-		d.idle[0].end()
-		d.idle = d.idle[1:]
+	if i := d.idlest(); i >= 0 {
+		idle := d.idle[i]
+		idle.end()
+		d.unrest(idle)
 		return false
 	}
 	d.crowded++
@@ -47,49 +64,57 @@
 
 func (d *door) leave(c *client) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	delete(d.all, c)
+	d.unrest(c)
 	d.room.Signal()
-	d.mu.Unlock()
 }
 
 // rest notes that a connection waits for a request, its first or a later one.
 func (d *door) rest(c *client, first bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c.waits = true
 	if d.closed {
 		c.end()
-	} else if !first {
-		d.idle = append(d.idle, c)
-		d.room.Signal()
+		return
 	}
+	c.begun, c.fresh, c.since = false, first, time.Now()
+	d.idle = append(d.idle, c)
+	d.room.Signal()
 }
 
-// rouse notes that it waits no more. It is false where it was closed in the meantime.
+// begin notes that its request has begun to come. It is false where it was closed in the meantime.
+func (d *door) begin(c *client) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.begun, c.fresh, c.since = true, true, time.Now()
+	return !c.closed
+}
+
+// rouse notes that its request has come whole. It is false where it was closed in the meantime.
 func (d *door) rouse(c *client) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c.waits = false
-	for i, o := range d.idle {
-		if o == c {
-			d.idle = append(d.idle[:i], d.idle[i+1:]...)
-			break
-		}
-	}
+	d.unrest(c)
 	return !c.closed
 }
 
+func (d *door) unrest(c *client) {
+	if i := slices.Index(d.idle, c); i >= 0 {
+		d.idle = slices.Delete(d.idle, i, i+1)
+	}
+}
+
 // shut closes the connections without a request, from now on as soon as they have none.
 func (d *door) shut() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.closed = true
-	for c := range d.all {
-		if c.waits {
+	for _, c := range d.idle {
+		if !c.begun {
 			c.end()
 		}
 	}
-	d.idle = nil
 }
 
 // cut closes every connection.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -50,7 +50,8 @@
 	reportEvery = 10 * time.Second       // between lines of counts in the log
 	firstList   = 300 * time.Millisecond // to wait for discovery before being ready with the known list
 	clientIdle  = 75 * time.Second       // a client's connection without a request
-	clientSlow  = 5 * time.Second        // for a request to come whole, and for an answer to be taken
+	freshFor    = 100 * time.Millisecond // for the first request of a connection, where others wait to be accepted
+	clientSlow  = 5 * time.Second        // for an answer to be taken
 	longestWait = 60.0                   // s; a client that says it waits longer is taken to wait so long
 	lingerFor   = 500 * time.Millisecond // to read on after an error, so that the client can read it
 	backstop    = 0.002                  // s before the hard stop when a lookup with no answer is forfeited
@@ -64,9 +65,10 @@
 	// Dial opens the connections to discovery and backends; whoever embeds a proxy may set it before Serve.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
-	launch Launch
-	log    logrus.FieldLogger
-	began  time.Time
+	launch  Launch
+	log     logrus.FieldLogger
+	began   time.Time
+	longest time.Duration // the longest hard stop
 
 	// The owner's.
 	b        *balance.Balancer
@@ -99,6 +101,9 @@
 		return nil, err
 	}
 	p.b = b
+	for _, t := range l.Tariffs {
+		p.longest = max(p.longest, seconds(t.HardStop))
+	}
 	if l.Limits.Sockets == 0 {
 		l.Limits.Sockets = socketsFor
 	}
@@ -169,23 +174,14 @@
 	}
 	p.stops.Store(true)
 	p.door.shut()
-	longest := time.AfterFunc(seconds(p.longest())+endMargin, p.door.cut)
+	end := time.AfterFunc(p.longest+endMargin, p.door.cut)
 	p.work.Wait()
-	longest.Stop()
+	end.Stop()
 	close(p.quit)
 	<-p.ended
 	return err
 }
 
-// longest is the time in which every lookup taken now is answered.
-func (p *Proxy) longest() float64 {
-	most := 0.0
-	for _, t := range p.launch.Tariffs {
-		most = max(most, t.HardStop)
-	}
-	return most
-}
-
 // now is the time in seconds since 1970, as the backends' starts are told. It never steps back.
 func (p *Proxy) now() float64 { return p.stamp(time.Now()) }
 
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -508,7 +508,7 @@
 		assert.Equal(t, 503, status, "what it had taken is answered")
 		assert.True(t, h.Close)
 		assert.NoError(t, <-y.served)
-		assert.LessOrEqual(t, time.Since(ordered), closeAfter+seconds(y.longest())+endMargin)
+		assert.LessOrEqual(t, time.Since(ordered), closeAfter+y.longest+endMargin)
 		for _, c := range []net.Conn{unused, partly} {
 			_, err = c.Read(make([]byte, 1))
 			assert.Error(t, err)
@@ -579,6 +579,33 @@
 	})
 }
 
+// Danger: connections that say nothing, or begin a request and stop, keep out those that have one.
+func TestSilentClients(t *testing.T) {
+	for _, begun := range []string{"", look[:20]} {
+		synctest.Test(t, func(t *testing.T) {
+			y := serve(t, map[string][]string{"b1": {ok}}, nil)
+			y.door.most, y.door.over = 4, 2
+			for range 20 {
+				go io.WriteString(y.client(), begun)
+			}
+			synctest.Wait()
+			count, _ := y.door.counted()
+			assert.LessOrEqual(t, count, 7)
+			came := time.Now()
+			for range 3 {
+				for status := 0; status != 200; {
+					var err error
+					status, _, _, err = y.ask(look)
+					assert.NoError(t, err)
+					assert.Contains(t, []int{200, 503}, status)
+				}
+			}
+			assert.Less(t, time.Since(came), 5*y.longest, begun)
+			y.end()
+		})
+	}
+}
+
 // Danger: bodies of lookups that wait fill the memory, and the proxy is killed with all that it has taken.
 func TestHeldBytes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -17,12 +17,16 @@
 
 // client is a client's connection.
 type client struct {
-	p      *Proxy
-	nc     net.Conn
-	r      *heads.Reader
-	over   bool // taken over the bound
-	waits  bool // for a request; under door.mu
-	closed bool // by the door; under door.mu
+	p    *Proxy
+	nc   net.Conn
+	r    *heads.Reader
+	over bool // taken over the bound
+
+	// Under door.mu.
+	begun  bool      // its request has, and has not come whole
+	fresh  bool      // new, or begun: gets time to go on
+	since  time.Time // waits since
+	closed bool      // by the door
 }
 
 // accept takes connections until the listener ends.
@@ -55,15 +59,11 @@
 	defer c.p.door.leave(c)
 	defer c.nc.Close()
 	came := make(chan error, 1)
-	c.nc.SetReadDeadline(time.Now().Add(clientSlow))
+	c.nc.SetReadDeadline(time.Now().Add(clientIdle))
 	go func() { came <- c.r.Wait() }()
 	for first := true; ; first = false {
 		c.p.door.rest(c, first)
-		err := <-came
-		if !c.p.door.rouse(c) || err != nil {
-			return
-		}
-		if !c.one(came) {
+		if err := <-came; err != nil || !c.p.door.begin(c) || !c.one(came) {
 			return
 		}
 	}
@@ -73,7 +73,7 @@
 // comes next is being waited for.
 func (c *client) one(came chan error) bool {
 	arrived := time.Now()
-	c.nc.SetReadDeadline(arrived.Add(clientSlow))
+	c.nc.SetReadDeadline(arrived.Add(c.p.longest)) // later it could not be answered in time
 	h, err := c.r.Request()
 	if err != nil {
 		return c.turnAway(err)
@@ -83,6 +83,9 @@
 	if err != nil {
 		return c.turnAway(err)
 	}
+	if !c.p.door.rouse(c) { // only now: a request that does not come whole is no reason to stay
+		return false
+	}
 	var answer reply
 	var over bool
 	if l != nil {
