A target without a path no longer ends the proxy; take in reads in two steps

Found by reading: 'GET ?user=7' with an unknown X-Qos indexed an empty path in the client's goroutine, a panic that would have ended the process with all it had taken (path[0], takein.go). Besides, a panic of one client's goroutine closes its connection only, is logged and counted; debug builds still end. What a head says of its lookup is read apart from the body.

--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -42,15 +42,7 @@
 // guard runs one call and what it left for later. A panic costs one lookup, not the lookups of all: its
 // backstop still answers it.
 func (p *Proxy) guard(f func()) {
-	defer func() {
-		if r := recover(); r != nil {
-			if invariant.Asserted {
-				panic(r)
-			}
-			invariant.Holds(false, "no call panics")
-			p.log.WithField("stack", string(debug.Stack())).Error(fmt.Sprint("panic: ", r))
-		}
-	}()
+	defer p.rescue()
 	f()
 	for len(p.later) > 0 {
 		f := p.later[0]
@@ -59,6 +51,17 @@
 	}
 }
 
+// rescue, deferred, ends a panic where only this call or connection need suffer from it.
+func (p *Proxy) rescue() {
+	if r := recover(); r != nil {
+		if invariant.Asserted {
+			panic(r)
+		}
+		invariant.Holds(false, "no call panics")
+		p.log.WithField("stack", string(debug.Stack())).Error(fmt.Sprint("panic: ", r))
+	}
+}
+
 // decide makes one call on the decisions and carries out what they order. The orders are good until the next
 // call, so whatever would lead to one is left for later.
 func (p *Proxy) decide(call func(now float64) *balance.Orders) {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -51,6 +51,7 @@
 	firstList   = 300 * time.Millisecond // to wait for discovery before being ready with the known list
 	clientIdle  = 75 * time.Second       // a client's connection without a request
 	freshFor    = 100 * time.Millisecond // for the first request of a connection, where others wait to be accepted
+	headGuess   = 512                    // bytes of a head that goes on; a longer one grows
 	clientSlow  = 5 * time.Second        // for an answer to be taken
 	longestWait = 60.0                   // s; a client that says it waits longer is taken to wait so long
 	lingerFor   = 500 * time.Millisecond // to read on after an error, so that the client can read it
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -58,6 +58,7 @@
 	defer c.p.work.Done()
 	defer c.p.door.leave(c)
 	defer c.nc.Close()
+	defer c.p.rescue()
 	came := make(chan error, 1)
 	c.nc.SetReadDeadline(time.Now().Add(clientIdle))
 	go func() { came <- c.r.Wait() }()
@@ -86,18 +87,13 @@
 	if !c.p.door.rouse(c) { // only now: a request that does not come whole is no reason to stay
 		return false
 	}
-	var answer reply
-	var over bool
+	c.nc.SetReadDeadline(time.Time{})
+	go func() { came <- c.r.Wait() }() // ends too when the client goes
+	answer := c.p.up()
 	if l != nil {
 		size := int64(len(l.head) + len(l.body))
+		over := c.p.held.Add(size) > c.p.door.held || c.over
 		defer c.p.held.Add(-size)
-		over = c.p.held.Add(size) > c.p.door.held || c.over
-	}
-	if l == nil { // nothing to decide
-		answer = c.p.up()
-	} else {
-		c.nc.SetReadDeadline(time.Time{})
-		go func() { came <- c.r.Wait() }() // ends too when the client goes
 		c.p.post(func() { c.p.admit(l, a, over) })
 		if answer, err = c.await(l, came); err != nil {
 			c.p.post(func() { c.p.left(l) })
@@ -109,9 +105,6 @@
 		return false
 	}
 	c.nc.SetReadDeadline(time.Now().Add(clientIdle))
-	if l == nil {
-		go func() { came <- c.r.Wait() }()
-	}
 	return true
 }
 
@@ -151,44 +144,68 @@
 
 // read reads the rest of a request and what it says of its lookup; there is none in a question of readiness.
 func (c *client) read(h *heads.Head, arrived time.Time) (*lookup, balance.Arrival, error) {
-	a := balance.Arrival{Customer: -1}
+	var l *lookup
+	var a balance.Arrival
+	var err error
 	path, query, _ := bytes.Cut(h.Target, []byte{'?'})
-	if string(path) == "/up" {
-		_, err := c.r.Body(h.Length, h.Chunked)
-		return nil, a, err
+	if string(path) != "/up" {
+		if a, err = c.p.arrival(h, path, query, arrived); err != nil {
+			return nil, a, err
+		}
+		l = &lookup{row: &c.p.launch.Tariffs[a.Tariff], arrived: c.p.stamp(arrived), hardStop: a.HardStop,
+			answer: make(chan reply, 1)}
+		l.head = heads.AppendRequest(make([]byte, 0, headGuess), h.Method, h.Target)
+		l.head = heads.AppendOnward(l.head, h, "X-Expires-In")
 	}
-	refuse := func(status int, text string) (*lookup, balance.Arrival, error) {
-		return nil, a, &heads.Error{Status: status, Text: text}
+	get := string(h.Method) == "GET" // reading the body moves the head
+	if h.Continue && !c.r.Buffered() {
+		c.nc.SetWriteDeadline(time.Now().Add(clientSlow))
+		c.nc.Write(append(heads.AppendStatus(nil, 100), "\r\n"...))
+	}
+	body, err := c.r.Body(h.Length, h.Chunked)
+	if l != nil {
+		if l.body = body; !get || len(body) > 0 {
+			l.head = heads.AppendLength(l.head, len(body))
+		}
+	}
+	return l, a, err
+}
+
+// arrival is what a request's head says of its lookup.
+func (p *Proxy) arrival(h *heads.Head, path, query []byte, arrived time.Time) (balance.Arrival, error) {
+	a := balance.Arrival{Customer: -1}
+	refuse := func(status int, text string) (balance.Arrival, error) {
+		return a, &heads.Error{Status: status, Text: text}
 	}
 	first, _, _ := bytes.Cut(bytes.TrimPrefix(path, []byte{'/'}), []byte{'/'})
 	named := h.Get("X-Qos")
-	tariff, ok := c.p.names.Tariff(string(named))
-	if _, there := c.p.names.Tariff(string(first)); !there && (ok || named == nil) || path[0] != '/' {
+	tariff, known := p.names.Tariff(string(named))
+	if _, there := p.names.Tariff(string(first)); !bytes.HasPrefix(path, []byte{'/'}) || !there && (known || named == nil) {
 		return refuse(404, "no such path")
-	}
-	switch row := c.p.launch.Tariffs[tariff]; {
-	case !ok:
+	} else if !known {
 		return refuse(400, "unknown tariff")
+	}
+	get, kind := string(h.Method) == "GET", p.launch.Tariffs[tariff].Kind
+	wait, err := strconv.ParseFloat(string(h.Get("X-Expires-In")), 64)
+	switch {
 	case !bytes.Equal(first, named):
 		return refuse(400, "path and X-Qos differ")
 	case len(h.Get("X-Trace-Id")) == 0:
 		return refuse(400, "no X-Trace-Id")
-	case string(h.Method) != "GET" && string(h.Method) != "POST":
+	case !get && string(h.Method) != "POST":
 		return refuse(501, "method not known")
-	case row.Kind != balance.Replayable && string(h.Method) == "GET":
+	case get && kind != balance.Replayable:
 		return refuse(400, "method does not fit the tariff")
-	case row.Kind == balance.Referenced && len(h.Get("Idempotency-Key")) == 0:
+	case kind == balance.Referenced && len(h.Get("Idempotency-Key")) == 0:
 		return refuse(400, "no Idempotency-Key")
-	}
-	wait, err := strconv.ParseFloat(string(h.Get("X-Expires-In")), 64)
-	if err != nil || math.IsNaN(wait) || math.IsInf(wait, 0) {
+	case err != nil || math.IsNaN(wait) || math.IsInf(wait, 0):
 		return refuse(400, "no X-Expires-In")
 	}
 	a.Tariff = tariff
-	a.HardStop = c.p.stamp(arrived) + min(wait, longestWait)
+	a.HardStop = p.stamp(arrived) + min(wait, longestWait)
 	a.Again = string(h.Get("X-Second-Try")) == "1"
 	if name := h.Get("X-Customer"); name != nil {
-		a.Customer = c.p.names.Customer(string(name))
+		a.Customer = p.names.Customer(string(name))
 	}
 	for part := range bytes.SplitSeq(query, []byte{'&'}) {
 		if key, ok := bytes.CutPrefix(part, []byte("user=")); ok {
@@ -202,21 +219,7 @@
 			}
 		}
 	}
-	l := &lookup{row: &c.p.launch.Tariffs[tariff], arrived: c.p.stamp(arrived), hardStop: a.HardStop, answer: make(chan reply, 1)}
-	l.head = heads.AppendRequest(make([]byte, 0, 512), h.Method, h.Target)
-	l.head = heads.AppendOnward(l.head, h, "X-Expires-In")
-	length, chunked, get := h.Length, h.Chunked, string(h.Method) == "GET"
-	if h.Continue && !c.r.Buffered() {
-		c.nc.SetWriteDeadline(time.Now().Add(clientSlow))
-		c.nc.Write(append(heads.AppendStatus(nil, 100), "\r\n"...))
-	}
-	if l.body, err = c.r.Body(length, chunked); err != nil {
-		return nil, a, err
-	}
-	if !get || len(l.body) > 0 {
-		l.head = heads.AppendLength(l.head, len(l.body))
-	}
-	return l, a, nil
+	return a, nil
 }
 
 // turnAway answers what cannot be taken, and reads on a little so that the answer is not lost to a reset.
