--- a/Makefile
+++ b/Makefile
@@ -17,4 +17,5 @@
 	bin/lockloom serve
 
 fuzz:
+	go test ./proxy -run '^$$' -fuzz FuzzArrival -fuzztime 1m
 	go test ./internal/heads -run '^$$' -fuzz FuzzMessages -fuzztime 1m
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -382,6 +382,29 @@
 	}
 }
 
+// Danger: a panic over what a client sends costs the lookups of all.
+func FuzzArrival(f *testing.F) {
+	for _, request := range []string{look, sign, sms, "GET ?x HTTP/1.1\r\nX-Qos: none\r\n\r\n"} {
+		f.Add([]byte(request))
+	}
+	log, _ := test.NewNullLogger()
+	p, err := New(Launch{Figures: figures.Figures{Deployment: balance.Deployment{
+		Tariffs: []balance.Tariff{{Name: "look", HardStop: 1}}}}}, log)
+	assert.NoError(f, err)
+	f.Fuzz(func(t *testing.T, in []byte) {
+		h, err := heads.NewReader(strings.NewReader(string(in))).Request()
+		if err != nil {
+			return
+		}
+		now := time.Now()
+		path, query, _ := strings.Cut(string(h.Target), "?")
+		if a, err := p.arrival(h, []byte(path), []byte(query), now); err == nil {
+			assert.LessOrEqual(t, a.HardStop, p.stamp(now)+longestWait)
+			assert.GreaterOrEqual(t, a.Work, 0.0)
+		}
+	})
+}
+
 func TestClients(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		y := serve(t, map[string][]string{"b1": {ok}}, nil)
