--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -45,15 +45,15 @@
 // Get is the value of the first field of that name, nil without one.
 func (h *Head) Get(name string) []byte {
 	for i := range h.Fields {
-		if Is(h.Fields[i].Name, name) {
+		if is(h.Fields[i].Name, name) {
 			return h.Fields[i].Value
 		}
 	}
 	return nil
 }
 
-// Is tells whether a field's name is this one, in whatever case.
-func Is(name []byte, want string) bool {
+// is tells whether a field's name is this one, in whatever case.
+func is(name []byte, want string) bool {
 	return len(name) == len(want) && bytes.EqualFold(name, []byte(want))
 }
 
@@ -259,20 +259,20 @@
 		h.Fields = append(h.Fields, Field{name, value})
 		var err error
 		switch {
-		case Is(name, "Content-Length"):
+		case is(name, "Content-Length"):
 			err = h.length(value)
-		case Is(name, "Transfer-Encoding"):
+		case is(name, "Transfer-Encoding"):
 			if h.Chunked || !bytes.EqualFold(value, []byte("chunked")) {
 				return bad(501, "unknown transfer coding")
 			}
 			h.Chunked = true
-		case Is(name, "Connection"):
+		case is(name, "Connection"):
 			if lists(value, []byte("close")) {
 				h.Close = true
 			} else if string(version) == "HTTP/1.0" && lists(value, []byte("keep-alive")) {
 				h.Close = false
 			}
-		case Is(name, "Expect"):
+		case is(name, "Expect"):
 			if !bytes.EqualFold(value, []byte("100-continue")) {
 				return bad(417, "unknown expectation")
 			}
--- a/internal/heads/write.go
+++ b/internal/heads/write.go
@@ -17,12 +17,12 @@
 next:
 	for _, f := range h.Fields {
 		for _, name := range hop {
-			if Is(f.Name, name) {
+			if is(f.Name, name) {
 				continue next
 			}
 		}
 		for _, name := range left {
-			if Is(f.Name, name) {
+			if is(f.Name, name) {
 				continue next
 			}
 		}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -310,11 +310,64 @@
 			assert.Equal(t, 200, status)
 		}
 		assert.Equal(t, []string{"b1 GET /look?user=7 t1  0.500 ", "b1 POST /sign t2 k 0.500 abc", "b1 POST /sign t2 k 0.500 abc"}, y.got)
+		largest := strings.Repeat("x", heads.Most)
+		y.plays["b1"] = []string{fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", heads.Most, largest)}
+		status, _, body, err := y.ask(strings.Replace(sms, "Content-Length: 3\r\n\r\nabc",
+			fmt.Sprintf("Content-Length: %d\r\n\r\n%s", heads.Most, largest), 1))
+		assert.NoError(t, err)
+		assert.Equal(t, 200, status)
+		assert.Equal(t, largest, body)
+		assert.Equal(t, "b1 POST /sms t3  0.500 "+largest, y.got[3])
 		assert.Equal(t, []string{"b1"}, y.dials, "one connection serves one after the other")
 		y.end()
 	})
 }
 
+// The same on real sockets: gathered writes, and an error that a client still reads while it is sending.
+func TestLoopback(t *testing.T) {
+	listen := func() net.Listener {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NoError(t, err)
+		return ln
+	}
+	behind, front := listen(), listen()
+	defer behind.Close()
+	y := &yard{plays: map[string][]string{"b1": {ok}}}
+	go func() {
+		for c, err := behind.Accept(); err == nil; c, err = behind.Accept() {
+			go y.backend("b1", c)
+		}
+	}()
+	e := entry("b1", balance.Ready, 0)
+	e.Addr = behind.Addr().String()
+	log, _ := test.NewNullLogger()
+	p, err := New(Launch{Discovery: "127.0.0.1:1", Known: List{Full: true, Entries: []discovery.Entry{e}},
+		Figures: figures.Figures{Deployment: balance.Deployment{Tariffs: []balance.Tariff{{Name: "look", HardStop: 20}}}}}, log)
+	assert.NoError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	served := make(chan error)
+	go func() { served <- p.Serve(ctx, front) }()
+	for _, c := range []struct {
+		in     string
+		status int
+	}{
+		{strings.Replace(look, "0.5", "20", 1), 200},
+		{"POST /look HTTP/1.1\r\nX-Trace-Id: t\r\nX-Qos: look\r\nX-Expires-In: 20\r\nContent-Length: 65536\r\n\r\n" +
+			strings.Repeat("x", heads.Most), 200},
+		{strings.Replace(look, "t1", strings.Repeat("x", 3*heads.Most/2), 1), 431},
+	} {
+		conn, err := net.Dial("tcp", front.Addr().String())
+		assert.NoError(t, err)
+		go io.WriteString(conn, c.in)
+		status, _, _, err := answer(conn)
+		assert.NoError(t, err)
+		assert.Equal(t, c.status, status)
+		conn.Close()
+	}
+	stop()
+	assert.NoError(t, <-served)
+}
+
 func TestNoBackendAnswers(t *testing.T) {
 	for _, c := range []struct {
 		name  string
