A leg that would break a rule is not sent, besides being counted

Found by reading: after a panic the backstop answers a lookup that the module still holds, so a later order could have sent for it; the invariant counted that and sent all the same. Such a leg is booked as never sent now.

--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"strings"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"lockloom/balance"
+	"lockloom/internal/backends"
 	"lockloom/internal/discovery"
 	"lockloom/internal/figures"
 	"lockloom/internal/heads"
@@ -712,7 +714,7 @@
 // A lookup that the decisions forgot is forfeited before its hard stop; a call that panics ends no proxy.
 func TestBackstop(t *testing.T) {
 	log, _ := test.NewNullLogger()
-	y := &Proxy{log: log}
+	y := &Proxy{log: log, began: time.Now()}
 	l := &lookup{row: &balance.Tariff{}, answer: make(chan reply, 1)}
 	forget, panics := func() { y.expired(l) }, func() { y.guard(func() { panic("x") }) }
 	if invariant.Asserted {
@@ -721,6 +723,22 @@
 		return
 	}
 	before := broken()
+	y.stopSend = []float64{math.Inf(1), 0}
+	y.pool = backends.New(nil, nil)
+	for _, c := range []struct { // danger: whatever the decisions order, a rule is not broken
+		l       *lookup
+		backend int
+	}{
+		{&lookup{row: &balance.Tariff{}, answered: true}, 0},
+		{&lookup{row: &balance.Tariff{Kind: balance.SingleUse}, legs: []*leg{{}}}, 0},
+		{&lookup{row: &balance.Tariff{}}, 1},
+	} {
+		y.send(c.l, c.backend, y.now()+1)
+		assert.False(t, c.l.legs[len(c.l.legs)-1].begun)
+	}
+	assert.Len(t, y.later, 3, "each is booked as never sent")
+	assert.Equal(t, before+3, broken())
+	y.later, before = nil, broken()
 	forget()
 	panics()
 	assert.Equal(t, 502, (<-l.answer).status)
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -19,13 +19,12 @@
 	neverRan bool
 }
 
-// send starts a leg. What it came to is booked, also where no connection may be had.
+// send starts a leg. What it came to is booked, also where no connection may be had or a rule would be broken.
 func (p *Proxy) send(l *lookup, backend int, until float64) {
 	now := p.now()
-	invariant.Holds(!l.answered, "nothing is sent for an answered lookup")
-	invariant.Holds(now <= p.stopSend[backend]+p.launch.DrainGrace, "nothing is sent past the grace of a drain")
-	invariant.Holds(len(l.legs) == 0 || l.row.Kind != balance.SingleUse || l.harmless(),
-		"a single-use lookup is sent again only where it never ran")
+	may := invariant.Holds(!l.answered, "nothing is sent for an answered lookup") &&
+		invariant.Holds(now <= p.stopSend[backend]+p.launch.DrainGrace, "nothing is sent past the grace of a drain") &&
+		invariant.Holds(l.row.Kind != balance.SingleUse || l.harmless(), "single-use is sent again only if it never ran")
 	var before time.Time // danger: opening a connection outlasts what is left of a repeat's window
 	if l.row.Kind == balance.Referenced {
 		for _, g := range l.legs {
@@ -40,7 +39,7 @@
 	g.ex = backends.Exchange{Head: l.head, Body: l.body, Until: p.at(until), Before: before,
 		Report: func(r backends.Result) { p.book(l, g, r) }}
 	g.ex.Tail = append(heads.AppendField(nil, "X-Expires-In", heads.AppendSeconds(nil, max(until-now, 0.001))), "\r\n"...)
-	if g.begun = p.pool.Send(backend, &g.ex); !g.begun {
+	if g.begun = may && p.pool.Send(backend, &g.ex); !g.begun {
 		p.later = append(p.later, func() {
 			p.book(l, g, backends.Result{Outcome: balance.NeverSent, At: time.Now()})
 		})
