--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -3,6 +3,7 @@
 package invariant
 
 import (
+	"maps"
 	"sync"
 )
 
@@ -23,9 +24,5 @@
 func Broken() map[string]int {
 	mu.Lock()
 	defer mu.Unlock()
-	counts := make(map[string]int, len(broken))
-	for name, n := range broken {
-		counts[name] = n
-	}
-	return counts
+	return maps.Clone(broken)
 }
