A long list in one chunk is taken; a lost watch is asked for again within 1.5 s

Found by reading: a chunk's budget was that of a message, so a whole list of some 900 backends in one chunk could never be read and the watch would have broken for ever (chunks.next, heads.go). The test with 2,001 fails without the fix. The longest pause before a new watch is half of what it was: the agent is on the proxy's own machine.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -98,6 +98,11 @@
 				io.WriteString(end, chunk(whole[:9])+chunk(whole[9:])+chunk(`{"version":44,"servers":[{"id":"x"}]}`+"\n")+line(45, true))
 			},
 			func(end net.Conn) { end.Close() },
+			func(end net.Conn) { // a list of many in one chunk
+				many := strings.Repeat(entry+",", 2000) + entry
+				io.WriteString(end, stream+chunk(`{"version":44,"full":true,"servers":[`+many+"]}\n"))
+				end.Close()
+			},
 			func(end net.Conn) { io.WriteString(end, "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n") },
 			func(end net.Conn) { io.WriteString(end, stream+line(46, false)+"0\r\n\r\n") },
 			func(end net.Conn) { // silent past its beat
@@ -115,17 +120,19 @@
 		for _, l := range told {
 			versions = append(versions, l.Version)
 		}
-		assert.Equal(t, []int64{42, 43, 46}, versions, "what follows a malformed line is not believed")
-		assert.Equal(t, []string{"GET /discovery/hosts?stream=1&index=41 HTTP/1.1", "GET /discovery/hosts?stream=1&index=43 HTTP/1.1",
-			"GET /discovery/hosts?stream=1&index=43 HTTP/1.1", "GET /discovery/hosts?stream=1&index=43 HTTP/1.1",
-			"GET /discovery/hosts?stream=1&index=46 HTTP/1.1"}, a.asked)
-		if assert.Greater(t, len(a.at), 8, "it goes on trying") {
-			silent := a.at[5] - a.at[4]
+		assert.Equal(t, []int64{42, 43, 44, 46}, versions, "what follows a malformed line is not believed")
+		var from []string
+		for _, line := range a.asked {
+			from = append(from, strings.TrimSuffix(strings.TrimPrefix(line, "GET /discovery/hosts?stream=1&index="), " HTTP/1.1"))
+		}
+		assert.Equal(t, []string{"41", "43", "43", "44", "44", "46"}, from, "it goes on from the last version")
+		if assert.Greater(t, len(a.at), 9, "it goes on trying") {
+			silent := a.at[6] - a.at[5]
 			assert.True(t, silent >= silentFor && silent <= silentFor+3*pauseFirst, silent)
-			for i := 6; i < len(a.at); i++ {
+			for i := 7; i < len(a.at); i++ {
 				assert.LessOrEqual(t, a.at[i]-a.at[i-1], 3*pauseMost/2)
 			}
-			assert.GreaterOrEqual(t, a.at[8]-a.at[7], 2*pauseFirst, "pauses grow")
+			assert.GreaterOrEqual(t, a.at[9]-a.at[8], 2*pauseFirst, "pauses grow")
 		}
 		time.Sleep(time.Minute) // the silent agent's own end
 	})
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -20,7 +20,7 @@
 	dialFor    = time.Second            // to reach an agent on this machine
 	silentFor  = 3 * time.Second        // without a line: its beat comes every 2 s
 	pauseFirst = 100 * time.Millisecond // before the first new try
-	pauseMost  = 2 * time.Second        // before a later one: what is to be told counts as told within 6 s
+	pauseMost  = time.Second            // before a later one: what is to be told counts as told within 6 s
 	lineMost   = 4 << 20                // bytes of a line: a list of some ten thousand backends
 )
 
--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -324,7 +324,7 @@
 	return body, err
 }
 
-// Stream reads a chunked body that may never end; each chunk has a budget of its own.
+// Stream reads a chunked body that may never end; its reader bounds what it takes.
 func (r *Reader) Stream() io.Reader { return &chunks{r: r, endless: true} }
 
 // chunks reads a chunked body.
@@ -337,6 +337,9 @@
 }
 
 func (c *chunks) Read(p []byte) (int, error) {
+	if c.endless { // danger: a long list in one chunk is no message that is too large
+		c.r.renew()
+	}
 	for c.left == 0 && c.err == nil {
 		c.err = c.next()
 	}
@@ -351,9 +354,6 @@
 
 // next reads the end of one chunk and the size of the one after it.
 func (c *chunks) next() error {
-	if c.endless {
-		c.r.renew()
-	}
 	if c.inside {
 		if line, err := c.r.ReadLineBytes(); err != nil || len(line) > 0 {
 			if err == nil {
