One gathered write, one check of what never ran, one timer that repeats; dead code out

Read over once more. Written twice: the gathered write of conn.go and relay.go (heads.Write), the outcomes that prove a leg never ran in balance.go and book.go (Outcome.NeverRan), a call about a lookup and its release in three places (tell), what repeats and sets itself anew (every), the closing and the noting of a drain (told). Dead: a full buffer in raw, a sign that ParseUint refuses anyway, the name and addresses that launch.Parse read and Read set over. The bound of bytes kept stands by its count; the pause after a failed accept stands with the constants. A leg that failed to connect is timed when it failed, not when the owner came to it, so that counting the owner as late can see it.

Decisions are as they were.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -135,7 +135,7 @@
 		return &b.orders
 	}
 	g := &l.legs[i]
-	g.out, g.neverRan = false, o == NoRoom || o == NoRoute || o == NeverSent
+	g.out, g.neverRan = false, o.NeverRan()
 	l.out--
 	b.out--
 	g.s.inFlight--
--- a/balance/types.go
+++ b/balance/types.go
@@ -32,6 +32,9 @@
 	NeverSent         // it never left; it never ran
 )
 
+// NeverRan says whether an outcome proves that the leg never ran.
+func (o Outcome) NeverRan() bool { return o == NoRoom || o == NoRoute || o == NeverSent }
+
 // Answer is a final answer this proxy gives by itself. An honoured lookup
 // needs none: the first honoured leg is passed on to the client as it comes.
 type Answer uint8
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -81,16 +81,16 @@
 	nc, err := c.pool.dial(ctx, addr)
 	cancel()
 	if err != nil {
-		outcome := balance.NoRoute
+		res := Result{Outcome: balance.NoRoute, At: time.Now()}
 		c.mu.Lock()
 		if ex.off {
-			outcome = balance.NeverSent
+			res.Outcome = balance.NeverSent
 		}
 		c.ex, c.dead = nil, true
 		c.mu.Unlock()
 		c.pool.post(func() {
 			c.pool.forget(c)
-			ex.Report(Result{Outcome: outcome, At: time.Now()})
+			ex.Report(res)
 		})
 		return
 	}
@@ -105,9 +105,10 @@
 	c.mu.Unlock()
 	go c.read()
 	if off {
+		res := Result{Outcome: balance.NeverSent, At: time.Now()}
 		c.pool.post(func() {
 			c.pool.rest(c)
-			ex.Report(Result{Outcome: balance.NeverSent, At: time.Now()})
+			ex.Report(res)
 		})
 	} else {
 		c.write(ex)
@@ -119,11 +120,7 @@
 
 func (c *conn) write(ex *Exchange) {
 	c.nc.SetWriteDeadline(ex.Until)
-	bufs := net.Buffers{ex.Head, ex.Tail}
-	if len(ex.Body) > 0 {
-		bufs = append(bufs, ex.Body)
-	}
-	_, err := bufs.WriteTo(c.nc)
+	err := heads.Write(c.nc, ex.Head, ex.Tail, ex.Body)
 	ex.whole = err == nil
 	close(ex.wrote)
 	if err != nil {
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -100,7 +101,7 @@
 			p.retire(b.idle[n])
 			n++
 		}
-		b.idle = append(b.idle[:0], b.idle[n:]...)
+		b.idle = slices.Delete(b.idle, 0, n)
 	}
 }
 
@@ -127,7 +128,7 @@
 		return false
 	}
 	p.retire(oldest.idle[0])
-	oldest.idle = append(oldest.idle[:0], oldest.idle[1:]...)
+	oldest.idle = slices.Delete(oldest.idle, 0, 1)
 	return true
 }
 
@@ -150,11 +151,8 @@
 // forget drops a connection that has ended.
 func (p *Pool) forget(c *conn) {
 	p.total--
-	for i, o := range c.to.idle {
-		if o == c {
-			c.to.idle = append(c.to.idle[:i], c.to.idle[i+1:]...)
-			p.Lost++
-			return
-		}
+	if i := slices.Index(c.to.idle, c); i >= 0 {
+		c.to.idle = slices.Delete(c.to.idle, i, i+1)
+		p.Lost++
 	}
 }
--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/textproto"
 	"strconv"
+	"strings"
 )
 
 const (
@@ -79,10 +80,8 @@
 
 // NewReader reads from a connection.
 func NewReader(conn io.Reader) *Reader {
-	src := &budget{LimitedReader: io.LimitedReader{R: conn}}
-	r := &Reader{src: src}
-	r.R = bufio.NewReaderSize(src, firstBytes)
-	r.renew()
+	r := &Reader{src: &budget{LimitedReader: io.LimitedReader{R: conn}}}
+	r.R = bufio.NewReaderSize(r.src, firstBytes)
 	return r
 }
 
@@ -115,7 +114,7 @@
 	r.renew()
 	scanned := 0
 	for {
-		if _, err := r.R.Peek(scanned + 1); err != nil && err != bufio.ErrBufferFull {
+		if _, err := r.R.Peek(scanned + 1); err != nil {
 			if scanned > 0 && err == io.EOF {
 				err = io.ErrUnexpectedEOF
 			}
@@ -292,7 +291,7 @@
 		return bad(400, "two lengths")
 	}
 	n, err := strconv.ParseUint(string(value), 10, 62)
-	if err != nil || value[0] == '+' {
+	if err != nil {
 		return bad(400, "malformed length")
 	}
 	h.Length = int(n)
@@ -409,7 +408,7 @@
 
 func token(b []byte) bool {
 	for _, c := range b {
-		if c <= ' ' || c >= 0x7f || bytes.IndexByte([]byte(`"(),/:;<=>?@[\]{}`), c) >= 0 {
+		if c <= ' ' || c >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
 			return false
 		}
 	}
--- a/internal/heads/write.go
+++ b/internal/heads/write.go
@@ -1,16 +1,31 @@
 package heads
 
-import "strconv"
+import (
+	"net"
+	"strconv"
+)
 
 // reasons are the words after a status that this project sends; they mean nothing to a program.
 var reasons = map[int]string{100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found",
-	408: "Request Timeout", 413: "Content Too Large", 417: "Expectation Failed", 429: "Too Many Requests",
+	408: "Request Timeout", 413: "Content Too Large", 417: "Expectation Failed",
 	431: "Request Header Fields Too Large", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable"}
 
 // hop are the fields that concern one connection only, or that a writer settles anew.
 var hop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
 	"Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
 
+// Write writes the parts of a message in one gathered write. It is nil only where the last byte is written.
+func Write(conn net.Conn, parts ...[]byte) error {
+	bufs := make(net.Buffers, 0, len(parts))
+	for _, part := range parts {
+		if len(part) > 0 { // an empty one is a write of its own where there is no gathering
+			bufs = append(bufs, part)
+		}
+	}
+	_, err := bufs.WriteTo(conn)
+	return err
+}
+
 // AppendOnward appends those fields of a head that go on, but for the left-out ones.
 func AppendOnward(out []byte, h *Head, left ...string) []byte {
 	named := h.Get("Connection") // fields that it names concern this connection too
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -63,11 +63,11 @@
 	return l, nil
 }
 
-// Parse reads the file.
+// Parse reads the file. The name and the addresses in it are the variables' too, and are read there.
 func Parse(text []byte) (Launch, error) {
 	var in struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
+		Seed   string
+		Limits struct {
 			Cores    float64
 			MemoryMB float64 `json:"memory_mb"`
 			Sockets  int
@@ -96,7 +96,7 @@
 	if err != nil {
 		return Launch{}, fmt.Errorf("settings: %w", err)
 	}
-	return Launch{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Figures: f, Known: *in.Known,
+	return Launch{Figures: f, Known: *in.Known,
 		Limits: Limits{in.Limits.Cores, int64(in.Limits.MemoryMB * (1 << 20)), in.Limits.Sockets}}, nil
 }
 
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -59,7 +59,6 @@
 	l.answered = true
 	p.counts.Left++
 	if l.handle != nil {
-		p.decide(l.handle.Left)
-		p.release(l)
+		p.tell(l, l.handle.Left)
 	}
 }
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -18,7 +18,7 @@
 func (p *Proxy) book(l *lookup, g *leg, r backends.Result) {
 	invariant.Holds(!g.ended, "a leg ends once")
 	g.ended = true
-	g.neverRan = r.Outcome == balance.NoRoom || r.Outcome == balance.NoRoute || r.Outcome == balance.NeverSent
+	g.neverRan = r.Outcome.NeverRan()
 	p.counts.Outcomes[r.Outcome]++
 	if p.now()-p.stamp(r.At) > lateEvent {
 		p.counts.Late++
@@ -29,10 +29,9 @@
 		l.answer <- reply{status: 200, fields: r.Fields, body: r.Body}
 	}
 	over := l.answered
-	p.decide(func(now float64) *balance.Orders {
+	p.tell(l, func(now float64) *balance.Orders {
 		return l.handle.Ended(now, g.number, r.Outcome, p.stamp(r.At)-g.sent, over)
 	})
-	p.release(l)
 }
 
 // counted returns what logs the counts as they are now.
--- a/proxy/door.go
+++ b/proxy/door.go
@@ -10,8 +10,7 @@
 type door struct {
 	mu         sync.Mutex
 	room       sync.Cond
-	most, over int   // connections served; further ones that are dismissed at once
-	held       int64 // bytes that may be kept to be sent to backends
+	most, over int // connections served; further ones that are dismissed at once
 	all        map[*client]bool
 	idle       []*client
 	crowded    int // connections taken over the bound
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -15,8 +15,8 @@
 func (p *Proxy) own() {
 	wake := time.NewTimer(0)
 	defer wake.Stop()
-	p.timers.add(timer{at: p.now(), call: p.sweep})
-	p.timers.add(timer{at: p.now() + reportEvery.Seconds(), call: p.report})
+	p.every(sweepEvery, p.pool.Sweep)
+	p.every(reportEvery, func() { go p.counted()() }) // danger: who reads the log may be slow; the owner waits for nobody
 	for {
 		select {
 		case f := <-p.events:
@@ -28,14 +28,10 @@
 			close(p.ended)
 			return
 		}
-		for len(p.timers) > 0 && p.timers[0].at <= p.now() {
+		for p.timers[0].at <= p.now() { // never empty: what is done every so often is always in it
 			p.guard(heap.Pop(&p.timers).(timer).call)
 		}
-		next := math.Inf(1)
-		if len(p.timers) > 0 {
-			next = p.timers[0].at
-		}
-		wake.Reset(seconds(min(next-p.now(), 1)))
+		wake.Reset(seconds(p.timers[0].at - p.now()))
 	}
 }
 
@@ -78,6 +74,12 @@
 	}
 }
 
+// tell makes a call about one lookup, which may be its last.
+func (p *Proxy) tell(l *lookup, call func(now float64) *balance.Orders) {
+	p.decide(call)
+	p.release(l)
+}
+
 // release frees the slot of a lookup to which nothing more will happen.
 func (p *Proxy) release(l *lookup) {
 	if l != nil && !l.released && l.handle != nil && l.handle.Done() {
@@ -97,15 +99,11 @@
 		list[i] = b
 		listed[b.Index] = true
 		p.pool.Place(b.Index, e.Addr, b.UpSince)
-		if b.State != balance.Ready {
-			p.pool.Close(b.Index)
-		}
 		p.told(b.Index, b.State == balance.Ready)
 	}
 	if l.Full {
 		for i := range p.stopSend {
 			if !listed[i] {
-				p.pool.Close(i)
 				p.told(i, false)
 			}
 		}
@@ -113,7 +111,7 @@
 	p.decide(func(now float64) *balance.Orders { return p.b.Listed(now, l.Full, first, list) })
 }
 
-// told notes from when on nothing may be sent to a backend.
+// told notes from when on nothing may be sent to a backend, and closes what is idle to it then.
 func (p *Proxy) told(index int, ready bool) {
 	for len(p.stopSend) <= index {
 		p.stopSend = append(p.stopSend, math.Inf(1))
@@ -122,18 +120,16 @@
 		p.stopSend[index] = math.Inf(1)
 	} else {
 		p.stopSend[index] = min(p.stopSend[index], p.now())
+		p.pool.Close(index)
 	}
 }
 
-// report logs the counts from time to time. Danger: whoever reads the log may be slow, and the owner waits for nobody.
-func (p *Proxy) report() {
-	go p.counted()()
-	p.timers.add(timer{at: p.now() + reportEvery.Seconds(), call: p.report})
-}
-
-func (p *Proxy) sweep() {
-	p.pool.Sweep()
-	p.timers.add(timer{at: p.now() + sweepEvery.Seconds(), call: p.sweep})
+// every has a call made every so often. The next is set before this one is made, so that a panic does not end it.
+func (p *Proxy) every(pause time.Duration, call func()) {
+	p.timers.add(timer{at: p.now() + pause.Seconds(), call: func() {
+		p.every(pause, call)
+		call()
+	}})
 }
 
 // timers is a heap of what will come due.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -54,6 +54,7 @@
 	headGuess   = 512                    // bytes of a head that goes on; a longer one grows
 	clientSlow  = 5 * time.Second        // for an answer to be taken
 	longestWait = 60.0                   // s; a client that says it waits longer is taken to wait so long
+	acceptPause = 10 * time.Millisecond  // after accepting failed: out of descriptors, it would spin
 	lingerFor   = 500 * time.Millisecond // to read on after an error, so that the client can read it
 	backstop    = 0.002                  // s before the hard stop when a lookup with no answer is forfeited
 	closeAfter  = 500 * time.Millisecond // from the order to stop to the end of accepting: the front needs 0.4 s
@@ -73,7 +74,7 @@
 
 	// The owner's.
 	b        *balance.Balancer
-	names    *figures.Register
+	names    *figures.Register // of tariffs and customers, which never change, clients' goroutines read too
 	pool     *backends.Pool
 	timers   timers
 	slots    []*lookup // by Arrival.Ref
@@ -88,8 +89,10 @@
 	ready  atomic.Bool
 	stops  atomic.Bool // ordered to stop: each connection ends with its answer
 	door   door
-	held   atomic.Int64   // bytes kept to be sent to backends
 	work   sync.WaitGroup // client connections
+
+	held     atomic.Int64 // bytes kept to be sent to backends
+	heldMost int64
 }
 
 // New makes a proxy that is not serving yet.
@@ -109,10 +112,11 @@
 		l.Limits.Sockets = socketsFor
 	}
 	most := max(l.Limits.Sockets-reserve, 4)
-	p.door.most = max(int(clientPart*float64(most)), 2)
-	p.door.over = max(int(overPart*float64(p.door.most)), 1)
+	clients := max(int(clientPart*float64(most)), 2)
+	p.door.over = max(int(overPart*float64(clients)), 1)
+	p.door.most = clients - p.door.over
 	p.pool = backends.New(func(ctx context.Context, addr string) (net.Conn, error) { return p.Dial(ctx, addr) }, p.post)
-	p.pool.Most = most - p.door.most
+	p.pool.Most = most - clients
 	p.pool.Connect, p.pool.Idle = connectFor, idleUntold
 	if l.ConnectFor > 0 {
 		p.pool.Connect = seconds(l.ConnectFor)
@@ -120,9 +124,8 @@
 	if l.IdleFor > 0 {
 		p.pool.Idle = seconds(idlePart * l.IdleFor)
 	}
-	p.door.most -= p.door.over
-	if p.door.held = int64(heldPart * float64(l.Limits.Memory)); p.door.held == 0 {
-		p.door.held = math.MaxInt64
+	if p.heldMost = int64(heldPart * float64(l.Limits.Memory)); p.heldMost == 0 {
+		p.heldMost = math.MaxInt64
 	}
 	p.door.all = map[*client]bool{}
 	p.door.room.L = &p.door.mu
@@ -139,21 +142,18 @@
 	watching, unwatch := context.WithCancel(context.Background())
 	defer unwatch()
 	told := make(chan struct{})
+	first := sync.OnceFunc(func() { close(told) })
 	p.list(p.launch.Known, true)
 	go p.own()
 	watch := &discovery.Watch{Addr: p.launch.Discovery, Version: p.launch.Known.Version, Dial: p.Dial, Log: p.log,
 		Told: func(l List) {
 			p.post(func() { p.list(l, false) })
-			if told != nil {
-				close(told)
-				told = nil
-			}
+			first()
 		}}
-	first := told
 	go watch.Run(watching)
 	go func() {
 		select {
-		case <-first:
+		case <-told:
 		case <-time.After(firstList):
 		}
 		p.post(func() { p.ready.Store(true) })
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"net"
 	"time"
 
 	"lockloom/internal/heads"
@@ -28,10 +27,5 @@
 	}
 	head = append(head, "\r\n"...)
 	c.nc.SetWriteDeadline(time.Now().Add(clientSlow))
-	bufs := net.Buffers{head}
-	if len(a.body) > 0 {
-		bufs = append(bufs, a.body)
-	}
-	_, err := bufs.WriteTo(c.nc)
-	return err
+	return heads.Write(c.nc, head, a.body)
 }
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -24,8 +24,7 @@
 	if s.Wake > 0 {
 		p.timers.add(timer{at: s.Wake, call: func() {
 			if !l.released {
-				p.decide(l.handle.Wake)
-				p.release(l)
+				p.tell(l, l.handle.Wake)
 			}
 		}})
 	}
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -41,7 +41,7 @@
 			var temporary net.Error
 			if errors.As(err, &temporary) && !errors.Is(err, net.ErrClosed) {
 				p.log.WithError(err).Error("accept")
-				time.Sleep(10 * time.Millisecond) // danger: out of descriptors, the loop would spin
+				time.Sleep(acceptPause)
 				continue
 			}
 			return err
@@ -92,7 +92,7 @@
 	answer := c.p.up()
 	if l != nil {
 		size := int64(len(l.head) + len(l.body))
-		over := c.p.held.Add(size) > c.p.door.held || c.over
+		over := c.p.held.Add(size) > c.p.heldMost || c.over
 		defer c.p.held.Add(-size)
 		c.p.post(func() { c.p.admit(l, a, over) })
 		if answer, err = c.await(l, came); err != nil {
