SIGHUP has the configuration read again, and discovery followed to its new address

Nothing handled SIGHUP (internal/command/command.go, serve), and the watch had one address for life (proxy/proxy.go, Serve).

Now serve reads the file again; an unusable one is logged and what held before holds. The file's discovery counts before the variable's, which nobody can change in a running program. The owner watches the new address beside the old one until the new one answers, so that a wrong or silent address costs nothing; what the old one still tells after that is dropped. The new watch goes on from the version held; a whole list is taken whatever its version. Other figures that differ are logged and count from the next start.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -123,6 +123,19 @@
 	if err != nil {
 		return err
 	}
+	anew := make(chan os.Signal, 1)
+	signal.Notify(anew, syscall.SIGHUP)
+	defer close(anew)
+	defer signal.Stop(anew)
+	go func() {
+		for range anew {
+			if l, err := proxy.ReadLaunch(os.Getenv); err != nil {
+				log.WithError(err).Error("not told anew: what held before still holds")
+			} else {
+				p.Reload(l)
+			}
+		}
+	}()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	return p.Serve(ctx, ln)
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -1,12 +1,95 @@
 package command
 
 import (
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 )
 
+// lines tells each line that is logged.
+type lines chan string
+
+func (l lines) Write(p []byte) (int, error) {
+	l <- string(p)
+	return len(p), nil
+}
+
+// wait waits for a line that holds this.
+func (l lines) wait(part string) {
+	for !strings.Contains(<-l, part) {
+	}
+}
+
+// Danger: what nobody handles ends the program, with all lookups that it has taken.
+func TestSignals(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "file.json")
+	write := func(discovery string) {
+		text := `{"discovery":"` + discovery + `","seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":256},
+			"known":{"version":1,"full":true,"servers":[]},
+			"settings":{"Profiles":[{"Name":"look","Effect":"retryable","HardStopMs":100}]}}`
+		assert.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	}
+	var agents []net.Listener
+	for range 2 {
+		agent, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NoError(t, err)
+		defer agent.Close()
+		agents = append(agents, agent)
+	}
+	addr := func(i int) string { return agents[i].Addr().String() }
+	watched := func(i int) {
+		c, err := agents[i].Accept()
+		assert.NoError(t, err)
+		c.Read(make([]byte, 1000))
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		t.Cleanup(func() { c.Close() })
+	}
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	free.Close()
+	t.Setenv("ROUTER_NAME", "n0")
+	t.Setenv("ROUTER_LISTEN", free.Addr().String())
+	t.Setenv("ROUTER_DISCOVERY", addr(0))
+	t.Setenv("ROUTER_CONFIG", file)
+	write(addr(0))
+	log, code := make(lines, 100), 0
+	var served sync.WaitGroup
+	served.Go(func() { code = Run([]string{"serve"}, io.Discard, log) })
+	watched(0)
+	log.wait("serving")
+	hangUp := func() { assert.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP)) }
+	write("nowhere")
+	hangUp()
+	log.wait("not told anew")
+	write(addr(1))
+	hangUp()
+	watched(1)
+	for Run([]string{"up", free.Addr().String()}, io.Discard, io.Discard) != done { // it serves on
+		time.Sleep(10 * time.Millisecond)
+	}
+	own := make(chan os.Signal, 1)
+	signal.Notify(own, syscall.SIGHUP) // it may have ended when the last one comes
+	defer signal.Stop(own)
+	assert.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	log.wait("stopping")
+	hangUp()
+	go func() {
+		for range log { // so that no writer waits
+		}
+	}()
+	served.Wait()
+	assert.Equal(t, done, code)
+}
+
 func TestRun(t *testing.T) {
 	for _, name := range []string{"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG"} {
 		t.Setenv(name, "")
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -86,6 +86,7 @@
 func TestWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var told []List
+		ups := 0
 		log, _ := test.NewNullLogger()
 		a := &agent{began: time.Now()}
 		a.plays = []func(net.Conn){
@@ -111,7 +112,7 @@
 			},
 		}
 		ctx, stop := context.WithCancel(t.Context())
-		w := &Watch{Addr: "agent:1", Version: 41, Dial: a.dial, Log: log, Told: func(l List) { told = append(told, l) }}
+		w := &Watch{Addr: "agent:1", Version: 41, Dial: a.dial, Log: log, Up: func() { ups++ }, Told: func(l List) { told = append(told, l) }}
 		go w.Run(ctx)
 		time.Sleep(30 * time.Second)
 		stop()
@@ -121,6 +122,7 @@
 			versions = append(versions, l.Version)
 		}
 		assert.Equal(t, []int64{42, 43, 44, 46}, versions, "what follows a malformed line is not believed")
+		assert.Equal(t, 4, ups, "streams")
 		var from []string
 		for _, line := range a.asked {
 			from = append(from, strings.TrimSuffix(strings.TrimPrefix(line, "GET /discovery/hosts?stream=1&index="), " HTTP/1.1"))
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -24,11 +24,12 @@
 	lineMost   = 4 << 20                // bytes of a line: a list of some ten thousand backends
 )
 
-// Watch follows a list from a version on.
+// Watch follows a list from a version on. Its fields are not changed while it runs.
 type Watch struct {
 	Addr    string
 	Version int64
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
+	Up      func()     // each time discovery answers; what it tells follows
 	Told    func(List) // each list, in order
 	Log     logrus.FieldLogger
 }
@@ -61,7 +62,7 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(silentFor))
+	conn.SetDeadline(time.Now().Add(dialFor)) // an agent answers at once; a silent one is asked again
 	head := fmt.Appendf(nil, "GET /discovery/hosts?stream=1&index=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.Version, w.Addr)
 	if _, err := conn.Write(head); err != nil {
 		return err
@@ -74,6 +75,8 @@
 	if h.Status != 200 || !h.Chunked {
 		return fmt.Errorf("no stream: status %d", h.Status)
 	}
+	conn.SetDeadline(time.Now().Add(silentFor))
+	w.Up()
 	lines := bufio.NewScanner(r.Stream())
 	lines.Buffer(nil, lineMost)
 	for lines.Scan() {
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -47,7 +47,7 @@
 		}
 	}
 	for _, name := range []string{varListen, varDiscovery} {
-		if _, _, err := net.SplitHostPort(get(name)); err != nil {
+		if err := address(get(name)); err != nil {
 			return Launch{}, fmt.Errorf("%s: %w", name, err)
 		}
 	}
@@ -59,15 +59,25 @@
 	if err != nil {
 		return Launch{}, fmt.Errorf("%s: %s: %w", varFile, get(varFile), err)
 	}
-	l.Name, l.Listen, l.Discovery = get(varName), get(varListen), get(varDiscovery)
+	l.Name, l.Listen = get(varName), get(varListen)
+	if l.Discovery == "" {
+		l.Discovery = get(varDiscovery)
+	}
 	return l, nil
 }
 
-// Parse reads the file. The name and the addresses in it are the variables' too, and are read there.
+func address(s string) error {
+	_, _, err := net.SplitHostPort(s)
+	return err
+}
+
+// Parse reads the file. The name and where clients connect are the variables'. Discovery's address is the file's
+// where it has one: a file may be replaced while the program runs, its variables may not.
 func Parse(text []byte) (Launch, error) {
 	var in struct {
-		Seed   string
-		Limits struct {
+		Seed      string
+		Discovery string
+		Limits    struct {
 			Cores    float64
 			MemoryMB float64 `json:"memory_mb"`
 			Sockets  int
@@ -90,13 +100,18 @@
 	if !(in.Limits.Cores > 0) || !(in.Limits.MemoryMB > 0) || in.Limits.Sockets <= 0 {
 		return Launch{}, fmt.Errorf("limits: missing, or not above 0")
 	}
+	if in.Discovery != "" {
+		if err := address(in.Discovery); err != nil {
+			return Launch{}, fmt.Errorf("discovery: %w", err)
+		}
+	}
 	values := map[string]string{}
 	flatten(values, "", in.Settings)
 	f, err := figures.Read(values, seed)
 	if err != nil {
 		return Launch{}, fmt.Errorf("settings: %w", err)
 	}
-	return Launch{Figures: f, Known: *in.Known,
+	return Launch{Discovery: in.Discovery, Figures: f, Known: *in.Known,
 		Limits: Limits{in.Limits.Cores, int64(in.Limits.MemoryMB * (1 << 20)), in.Limits.Sockets}}, nil
 }
 
--- a/internal/launch/launch_test.go
+++ b/internal/launch/launch_test.go
@@ -45,6 +45,7 @@
 func TestUnusable(t *testing.T) {
 	for _, c := range []struct{ old, new, err string }{
 		{`"f2094eb940cf389a"`, `"zz"`, "seed"},
+		{`"127.0.0.1:1"`, `"nowhere"`, "discovery: address nowhere"},
 		{`"sockets":1024`, `"sockets":0`, "limits"},
 		{`"memory_mb":192`, `"memory_mb":"x"`, "memory_mb"},
 		{`"known"`, `"unknown"`, "known or settings: missing"},
@@ -65,7 +66,11 @@
 	good := map[string]string{varName: "n3", varListen: "127.0.0.1:7", varDiscovery: "127.0.0.1:8", varFile: path}
 	l, err := Read(func(name string) string { return good[name] })
 	assert.NoError(t, err)
-	assert.Equal(t, []string{"n3", "127.0.0.1:7", "127.0.0.1:8"}, []string{l.Name, l.Listen, l.Discovery})
+	assert.Equal(t, []string{"n3", "127.0.0.1:7", "127.0.0.1:1"}, []string{l.Name, l.Listen, l.Discovery})
+	assert.NoError(t, os.WriteFile(path, []byte(strings.Replace(file, `"discovery"`, `"x"`, 1)), 0o600))
+	l, err = Read(func(name string) string { return good[name] })
+	assert.NoError(t, err)
+	assert.Equal(t, "127.0.0.1:8", l.Discovery, "the variable's, where the file has none")
 	for name := range good {
 		_, err := Read(func(n string) string {
 			if n == name {
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -2,12 +2,14 @@
 
 import (
 	"container/heap"
+	"context"
 	"fmt"
 	"math"
 	"runtime/debug"
 	"time"
 
 	"lockloom/balance"
+	"lockloom/internal/discovery"
 	"lockloom/internal/invariant"
 )
 
@@ -23,6 +25,8 @@
 			p.guard(f)
 		case <-wake.C:
 		case <-p.quit:
+			p.watched.end()
+			p.sought.end()
 			p.pool.Shut()
 			p.counted()()
 			close(p.ended)
@@ -90,8 +94,58 @@
 	}
 }
 
+// watch is a watch on discovery at one address.
+type watch struct {
+	addr string
+	stop context.CancelFunc
+	over bool
+}
+
+// end ends a watch, if there is one; nothing that it still tells is taken in.
+func (w *watch) end() {
+	if w != nil {
+		w.over = true
+		w.stop()
+	}
+}
+
+// follow has discovery at this address tell the list from now on. Danger: the address may be wrong, or silent for
+// long; what was watched before is held until this one answers.
+func (p *Proxy) follow(addr string) {
+	if p.sought != nil && p.sought.addr == addr {
+		return
+	}
+	p.sought.end()
+	p.sought = nil
+	if p.watched != nil && p.watched.addr == addr {
+		return
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	w := &watch{addr: addr, stop: stop}
+	p.sought = w
+	d := &discovery.Watch{Addr: addr, Version: p.version, Dial: p.Dial, Log: p.log.WithField("discovery", addr),
+		Up: func() {
+			p.post(func() {
+				if w == p.sought {
+					p.watched.end()
+					p.watched, p.sought = w, nil
+				}
+			})
+		},
+		Told: func(l List) {
+			p.post(func() {
+				if !w.over {
+					p.list(l, false)
+					p.first()
+				}
+			})
+		}}
+	go d.Run(ctx)
+}
+
 // list takes in a list of backends.
 func (p *Proxy) list(l List, first bool) {
+	p.version = l.Version
 	list := make([]balance.Backend, len(l.Entries))
 	listed := map[int]bool{}
 	for i, e := range l.Entries {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"context"
 	"math"
 	"net"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,10 +83,15 @@
 	later    []func() // what came up while orders were carried out
 	stopSend []float64
 	counts   counts
+	version  int64 // of the list
+	watched  *watch
+	sought   *watch // begun, has not answered yet
 
 	events chan func()
 	quit   chan struct{} // closed when the owner is to end
 	ended  chan struct{} // closed when it has
+	heard  chan struct{} // closed, by first, when discovery has told a list
+	first  func()
 	ready  atomic.Bool
 	stops  atomic.Bool // ordered to stop: each connection ends with its answer
 	door   door
@@ -99,12 +105,13 @@
 func New(l Launch, log logrus.FieldLogger) (*Proxy, error) {
 	p := &Proxy{launch: l, log: log.WithField("proxy", l.Name), began: time.Now(), names: l.Register(),
 		events: make(chan func(), eventsKept), quit: make(chan struct{}),
-		ended: make(chan struct{}), Dial: dial}
+		ended: make(chan struct{}), heard: make(chan struct{}), Dial: dial}
 	b, err := balance.New(l.Deployment, p.now())
 	if err != nil {
 		return nil, err
 	}
 	p.b = b
+	p.first = sync.OnceFunc(func() { close(p.heard) })
 	for _, t := range l.Tariffs {
 		p.longest = max(p.longest, seconds(t.HardStop))
 	}
@@ -139,21 +146,12 @@
 // Serve serves the listener's connections until the context ends; then it answers all it has taken and what
 // still comes for a short time, and returns.
 func (p *Proxy) Serve(ctx context.Context, ln net.Listener) error {
-	watching, unwatch := context.WithCancel(context.Background())
-	defer unwatch()
-	told := make(chan struct{})
-	first := sync.OnceFunc(func() { close(told) })
 	p.list(p.launch.Known, true)
+	p.follow(p.launch.Discovery)
 	go p.own()
-	watch := &discovery.Watch{Addr: p.launch.Discovery, Version: p.launch.Known.Version, Dial: p.Dial, Log: p.log,
-		Told: func(l List) {
-			p.post(func() { p.list(l, false) })
-			first()
-		}}
-	go watch.Run(watching)
 	go func() {
 		select {
-		case <-told:
+		case <-p.heard:
 		case <-time.After(firstList):
 		}
 		p.post(func() { p.ready.Store(true) })
@@ -183,6 +181,21 @@
 	return err
 }
 
+// Reload takes in what the proxy is told anew. Only discovery may be another; the rest holds until the next start,
+// since lookups were taken by it.
+func (p *Proxy) Reload(l Launch) {
+	p.post(func() {
+		log := p.log.WithField("discovery", l.Discovery)
+		old, now := p.launch.Figures, l.Figures
+		old.Seed, now.Seed = 0, 0
+		if l.Limits != p.launch.Limits || !reflect.DeepEqual(old, now) {
+			log.Warn("limits or settings differ: they count from the next start")
+		}
+		log.Info("told anew")
+		p.follow(l.Discovery)
+	})
+}
+
 // now is the time in seconds since 1970, as the backends' starts are told. It never steps back.
 func (p *Proxy) now() float64 { return p.stamp(time.Now()) }
 
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -45,9 +45,10 @@
 	plays   map[string][]string // by address, or for any: what backends do one time after the other; the last stays
 	got     []string            // requests at backends: address and head
 	dials   []string
-	slow    time.Duration // that opening a connection takes
-	gone    int           // connections that ended at a backend's end
-	changes chan string
+	slow    time.Duration          // that opening a connection takes
+	gone    int                    // connections that ended at a backend's end
+	agents  map[string]chan string // discovery, by address: changes to tell
+	watches []string               // address and question of each watch, and its end
 	stop    context.CancelFunc
 	broken  int // invariants, before
 	served  chan error
@@ -90,7 +91,7 @@
 	p, err := New(l, log)
 	assert.NoError(t, err)
 	y := &yard{Proxy: p, t: t, ends: make(chan net.Conn, 100), closed: make(chan struct{}), plays: plays,
-		changes: make(chan string, 10), served: make(chan error, 1), broken: broken()}
+		agents: map[string]chan string{"agent": make(chan string, 10), "agent2": make(chan string, 10)}, served: make(chan error, 1), broken: broken()}
 	p.Dial = y.open
 	ctx, stop := context.WithCancel(context.Background())
 	y.stop = stop
@@ -120,8 +121,8 @@
 // open is how the proxy reaches discovery and backends.
 func (y *yard) open(ctx context.Context, addr string) (net.Conn, error) {
 	ours, theirs := net.Pipe()
-	if addr == "agent" {
-		go y.agent(theirs)
+	if changes := y.agents[addr]; changes != nil {
+		go y.agent(addr, theirs, changes)
 		return ours, nil
 	}
 	time.Sleep(y.slow)
@@ -136,16 +137,31 @@
 }
 
 // agent is discovery: a watch that tells the changes.
-func (y *yard) agent(end net.Conn) {
-	heads.NewReader(end).Request()
+func (y *yard) agent(addr string, end net.Conn, changes chan string) {
+	r := heads.NewReader(end)
+	h, _ := r.Request()
+	_, from, _ := strings.Cut(string(h.Target), "index=")
+	y.mu.Lock()
+	y.watches = append(y.watches, addr+" from "+from)
+	y.mu.Unlock()
+	over := make(chan struct{})
+	go func() {
+		r.Wait()
+		y.mu.Lock()
+		y.watches = append(y.watches, addr+" ended")
+		y.mu.Unlock()
+		close(over)
+	}()
 	io.WriteString(end, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 	for line := "\n"; ; {
 		if _, err := fmt.Fprintf(end, "%x\r\n%s\r\n", len(line), line); err != nil {
 			return
 		}
 		select {
-		case line = <-y.changes:
+		case line = <-changes:
 			line += "\n"
+		case <-over:
+			return
 		case <-time.After(2 * time.Second):
 			line = "\n"
 		}
@@ -513,7 +529,7 @@
 
 // tell has discovery tell a change, and waits until it has been taken in.
 func (y *yard) tell(line string) {
-	y.changes <- line
+	y.agents["agent"] <- line
 	synctest.Wait()
 }
 
@@ -554,6 +570,50 @@
 	})
 }
 
+// Discovery that is named anew is followed, lookups in hand go on, and an address where nothing answers costs nothing.
+func TestReload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		plays := map[string][]string{"b1": {silent}, "b2:1": {ok}, "b3:1": {ok}, "nowhere": {refused}}
+		y := serve(t, plays, nil)
+		told := func(addr string) {
+			l := y.launch
+			l.Discovery = addr
+			y.Reload(l)
+			synctest.Wait()
+		}
+		waits := y.client()
+		go io.WriteString(waits, look)
+		synctest.Wait()
+		told("nowhere")
+		time.Sleep(time.Second)
+		y.tell(change(2, "b1", "leaving", 0))
+		y.tell(change(3, "b2", "active", 0))
+		status, _, _, err := y.ask(look)
+		assert.NoError(t, err)
+		assert.Equal(t, 200, status, "the one before is followed on")
+		for range 3 {
+			told("agent2")
+		}
+		assert.Equal(t, []string{"agent from 1", "agent2 from 3", "agent ended"}, y.watches)
+		y.agents["agent2"] <- change(2, "b3", "active", 0) // another count of versions
+		y.agents["agent2"] <- change(3, "b2", "left", 0)
+		synctest.Wait()
+		y.ask(look)
+		assert.Equal(t, "b3:1", y.dials[len(y.dials)-1])
+		told("nowhere")
+		told("agent2")
+		told("agent")
+		told("agent")
+		assert.Equal(t, []string{"agent from 3", "agent2 ended"}, y.watches[3:])
+		status, _, _, err = answer(waits)
+		assert.NoError(t, err)
+		assert.Equal(t, 503, status, "what was out at a silent backend gets its answer")
+		y.end()
+		told("agent2") // harmless
+		assert.Equal(t, "agent ended", y.watches[len(y.watches)-1])
+	})
+}
+
 func TestStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		y := serve(t, map[string][]string{"b1": {silent}}, nil)
