--- a/balance/state.go
+++ b/balance/state.go
@@ -124,3 +124,26 @@
 	}
 	return b.models[i]
 }
+
+// Belief is what the decisions hold of one backend, for those who ask why.
+type Belief struct {
+	Backend         int
+	Out             int     // legs
+	Limit, Payoff   float64 // legs it bears, and what one is worth there
+	Paused, Cold    bool
+	Errors, Results int     // of the present window
+	Heard           float64 // s since a leg's end told of it
+}
+
+// Beliefs are those of all listed backends.
+func (b *Balancer) Beliefs(now float64) []Belief {
+	b.begin(now)
+	var all []Belief
+	for _, s := range b.servers {
+		if s != nil {
+			all = append(all, Belief{s.Index, s.inFlight, s.limit, b.payNow(s), s.paused, b.cold(s), s.errCount,
+				s.totalCount, now - s.opinions[2].heard})
+		}
+	}
+	return all
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -32,6 +32,11 @@
 	NeverSent         // it never left; it never ran
 )
 
+// String is its name in logs.
+func (o Outcome) String() string {
+	return [...]string{"honoured", "fault", "no_room", "too_slow", "no_route", "cut", "called_off", "never_sent"}[o]
+}
+
 // NeverRan says whether an outcome proves that the leg never ran.
 func (o Outcome) NeverRan() bool { return o == NoRoom || o == NoRoute || o == NeverSent }
 
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -34,6 +34,7 @@
 	started float64
 	era     int // a connection of an earlier one is not used again
 	idle    []*conn
+	open    int // connections, idle or not
 }
 
 // New makes a pool whose connections are opened by dial and report through post.
@@ -82,6 +83,7 @@
 		return false
 	}
 	p.total++
+	b.open++
 	p.Opened++
 	c := &conn{pool: p, to: b, era: b.era, jobs: make(chan *Exchange, 1), ex: ex}
 	ex.conn = c
@@ -116,6 +118,9 @@
 // Total is how many connections there are.
 func (p *Pool) Total() int { return p.total }
 
+// Busy is how many connections to a backend carry an exchange, or are opened for one.
+func (p *Pool) Busy(index int) int { return p.backends[index].open - len(p.backends[index].idle) }
+
 // spare closes the connection that was idle for longest, to make room for another.
 func (p *Pool) spare() bool {
 	var oldest *backend
@@ -151,6 +156,7 @@
 // forget drops a connection that has ended.
 func (p *Pool) forget(c *conn) {
 	p.total--
+	c.to.open--
 	if i := slices.Index(c.to.idle, c); i >= 0 {
 		c.to.idle = slices.Delete(c.to.idle, i, i+1)
 		p.Lost++
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -18,7 +18,7 @@
 func (p *Proxy) book(l *lookup, g *leg, r backends.Result) {
 	invariant.Holds(!g.ended, "a leg ends once")
 	g.ended = true
-	g.neverRan = r.Outcome.NeverRan()
+	g.outcome, g.neverRan = r.Outcome, r.Outcome.NeverRan()
 	p.counts.Outcomes[r.Outcome]++
 	if p.now()-p.stamp(r.At) > lateEvent {
 		p.counts.Late++
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -19,6 +19,9 @@
 	defer wake.Stop()
 	p.every(sweepEvery, p.pool.Sweep)
 	p.every(reportEvery, func() { go p.counted()() }) // danger: who reads the log may be slow; the owner waits for nobody
+	if p.traces() {
+		p.every(traceEvery, p.trace)
+	}
 	for {
 		select {
 		case f := <-p.events:
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -48,6 +48,7 @@
 	idleUntold  = 2 * time.Second        // where that time is not told
 	connectFor  = time.Second            // where the deployment does not tell it
 	sweepEvery  = 100 * time.Millisecond // between looks for connections idle too long
+	traceEvery  = time.Second            // between lines of beliefs, where that is logged
 	reportEvery = 10 * time.Second       // between lines of counts in the log
 	firstList   = 300 * time.Millisecond // to wait for discovery before being ready with the known list
 	clientIdle  = 75 * time.Second       // a client's connection without a request
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -50,6 +50,9 @@
 		answer = balance.Forfeited
 	}
 	l.answered = true
+	if p.traces() {
+		p.log.WithFields(p.traced(l)).Debug("given up")
+	}
 	if p.now() > (l.arrived+l.hardStop)/2 && !slices.ContainsFunc(l.legs, func(g *leg) bool { return !g.neverRan }) {
 		p.counts.InVain++
 	}
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -12,6 +12,8 @@
 // leg is one leg of a lookup.
 type leg struct {
 	number   int
+	backend  int
+	outcome  balance.Outcome // once it ended
 	ex       backends.Exchange
 	sent     float64
 	begun    bool // on a connection, or on one that is being opened
@@ -33,7 +35,7 @@
 			}
 		}
 	}
-	g := &leg{number: len(l.legs), sent: now}
+	g := &leg{number: len(l.legs), backend: backend, sent: now}
 	l.legs = append(l.legs, g)
 	p.counts.Legs++
 	g.ex = backends.Exchange{Head: l.head, Body: l.body, Until: p.at(until), Before: before,
