Pause by tariff too; forget backends that are gone; bounds on unfinished clients

Seen in the traces of the probes, one cause each: - churn: 30 to 40 s, lookups of add-signature get no answer at five of ten backends; the breaker keeps one row a backend, and three tariffs in four are served well there, so none is paused (balance.go, result). A row a backend and tariff is kept beside it, its bar by the tariff's own failures. - rude: a lookup that every backend finds at fault (4xx) was asked of four and counted against all four, 153 faults in 6,603 legs. Such an answer is now Unfit: it counts neither way and ends the lookup with 400. - register.go, pool.go: numbers of backends were given out for ever. They are free again once a backend is gone; what is out there keeps its own hold on connection and server. - door.go: a kept connection whose next request had begun could be closed to make room, which loses it; now only those that never sent a whole one can. Those turned away make room while they are read on. - takein.go: a client that said nothing stayed 75 s; its first request has now to be whole 2.7 s after it connected. A large head's buffer is given back. An id that is open is refused with 409.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,9 +1,8 @@
 // Package balance decides where a proxy sends its lookups. It does no input or output and keeps no clock.
 //
-// New makes the Balancer of one proxy. Take hands it a lookup and gives back a handle; what happens to the
-// lookup later is a call on that handle: Ended, Started, Left, Wake. Listed and ListFailed tell what the list
-// of backends says. Every call takes the present time and returns Orders: what to do now, in that order.
-// The interface is in types.go, the reasons are in docs/design.md.
+// New makes the Balancer of one proxy. Take hands it a lookup and gives back a handle; what happens to it
+// later is a call on that handle. Listed and ListFailed tell what the list of backends says. Every call takes
+// the present time and returns Orders. The interface is in types.go, the reasons are in docs/design.md.
 package balance
 
 import (
@@ -139,6 +138,7 @@
 	l.out--
 	b.out--
 	g.s.inFlight--
+	g.s.tariffs[l.Tariff].inFlight--
 	if !(g.started && o == Honoured) { // its time to the end is the client's
 		b.learn(l, g, o, latency)
 	}
@@ -146,6 +146,9 @@
 	case l.over:
 	case over:
 		b.close(l, -1)
+	case o == Unfit: // danger: asked of one backend after the other it would set each back
+		b.step(Step{Ref: l.Ref, Answer: Forfeited})
+		b.close(l, -1)
 	default:
 		b.next(l) // where it may have run, pick sends it only where that is harmless
 	}
@@ -168,7 +171,7 @@
 			continue
 		}
 		g.counted = true // danger: a hanging backend would be known only a hard stop later
-		b.result(g.s, false)
+		b.results(l, g.s, false)
 		g.s.payoff(b, 0)
 	}
 	return b.pump()
@@ -200,8 +203,7 @@
 		}
 		s := b.servers[e.Index]
 		if s == nil || s.UpSince != e.UpSince && e.State == Ready { // danger: a restart is a cold backend
-			s = &server{limit: firstLimit / float64(b.d.Proxies), pace: 1, flowed: now}
-			s.opinions = [3]*opinion{b.fleet, b.model(e.Model), {lasts: forget}}
+			s = b.unheard(e.Model)
 			b.servers[e.Index] = s
 		}
 		s.Backend = e
@@ -234,6 +236,7 @@
 	l.out++
 	b.out++
 	s.inFlight++
+	s.tariffs[l.Tariff].inFlight++
 	if len(b.held) > 0 { // only then does every place go to one of them
 		b.pace += paceSmoothing * (b.now - b.lastSend - b.pace)
 	}
@@ -285,11 +288,6 @@
 	}
 }
 
-// typical is what an answer of this lookup usually takes.
-func (b *Balancer) typical(l *Lookup) float64 {
-	return l.row.median() * max(l.heavy, 0.5)
-}
-
 // patience is the age at which a leg of this lookup is overdue.
 func (b *Balancer) patience(l *Lookup) float64 {
 	return patienceFactor * l.row.times.Quantile(0.9, l.row.Due/2) * max(l.heavy, 1)
@@ -380,12 +378,12 @@
 	full, admitted := false, 0
 	b.room = 0
 	for _, s := range b.servers {
-		if s == nil || s.State != Ready || !b.admitted(s) {
+		if s == nil || s.State != Ready || !b.admitted(&s.breaker) {
 			continue
 		}
 		admitted++
 		b.room += s.limit
-		if !b.may(l, s) {
+		if !b.admitted(&s.tariffs[l.Tariff]) || !b.may(l, s) {
 			continue
 		}
 		full = true
@@ -435,12 +433,9 @@
 	return last, full
 }
 
-// warm says whether backends may be warm for this lookup.
-func (b *Balancer) warm(l *Lookup) bool { return b.d.WarmKeys && l.Key != 0 }
-
 // admitted is the source's access query.
-func (b *Balancer) admitted(s *server) bool {
-	return !s.paused || b.now >= s.accessLast+s.cooldown && s.inFlight == 0
+func (b *Balancer) admitted(r *breaker) bool {
+	return !r.paused || b.now >= r.accessLast+r.cooldown && r.inFlight == 0
 }
 
 // noise is Gumbel noise: by chance or, where a lookup has a place, by that and the server. A key's place is
@@ -457,12 +452,12 @@
 func (b *Balancer) learn(l *Lookup, g *leg, o Outcome, latency float64) {
 	s, due := g.s, l.row.Due*max(l.heavy, 1)
 	switch o {
-	case CalledOff, NeverSent: // these count neither way
+	case CalledOff, NeverSent, Unfit: // these count neither way
 	case NoRoom: // a busy backend is not a broken one: its row stays
 		b.move(s, limitFull, 1)
 		s.payoff(b, 0)
 	case Honoured:
-		b.result(s, true)
+		b.results(l, s, true)
 		s.pace += smoothing * (latency/(l.row.median()*max(l.heavy, 0.5)) - s.pace)
 		l.row.times.Add(latency / max(l.heavy, 0.5))
 		if m := l.row.median(); m > l.row.base {
@@ -488,7 +483,7 @@
 		}
 	default:
 		if !g.counted {
-			b.result(s, false)
+			b.results(l, s, false)
 			s.payoff(b, 0)
 		}
 	}
@@ -520,11 +515,18 @@
 	return b.room + b.credit/b.rows[0].median() - b.clumps()*reserve
 }
 
-// result keeps the breaker's row of a server.
-func (b *Balancer) result(s *server, ok bool) {
-	b.failShare -= meanPart * b.failShare
+// results keeps the rows of a server. Danger: one that fails a single tariff serves the others well, so its
+// own row never pauses it; the tariff's row there pauses it for that tariff.
+func (b *Balancer) results(l *Lookup, s *server, ok bool) {
+	b.result(&s.breaker, &b.failShare, ok)
+	b.result(&s.tariffs[l.Tariff], &l.row.failShare, ok)
+}
+
+// result keeps a row; the share is that of failures on the whole fleet.
+func (b *Balancer) result(s *breaker, failShare *float64, ok bool) {
+	*failShare -= meanPart * *failShare
 	if !ok {
-		b.failShare += meanPart
+		*failShare += meanPart
 	} else if !s.tracked {
 		return
 	}
@@ -539,7 +541,7 @@
 	}
 	s.errCount++
 	// danger: when all fail alike, pausing them all helps nobody, so the bar rises with the fleet's own share
-	bar := cbkErrRate + (1-cbkErrRate)*b.failShare
+	bar := cbkErrRate + (1-cbkErrRate)**failShare
 	if s.totalCount > minCheck && float64(s.errCount)/float64(s.totalCount) > bar {
 		s.paused = true
 		s.cooldown = recoverInterval * (1 + recoverSpread*b.chance.Float())
@@ -561,15 +563,6 @@
 	}
 }
 
-// payNow is a server's payoff; what was long unheard is forgotten, so it goes back to that of its like.
-func (b *Balancer) payNow(s *server) float64 {
-	p := 1.0
-	for _, o := range s.opinions {
-		p += o.at(b.now)
-	}
-	return p
-}
-
 func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.d.ColdFor }
 
 // coldRoom takes a lookup's work from a bucket: this proxy's part of what pushes a cold server over, at the
--- a/balance/state.go
+++ b/balance/state.go
@@ -39,29 +39,44 @@
 // row holds what differs by tariff.
 type row struct {
 	Tariff
-	times measure.Times
-	work  float64 // mean hint, s
-	base  float64 // the median when little waited, s
+	times     measure.Times
+	work      float64 // mean hint, s
+	base      float64 // the median when little waited, s
+	failShare float64 // share of its results that were failures, smoothed
 }
 
 // median is what an answer of this tariff usually takes.
 func (r *row) median() float64 { return r.times.Quantile(0.5, r.Due/4) }
 
+// typical is what an answer of this lookup usually takes.
+func (b *Balancer) typical(l *Lookup) float64 {
+	return l.row.median() * max(l.heavy, 0.5)
+}
+
+// warm says whether backends may be warm for this lookup.
+func (b *Balancer) warm(l *Lookup) bool { return b.d.WarmKeys && l.Key != 0 }
+
 // purse is what a customer's share still allows, in lookups.
 type purse struct{ left, at float64 }
 
 // server is one backend as this proxy knows it.
 type server struct {
 	Backend
-	tracked, paused       bool // the breaker's row exists; it is paused
+	breaker                    // for lookups of all tariffs
+	tariffs        []breaker   // for those of one
+	opinions       [3]*opinion // of the fleet, its model and itself
+	pace           float64     // smoothed time of its answers over the usual for their work
+	limit          float64     // legs it bears from this proxy; below one, only some of the time
+	bucket, flowed float64     // cold budget saved up, s of work; when it last flowed
+}
+
+// breaker is one row of the source's.
+type breaker struct {
+	tracked, paused       bool // the row exists; it is paused
 	errCount, totalCount  int
 	roundLast, accessLast float64
 	cooldown              float64
-	opinions              [3]*opinion // of the fleet, its model and itself
-	pace                  float64     // smoothed time of its answers over the usual for their work
 	inFlight              int
-	limit                 float64 // legs it bears from this proxy; below one, only some of the time
-	bucket, flowed        float64 // cold budget saved up, s of work; when it last flowed
 }
 
 // opinion is by how much the payoff of servers alike differs from what is else known of them.
@@ -73,6 +88,15 @@
 // at is what is left of its payoff.
 func (o *opinion) at(now float64) float64 { return o.pay * o.fade(now) }
 
+// payNow is a server's payoff; what was long unheard is forgotten, so it goes back to that of its like.
+func (b *Balancer) payNow(s *server) float64 {
+	p := 1.0
+	for _, o := range s.opinions {
+		p += o.at(b.now)
+	}
+	return p
+}
+
 type cand struct {
 	s     *server
 	score float64
@@ -117,6 +141,12 @@
 	l.isHeld = false
 }
 
+// unheard is a server that nothing is known of but its model.
+func (b *Balancer) unheard(model int) *server {
+	return &server{limit: firstLimit / float64(b.d.Proxies), pace: 1, flowed: b.now, tariffs: make([]breaker, len(b.rows)),
+		opinions: [3]*opinion{b.fleet, b.model(model), {lasts: forget}}}
+}
+
 // model is the opinion that servers of a model share.
 func (b *Balancer) model(i int) *opinion {
 	for len(b.models) <= i {
--- a/balance/types.go
+++ b/balance/types.go
@@ -30,11 +30,12 @@
 	Cut               // the connection dropped; it may have run
 	CalledOff         // we stopped waiting; it may have run
 	NeverSent         // it never left; it never ran
+	Unfit             // the backend found the lookup itself at fault; it may have run
 )
 
 // String is its name in logs.
 func (o Outcome) String() string {
-	return [...]string{"honoured", "fault", "no_room", "too_slow", "no_route", "cut", "called_off", "never_sent"}[o]
+	return [...]string{"honoured", "fault", "no_room", "too_slow", "no_route", "cut", "called_off", "never_sent", "unfit"}[o]
 }
 
 // NeverRan says whether an outcome proves that the leg never ran.
--- a/internal/backends/backends_test.go
+++ b/internal/backends/backends_test.go
@@ -102,6 +102,8 @@
 		{"turned away late", "HTTP/1.1 504 x\r\nx-never-ran: 1\r\nContent-Length: 0\r\n\r\n", false, balance.NoRoom, true},
 		{"503 that may have run", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", false, balance.Fault, true},
 		{"never ran, but of no such status", "HTTP/1.1 500 x\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", false, balance.Fault, true},
+		{"lookup at fault", "HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n", false, balance.Unfit, true},
+		{"too many", "HTTP/1.1 429 x\r\nContent-Length: 0\r\n\r\n", false, balance.Fault, true},
 		{"other success", "HTTP/1.1 206 x\r\nContent-Length: 0\r\n\r\n", false, balance.Fault, true},
 		{"reset", "", true, balance.Cut, false},
 		{"cut within the body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", true, balance.Cut, false},
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -192,6 +192,8 @@
 		res.Outcome = balance.Honoured
 	case (h.Status == 503 || h.Status == 504) && never:
 		res.Outcome = balance.NoRoom
+	case h.Status >= 400 && h.Status < 500 && h.Status != 408 && h.Status != 429: // of time and of room: not the lookup's fault
+		res.Outcome = balance.Unfit
 	default:
 		res.Outcome = balance.Fault
 	}
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -64,6 +64,12 @@
 	b.idle = b.idle[:0]
 }
 
+// Drop forgets a backend, whose index may be given to another. What is in use ends with its exchange.
+func (p *Pool) Drop(index int) {
+	p.Close(index)
+	p.backends[index] = &backend{}
+}
+
 // Send starts an exchange on an idle connection or a new one. It is false where there may be no more: nothing
 // was sent then, and nothing will be reported.
 func (p *Pool) Send(index int, ex *Exchange) bool {
--- a/internal/figures/register.go
+++ b/internal/figures/register.go
@@ -12,10 +12,11 @@
 	Name, ZoneName, ModelName string
 }
 
-// Register numbers names. A backend and a model keep their number as long as the register lives.
+// Register numbers names. A backend keeps its number until it is forgotten, all others as long as the register lives.
 type Register struct {
 	tariffs, customers, zones, backends, models map[string]int
-	names                                       []string // of backends
+	names                                       []string // of backends; empty where the number is free
+	free                                        []int    // numbers of forgotten backends
 }
 
 // Register has the deployment's tariffs, customers and zones in their order.
@@ -47,13 +48,35 @@
 func (r *Register) Backend(e Entry) balance.Backend {
 	b := e.Backend
 	b.Mark, b.Zone = Hash(e.Name), find(r.zones, e.ZoneName)
-	b.Index, b.Model = number(r.backends, e.Name), number(r.models, e.ModelName)
-	if b.Index == len(r.names) {
-		r.names = append(r.names, e.Name)
-	}
+	b.Index, b.Model = r.backend(e.Name), number(r.models, e.ModelName)
 	return b
 }
 
+func (r *Register) backend(name string) int {
+	i, ok := r.backends[name]
+	if ok {
+		return i
+	}
+	if n := len(r.free); n > 0 {
+		i, r.free = r.free[n-1], r.free[:n-1]
+		r.names[i] = name
+	} else {
+		i, r.names = len(r.names), append(r.names, name)
+	}
+	r.backends[name] = i
+	return i
+}
+
+// Forget frees a backend's number for another. Danger: backends under ever new names would fill the memory, and
+// make every walk over them longer.
+func (r *Register) Forget(index int) {
+	delete(r.backends, r.names[index])
+	r.names[index], r.free = "", append(r.free, index)
+}
+
+// Backends is how many numbers were given out at once, most.
+func (r *Register) Backends() int { return len(r.names) }
+
 // Name is that of a backend.
 func (r *Register) Name(index int) string { return r.names[index] }
 
--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -87,9 +87,13 @@
 
 func (r *Reader) renew() { r.src.N = 2*Most + slack }
 
-// Wait blocks until a byte of the next message has come, and leaves it there.
+// Wait blocks until a byte of the next message has come, and leaves it there. A buffer that grew with a large head is
+// given back first.
 func (r *Reader) Wait() error {
 	r.renew()
+	if r.R.Size() > firstBytes && r.R.Buffered() == 0 {
+		r.R = bufio.NewReaderSize(r.src, firstBytes)
+	}
 	_, err := r.R.Peek(1)
 	return err
 }
@@ -137,8 +141,9 @@
 		if scanned >= Most {
 			return nil, bad(431, "head too large")
 		}
-		if scanned == r.R.Size() { // what is buffered moves to a larger buffer round this one
-			r.R = bufio.NewReaderSize(r.R, 4*scanned)
+		if scanned == r.R.Size() { // what is buffered moves to a larger buffer
+			moved := bytes.NewReader(bytes.Clone(buf))
+			r.R = bufio.NewReaderSize(io.MultiReader(moved, r.src), 4*scanned)
 		}
 	}
 }
--- a/internal/heads/heads_test.go
+++ b/internal/heads/heads_test.go
@@ -182,6 +182,22 @@
 	assert.Equal(t, "/b", string(h.Target))
 }
 
+// Danger: one large head would hold a large buffer for as long as its connection lives.
+func TestBufferIsGivenBack(t *testing.T) {
+	in, out := io.Pipe()
+	go io.WriteString(out, "GET /a HTTP/1.1\r\nX: "+strings.Repeat("x", 60000)+"\r\n\r\nGET /b HTTP/1.1\r\n\r\n")
+	r := NewReader(in)
+	for _, target := range []string{"/a", "/b"} {
+		assert.NoError(t, r.Wait())
+		h, err := r.Request()
+		assert.NoError(t, err)
+		assert.Equal(t, target, string(h.Target))
+	}
+	go out.Close()
+	assert.ErrorIs(t, r.Wait(), io.EOF)
+	assert.Equal(t, firstBytes, r.R.Size())
+}
+
 func FuzzMessages(f *testing.F) {
 	f.Add([]byte("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\nGET / HTTP/1.0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nab"))
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -10,6 +10,7 @@
 	row        *balance.Tariff
 	handle     *balance.Lookup
 	ref        int
+	id         string
 	arrived    float64
 	hardStop   float64
 	head, body []byte // what goes to a backend, alike for all its legs
@@ -22,12 +23,20 @@
 // admit hands a lookup to the decisions. One over a bound of this machine, of connections or of memory, is
 // dismissed unseen.
 func (p *Proxy) admit(l *lookup, a balance.Arrival, over bool) {
-	p.counts.Taken++
 	if over {
+		p.counts.Taken++
 		p.counts.Unseen++
 		p.finish(l, balance.Dismissed, p.launch.MaxAdvice)
 		return
 	}
+	if p.open[l.id] { // danger: two legs of one id look like one lookup run twice, and either could get the other's answer
+		p.counts.TurnedAway++
+		l.answered = true
+		l.answer <- reply{status: 409, body: []byte("X-Trace-Id is in use\n")}
+		return
+	}
+	p.open[l.id] = true
+	p.counts.Taken++
 	if n := len(p.free); n > 0 {
 		l.ref, p.free = p.free[n-1], p.free[:n-1]
 		p.slots[l.ref] = l
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -11,7 +11,7 @@
 // counts are what the owner has seen since the start.
 type counts struct {
 	Taken, Honoured, Dismissed, Forfeited, Left, TurnedAway, Unseen, InVain, Legs, Late int
-	Outcomes                                                                            [8]int // of legs
+	Outcomes                                                                            [9]int // of legs
 }
 
 // book tells the decisions how a leg ended. The first honoured one answers its lookup.
@@ -41,7 +41,7 @@
 		"forfeited": c.Forfeited, "left": c.Left, "turned_away": c.TurnedAway, "unseen": c.Unseen, "in_vain": c.InVain, "legs": c.Legs, "late": c.Late,
 		"fault": c.Outcomes[balance.Fault], "no_room": c.Outcomes[balance.NoRoom],
 		"too_slow": c.Outcomes[balance.TooSlow], "no_route": c.Outcomes[balance.NoRoute],
-		"cut": c.Outcomes[balance.Cut], "called_off": c.Outcomes[balance.CalledOff],
+		"unfit": c.Outcomes[balance.Unfit], "cut": c.Outcomes[balance.Cut], "called_off": c.Outcomes[balance.CalledOff],
 		"never_sent": c.Outcomes[balance.NeverSent], "connections": pool.Total(), "opened": pool.Opened,
 		"retired": pool.Retired, "lost_idle": pool.Lost, "no_connection": pool.Full}
 	fields["clients"], fields["crowded"] = p.door.counted()
--- a/proxy/door.go
+++ b/proxy/door.go
@@ -82,11 +82,15 @@
 	d.room.Signal()
 }
 
-// begin notes that its request has begun to come. It is false where it was closed in the meantime.
-func (d *door) begin(c *client) bool {
+// begin notes that its request has begun to come. It is false where it was closed in the meantime. Danger: one that
+// has been served before is lost if it is closed now; whoever connects only to begin is not.
+func (d *door) begin(c *client, first bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c.begun, c.fresh, c.since = true, true, time.Now()
+	if !first {
+		d.unrest(c)
+	}
 	return !c.closed
 }
 
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -93,6 +93,8 @@
 		l.released = true
 		invariant.Holds(l.answered, "a lookup is done only once answered")
 		p.slots[l.ref] = nil
+		delete(p.open, l.id)
+		l.head, l.body, l.legs = nil, nil, nil // danger: the timer of its hard stop holds it for long
 		p.free = append(p.free, l.ref)
 	}
 }
@@ -158,14 +160,25 @@
 		p.pool.Place(b.Index, e.Addr, b.UpSince)
 		p.told(b.Index, b.State == balance.Ready)
 	}
-	if l.Full {
-		for i := range p.stopSend {
-			if !listed[i] {
-				p.told(i, false)
-			}
+	p.decide(func(now float64) *balance.Orders { return p.b.Listed(now, l.Full, first, list) })
+	for _, b := range list {
+		if b.State == balance.Gone && p.names.Name(b.Index) != "" {
+			p.forget(b.Index)
 		}
 	}
-	p.decide(func(now float64) *balance.Orders { return p.b.Listed(now, l.Full, first, list) })
+	for i := 0; l.Full && i < p.names.Backends(); i++ {
+		if !listed[i] && p.names.Name(i) != "" {
+			p.forget(i)
+		}
+	}
+}
+
+// forget frees the number of a backend that is gone: no order names it any more, and what is out there keeps its own
+// hold on connection and server.
+func (p *Proxy) forget(index int) {
+	p.stopSend[index] = math.Inf(1)
+	p.pool.Drop(index)
+	p.names.Forget(index)
 }
 
 // told notes from when on nothing may be sent to a backend, and closes what is idle to it then.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -38,30 +38,32 @@
 
 // Every constant of the network code but those of a package's own wire.
 const (
-	eventsKept  = 1024                   // events not yet taken by the owner; then connections wait
-	socketsFor  = 1024                   // descriptors where the limit is not told
-	reserve     = 64                     // descriptors for files, listener, discovery and what is just closing
-	clientPart  = 0.75                   // of the other descriptors: a lookup may wait longer than its legs take
-	overPart    = 0.2                    // of the clients': taken over the bound, to be dismissed at once
-	heldPart    = 0.25                   // of the memory limit, for what is kept to be sent to backends
-	idlePart    = 0.8                    // of the time after which a backend closes an idle connection
-	idleUntold  = 2 * time.Second        // where that time is not told
-	connectFor  = time.Second            // where the deployment does not tell it
-	sweepEvery  = 100 * time.Millisecond // between looks for connections idle too long
-	traceEvery  = time.Second            // between lines of beliefs, where that is logged
-	reportEvery = 10 * time.Second       // between lines of counts in the log
-	firstList   = 300 * time.Millisecond // to wait for discovery before being ready with the known list
-	clientIdle  = 75 * time.Second       // a client's connection without a request
-	freshFor    = 100 * time.Millisecond // for the first request of a connection, where others wait to be accepted
-	headGuess   = 512                    // bytes of a head that goes on; a longer one grows
-	clientSlow  = 5 * time.Second        // for an answer to be taken
-	longestWait = 60.0                   // s; a client that says it waits longer is taken to wait so long
-	acceptPause = 10 * time.Millisecond  // after accepting failed: out of descriptors, it would spin
-	lingerFor   = 500 * time.Millisecond // to read on after an error, so that the client can read it
-	backstop    = 0.002                  // s before the hard stop when a lookup with no answer is forfeited
-	closeAfter  = 500 * time.Millisecond // from the order to stop to the end of accepting: the front needs 0.4 s
-	endMargin   = 100 * time.Millisecond // past the longest hard stop; then what a client has not taken is cut
-	lateEvent   = 0.02                   // s from an event to the owner's call: more is counted
+	eventsKept  = 1024                    // events not yet taken by the owner; then connections wait
+	socketsFor  = 1024                    // descriptors where the limit is not told
+	reserve     = 64                      // descriptors for files, listener, discovery and what is just closing
+	clientPart  = 0.75                    // of the other descriptors: a lookup may wait longer than its legs take
+	overPart    = 0.2                     // of the clients': taken over the bound, to be dismissed at once
+	heldPart    = 0.25                    // of the memory limit, for what is kept to be sent to backends
+	idlePart    = 0.8                     // of the time after which a backend closes an idle connection
+	idleUntold  = 2 * time.Second         // where that time is not told
+	connectFor  = time.Second             // where the deployment does not tell it
+	sweepEvery  = 100 * time.Millisecond  // between looks for connections idle too long
+	traceEvery  = time.Second             // between lines of beliefs, where that is logged
+	reportEvery = 10 * time.Second        // between lines of counts in the log
+	firstList   = 300 * time.Millisecond  // to wait for discovery before being ready with the known list
+	clientIdle  = 75 * time.Second        // a client's connection between requests
+	firstBegun  = 2100 * time.Millisecond // from a connection's start to its first request's first byte
+	firstWhole  = 2700 * time.Millisecond // and to its last: who says nothing, or trickles, is told or closed within 3 s
+	freshFor    = 100 * time.Millisecond  // for the first request of a connection, where others wait to be accepted
+	headGuess   = 512                     // bytes of a head that goes on; a longer one grows
+	clientSlow  = 5 * time.Second         // for an answer to be taken
+	longestWait = 60.0                    // s; a client that says it waits longer is taken to wait so long
+	acceptPause = 10 * time.Millisecond   // after accepting failed: out of descriptors, it would spin
+	lingerFor   = 500 * time.Millisecond  // to read on after an error, so that the client can read it
+	backstop    = 0.002                   // s before the hard stop when a lookup with no answer is forfeited
+	closeAfter  = 500 * time.Millisecond  // from the order to stop to the end of accepting: the front needs 0.4 s
+	endMargin   = 100 * time.Millisecond  // past the longest hard stop; then what a client has not taken is cut
+	lateEvent   = 0.02                    // s from an event to the owner's call: more is counted
 )
 
 // Proxy is one proxy of the bank.
@@ -81,7 +83,8 @@
 	timers   timers
 	slots    []*lookup // by Arrival.Ref
 	free     []int
-	later    []func() // what came up while orders were carried out
+	open     map[string]bool // ids of the lookups in slots
+	later    []func()        // what came up while orders were carried out
 	stopSend []float64
 	counts   counts
 	version  int64 // of the list
@@ -135,6 +138,7 @@
 	if p.heldMost = int64(heldPart * float64(l.Limits.Memory)); p.heldMost == 0 {
 		p.heldMost = math.MaxInt64
 	}
+	p.open = map[string]bool{}
 	p.door.all = map[*client]bool{}
 	p.door.room.L = &p.door.mu
 	return p, nil
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -62,5 +62,9 @@
 		return
 	}
 	p.counts.Forfeited++
+	if n := len(l.legs); n > 0 && l.legs[n-1].outcome == balance.Unfit {
+		l.answer <- reply{status: 400, body: []byte("found at fault by a backend\n")}
+		return
+	}
 	l.answer <- reply{status: 502, body: []byte("forfeited\n")}
 }
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -12,7 +12,7 @@
 // leg is one leg of a lookup.
 type leg struct {
 	number   int
-	backend  int
+	to       string
 	outcome  balance.Outcome // once it ended
 	ex       backends.Exchange
 	sent     float64
@@ -35,7 +35,7 @@
 			}
 		}
 	}
-	g := &leg{number: len(l.legs), backend: backend, sent: now}
+	g := &leg{number: len(l.legs), to: p.names.Name(backend), sent: now}
 	l.legs = append(l.legs, g)
 	p.counts.Legs++
 	g.ex = backends.Exchange{Head: l.head, Body: l.body, Until: p.at(until), Before: before,
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -20,6 +20,7 @@
 	p    *Proxy
 	nc   net.Conn
 	r    *heads.Reader
+	met  time.Time
 	over bool // taken over the bound
 
 	// Under door.mu.
@@ -46,7 +47,7 @@
 			}
 			return err
 		}
-		c := &client{p: p, nc: nc, r: heads.NewReader(nc)}
+		c := &client{p: p, nc: nc, r: heads.NewReader(nc), met: time.Now()}
 		c.over = p.door.enter(c)
 		p.work.Add(1)
 		go c.serve()
@@ -60,11 +61,11 @@
 	defer c.nc.Close()
 	defer c.p.rescue()
 	came := make(chan error, 1)
-	c.nc.SetReadDeadline(time.Now().Add(clientIdle))
+	c.nc.SetReadDeadline(c.met.Add(firstBegun))
 	go func() { came <- c.r.Wait() }()
 	for first := true; ; first = false {
 		c.p.door.rest(c, first)
-		if err := <-came; err != nil || !c.p.door.begin(c) || !c.one(came) {
+		if err := <-came; err != nil || !c.p.door.begin(c, first) || !c.one(came, first) {
 			return
 		}
 	}
@@ -72,9 +73,13 @@
 
 // one takes in a request, has it answered, and tells whether the connection stays. When it returns, what
 // comes next is being waited for.
-func (c *client) one(came chan error) bool {
+func (c *client) one(came chan error, first bool) bool {
 	arrived := time.Now()
-	c.nc.SetReadDeadline(arrived.Add(c.p.longest)) // later it could not be answered in time
+	whole := arrived.Add(c.p.longest) // later it could not be answered in time
+	if last := c.met.Add(firstWhole); first && last.Before(whole) {
+		whole = last
+	}
+	c.nc.SetReadDeadline(whole)
 	h, err := c.r.Request()
 	if err != nil {
 		return c.turnAway(err)
@@ -153,7 +158,7 @@
 			return nil, a, err
 		}
 		l = &lookup{row: &c.p.launch.Tariffs[a.Tariff], arrived: c.p.stamp(arrived), hardStop: a.HardStop,
-			answer: make(chan reply, 1)}
+			id: string(h.Get("X-Trace-Id")), answer: make(chan reply, 1)}
 		l.head = heads.AppendRequest(make([]byte, 0, headGuess), h.Method, h.Target)
 		l.head = heads.AppendOnward(l.head, h, "X-Expires-In")
 	}
@@ -243,6 +248,7 @@
 	}
 	if half, ok := c.nc.(interface{ CloseWrite() error }); ok {
 		half.CloseWrite()
+		c.p.door.rest(c, false) // danger: many that are turned away would keep others out while they are read on
 		c.nc.SetReadDeadline(time.Now().Add(lingerFor))
 		io.CopyN(io.Discard, c.nc, 2*heads.Most)
 	}
--- a/proxy/trace.go
+++ b/proxy/trace.go
@@ -27,7 +27,7 @@
 func (p *Proxy) traced(l *lookup) logrus.Fields {
 	legs := ""
 	for _, g := range l.legs {
-		legs += fmt.Sprintf("%s after %.3f ", p.names.Name(g.backend), g.sent-l.arrived)
+		legs += fmt.Sprintf("%s after %.3f ", g.to, g.sent-l.arrived)
 		if g.ended {
 			legs += g.outcome.String() + "; "
 		} else {
