A leg beside an overdue one, where harmless and allowed and half of the room is free

Wake of balance.go counted the overdue leg and waited on. Now a leg that is overdue gets another beside it where may() finds that harmless, the deployment allows it, and less than half of the room is out.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,5 +1,4 @@
 // Package balance decides where a proxy sends its lookups. It does no input or output and keeps no clock.
-//
 // New makes the Balancer of one proxy. Take hands it a lookup and gives back a handle; what happens to it
 // later is a call on that handle. Listed and ListFailed tell what the list of backends says. Every call takes
 // the present time and returns Orders. The interface is in types.go, the reasons are in docs/design.md.
@@ -28,6 +27,7 @@
 	haste           = 0.4   // payoff an answer loses by using its whole due time up
 	latePayoff      = 0.3   // payoff of a late answer: better than none, worse than any in time
 	busyShare       = 0.9   // of the room there is: with less in flight the limits do not bind
+	spareShare      = 0.5   // of the room: with less in flight a leg beside another keeps nobody out
 	homes           = 2     // backends a key is kept to at first; one alone is crowded by a popular key
 	keyShares       = 1.0   // of a server's even share of all lookups: a key with more counts as several keys
 	ownServers      = 4.0   // times its even part of the servers: a proxy of many keeps to so many
@@ -146,6 +146,7 @@
 	case l.over:
 	case over:
 		b.close(l, -1)
+	case l.out > 0: // a leg sent beside it may still answer
 	case o == Unfit: // danger: asked of one backend after the other it would set each back
 		b.step(Step{Ref: l.Ref, Answer: Forfeited})
 		b.close(l, -1)
@@ -173,6 +174,10 @@
 		g.counted = true // danger: a hanging backend would be known only a hard stop later
 		b.results(l, g.s, false)
 		g.s.payoff(b, 0)
+		// danger: a leg that was lost on its way is never answered, at whatever server
+		if s, _ := b.pick(l); s != nil && b.d.Beside && float64(b.out) < spareShare*b.room {
+			b.send(l, s)
+		}
 	}
 	return b.pump()
 }
--- a/balance/types.go
+++ b/balance/types.go
@@ -61,6 +61,7 @@
 	BeyondShare  float64 // value of a lookup past its customer's share, as a fraction
 	MaxLegs      int     // legs a lookup may have
 	CallOff      bool    // legs may be called off
+	Beside       bool    // a lookup's legs may be out beside one another
 	MaxAdvice    float64 // the longest advice when to come back that a client keeps to; 0: none
 	WarmKeys     bool    // a backend that served a key lately serves it again with less work
 	AsksList     bool    // the list of backends comes only after asking
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -41,6 +41,7 @@
 		BeyondShare:  e.num("BeyondShareValue"),
 		MaxLegs:      int(e.num("Ceilings.MaxLegs")),
 		CallOff:      e.bool("Ceilings.Cancel"),
+		Beside:       e.bool("Ceilings.ParallelTries"),
 		WarmKeys:     e.bool("FamilyInfo.WarmKeys"),
 		AsksList:     values["Discovery"] == "subscribe",
 		AskEvery:     e.num("Rules.AskEveryMs") / 1000,
