Serve on until shortly before the kill; answers of up to 1 MiB where there is room

Every answer after SIGTERM closed its connection (takein.go, one). Now connections are kept until 0.35 s before the kill, hard stops are cut down to 0.15 s before it, and then all is closed; a proxy without clients ends at once. Answers over 64 KiB are now read where the bytes kept allow it, up to 1 MiB, and never by what a head only promises.

--- a/internal/backends/backends_test.go
+++ b/internal/backends/backends_test.go
@@ -23,6 +23,7 @@
 	refuses bool
 	hangs   bool
 	dials   []string
+	room    int64
 }
 
 func open() *bank {
@@ -40,6 +41,10 @@
 		b.ends <- theirs
 		return ours, nil
 	}, func(f func()) { b.posted <- f })
+	b.Hold = func(bytes int64) bool {
+		b.room -= bytes
+		return b.room >= 0
+	}
 	b.Connect, b.Idle, b.Most = 75*time.Millisecond, 4*time.Second, 2
 	b.Place(0, "one:1", 0)
 	b.Place(1, "two:1", 0)
@@ -146,6 +151,51 @@
 	}
 }
 
+// Danger: an answer larger than most, held back or not, must not take memory that is not there.
+func TestLargeAnswers(t *testing.T) {
+	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, c := range []struct {
+		name, head string
+		size       int
+		room       int64
+		want       balance.Outcome
+	}{
+		{"there is room", "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n", 400000, 400000, balance.Honoured},
+		{"there is none", "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n", 400000, 399999, balance.Cut},
+		{"cut short", "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n", 399999, 1 << 30, balance.Cut},
+		{"too large in any case", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", 400000, 1 << 40, balance.Cut},
+		{"chunks", chunked + "61a80\r\n", 400000, largeMost, balance.Honoured},
+		{"chunks without room", chunked + "61a80\r\n", 400000, 0, balance.Cut},
+		{"chunks without end", chunked + "ffffff\r\n", 2 * largeMost, 1 << 30, balance.Cut},
+		{"to the close", "HTTP/1.1 200 OK\r\n\r\n", 400000, largeMost, balance.Honoured},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := open()
+			b.room = c.room
+			_, got := b.leg(0)
+			end := <-b.ends
+			asked(t, end)
+			io.WriteString(end, c.head)
+			io.WriteString(end, strings.Repeat("x", c.size))
+			if strings.HasPrefix(c.head, chunked) && c.want == balance.Honoured {
+				io.WriteString(end, "\r\n0\r\n\r\n")
+			}
+			end.Close()
+			b.settle()
+			if assert.Len(t, *got, 1, c.name) {
+				r := (*got)[0]
+				assert.Equal(t, c.want, r.Outcome, c.name)
+				if c.want == balance.Honoured {
+					assert.Len(t, r.Body, c.size, c.name)
+					assert.Equal(t, c.room-b.room, r.Held, "who gets it gives it back: %s", c.name)
+				}
+			}
+			b.Shut()
+			b.settle()
+		})
+	}
+}
+
 func TestNeverRan(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -12,7 +12,10 @@
 	"lockloom/internal/heads"
 )
 
-const writeOn = 10 * time.Millisecond // for the rest of a request that is answered already
+const (
+	writeOn   = 10 * time.Millisecond // for the rest of a request that is answered already
+	largeMost = 1 << 20               // bytes of an answer, where there is room for it; heads.Most without
+)
 
 // Exchange is one request to a backend.
 type Exchange struct {
@@ -30,8 +33,10 @@
 type Result struct {
 	Outcome balance.Outcome
 	At      time.Time
+	Err     error  // of an answer that did not come whole
 	Fields  []byte // of an honoured answer: the lines that go on
 	Body    []byte
+	Held    int64 // bytes of room held for it
 }
 
 // conn is one connection to a backend. One goroutine opens it and writes, one reads; the owner hands it
@@ -81,7 +86,7 @@
 	nc, err := c.pool.dial(ctx, addr)
 	cancel()
 	if err != nil {
-		res := Result{Outcome: balance.NoRoute, At: time.Now()}
+		res := Result{Outcome: balance.NoRoute, At: time.Now(), Err: err}
 		c.mu.Lock()
 		if ex.off {
 			res.Outcome = balance.NeverSent
@@ -178,13 +183,22 @@
 		if h.Status == 200 { // copied, since reading the body moves the head
 			res.Fields = heads.AppendOnward(nil, h, "Endpoint-Load-Metrics", "X-Never-Ran")
 		}
+		if want := h.Length; want < 0 || want > heads.Most {
+			if want < 0 {
+				want = largeMost
+			}
+			if want <= largeMost && c.pool.Hold(int64(want)) {
+				res.Held = int64(want)
+				r.Allow(want)
+			}
+		}
 		res.Body, err = r.Body(h.Length, h.Chunked)
 	}
 	res.At = time.Now()
 	if err != nil {
 		c.nc.Close()
 		<-ex.wrote
-		res.Outcome = broken(err, ex.whole, c.isOff(ex))
+		res.Outcome, res.Err = broken(err, ex.whole, c.isOff(ex)), err
 		return res, false
 	}
 	switch {
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -15,9 +15,10 @@
 
 // Pool hands out connections, the last used first.
 type Pool struct {
-	Connect time.Duration // a connection that is not up by then never comes up
-	Idle    time.Duration // one idle for so long is closed
-	Most    int           // connections at once, those being opened included
+	Connect time.Duration          // a connection that is not up by then never comes up
+	Idle    time.Duration          // one idle for so long is closed
+	Most    int                    // connections at once, those being opened included
+	Hold    func(bytes int64) bool // asks for room for a large answer; who gets its Result gives back what it holds
 
 	Opened, Retired, Lost, Full int // counted
 
--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	Most       = 64 << 10 // bytes of a head, and of a body: the protocol's
+	Most       = 64 << 10 // bytes of a head, and of a body: the protocol's, unless Allow says otherwise
 	slack      = 4 << 10  // bytes of chunk sizes and trailers that a message may have besides
 	mostFields = 200      // of a head; one needs ten times the memory of its bytes at least
 	firstBytes = 4 << 10  // bytes of a buffer at first: most heads take a tenth of it
@@ -63,6 +63,7 @@
 	textproto.Reader
 	src  *budget
 	head Head
+	most int // bytes of the present message's body
 }
 
 // budget bounds what one message may take from the connection, so that no line can grow without end.
@@ -85,7 +86,13 @@
 	return r
 }
 
-func (r *Reader) renew() { r.src.N = 2*Most + slack }
+func (r *Reader) renew() { r.src.N, r.most = 2*Most+slack, Most }
+
+// Allow lets the body of the message whose head was read last be so large.
+func (r *Reader) Allow(bytes int) {
+	r.src.N += int64(bytes - r.most)
+	r.most = bytes
+}
 
 // Wait blocks until a byte of the next message has come, and leaves it there. A buffer that grew with a large head is
 // given back first.
@@ -305,24 +312,24 @@
 
 // Body reads the body of the message whose head was read last.
 func (r *Reader) Body(length int, chunked bool) ([]byte, error) {
+	var body []byte
+	var err error
 	switch {
 	case chunked:
-		body, err := io.ReadAll(io.LimitReader(&chunks{r: r}, Most+1))
-		if len(body) > Most {
-			return nil, bad(413, "body too large")
+		body, err = io.ReadAll(io.LimitReader(&chunks{r: r}, int64(r.most)+1))
+	case length < 0:
+		body, err = io.ReadAll(io.LimitReader(r.R, int64(r.most)+1))
+	case length > r.most:
+	case length > Most: // danger: memory for all that a head only promises
+		if body, err = io.ReadAll(io.LimitReader(r.R, int64(length))); err == nil && len(body) < length {
+			err = io.ErrUnexpectedEOF
 		}
-		return body, err
-	case length > Most:
-		return nil, bad(413, "body too large")
 	case length > 0:
-		body := make([]byte, length)
-		_, err := io.ReadFull(r.R, body)
-		return body, whole(err)
-	case length == 0:
-		return nil, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r.R, Most+1))
-	if len(body) > Most {
+		body = make([]byte, length)
+		_, err = io.ReadFull(r.R, body)
+		err = whole(err)
+	}
+	if max(length, len(body)) > r.most {
 		return nil, bad(413, "body too large")
 	}
 	return body, err
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -63,6 +63,11 @@
 // left tells the decisions that a client has gone.
 func (p *Proxy) left(l *lookup) {
 	if l.answered {
+		select {
+		case a := <-l.answer: // nobody takes it any more
+			p.held.Add(-a.held)
+		default:
+		}
 		return
 	}
 	l.answered = true
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -18,7 +18,7 @@
 func (p *Proxy) book(l *lookup, g *leg, r backends.Result) {
 	invariant.Holds(!g.ended, "a leg ends once")
 	g.ended = true
-	g.outcome, g.neverRan = r.Outcome, r.Outcome.NeverRan()
+	g.outcome, g.err, g.neverRan = r.Outcome, r.Err, r.Outcome.NeverRan()
 	p.counts.Outcomes[r.Outcome]++
 	if p.now()-p.stamp(r.At) > lateEvent {
 		p.counts.Late++
@@ -26,7 +26,9 @@
 	if r.Outcome == balance.Honoured && !l.answered {
 		l.answered = true
 		p.counts.Honoured++
-		l.answer <- reply{status: 200, fields: r.Fields, body: r.Body}
+		l.answer <- reply{status: 200, fields: r.Fields, body: r.Body, held: r.Held}
+	} else {
+		p.held.Add(-r.Held)
 	}
 	over := l.answered
 	p.tell(l, func(now float64) *balance.Orders {
--- a/proxy/door.go
+++ b/proxy/door.go
@@ -108,6 +108,17 @@
 	}
 }
 
+// drain waits until no connection is left, but no longer than this.
+func (d *door) drain(most time.Duration) {
+	end := time.Now().Add(most)
+	defer time.AfterFunc(most, d.wake).Stop()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for len(d.all) > 0 && time.Now().Before(end) {
+		d.room.Wait()
+	}
+}
+
 // shut closes the connections without a request, from now on as soon as they have none.
 func (d *door) shut() {
 	d.mu.Lock()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -62,7 +62,10 @@
 	lingerFor   = 500 * time.Millisecond  // to read on after an error, so that the client can read it
 	backstop    = 0.002                   // s before the hard stop when a lookup with no answer is forfeited
 	closeAfter  = 500 * time.Millisecond  // from the order to stop to the end of accepting: the front needs 0.4 s
-	endMargin   = 100 * time.Millisecond  // past the longest hard stop; then what a client has not taken is cut
+	killAfter   = 700 * time.Millisecond  // from the order to stop to being killed, past the longest hard stop
+	lastServe   = 350 * time.Millisecond  // before that: connections close between requests, and with their answers
+	lastAnswer  = 150 * time.Millisecond  // before that: the hard stop of whatever is in hand
+	lastCut     = 75 * time.Millisecond   // before that: what a client has not taken is cut
 	lateEvent   = 0.02                    // s from an event to the owner's call: more is counted
 )
 
@@ -97,11 +100,13 @@
 	heard  chan struct{} // closed, by first, when discovery has told a list
 	first  func()
 	ready  atomic.Bool
-	stops  atomic.Bool // ordered to stop: each connection ends with its answer
+	stops  atomic.Bool               // ordered to stop: it is not up any more
+	closes atomic.Bool               // each connection ends with its answer
+	last   atomic.Pointer[time.Time] // once ordered to stop: the hard stop of all lookups
 	door   door
 	work   sync.WaitGroup // client connections
 
-	held     atomic.Int64 // bytes kept to be sent to backends
+	held     atomic.Int64 // bytes kept: to be sent to backends, and of large answers
 	heldMost int64
 }
 
@@ -127,7 +132,7 @@
 	p.door.over = max(int(overPart*float64(clients)), 1)
 	p.door.most = clients - p.door.over
 	p.pool = backends.New(func(ctx context.Context, addr string) (net.Conn, error) { return p.Dial(ctx, addr) }, p.post)
-	p.pool.Most = most - clients
+	p.pool.Most, p.pool.Hold = most-clients, p.hold
 	p.pool.Connect, p.pool.Idle = connectFor, idleUntold
 	if l.ConnectFor > 0 {
 		p.pool.Connect = seconds(l.ConnectFor)
@@ -170,17 +175,21 @@
 	case err = <-accepted:
 	case <-ctx.Done():
 		p.log.Info("stopping")
+		killed := time.Now().Add(p.longest + killAfter)
+		last := killed.Add(-lastAnswer)
+		p.last.Store(&last)
 		p.stops.Store(true)
 		time.Sleep(closeAfter)
 		p.door.wake()
 		ln.Close()
 		<-accepted
+		p.door.drain(time.Until(killed.Add(-lastServe))) // danger: clients sent away early may find no other proxy
+		defer time.AfterFunc(time.Until(killed.Add(-lastCut)), p.door.cut).Stop()
 	}
 	p.stops.Store(true)
+	p.closes.Store(true)
 	p.door.shut()
-	end := time.AfterFunc(p.longest+endMargin, p.door.cut)
 	p.work.Wait()
-	end.Stop()
 	close(p.quit)
 	<-p.ended
 	return err
@@ -201,6 +210,15 @@
 	})
 }
 
+// hold asks for room to keep so many bytes; whoever got it gives it back.
+func (p *Proxy) hold(bytes int64) bool {
+	if p.held.Add(bytes) <= p.heldMost {
+		return true
+	}
+	p.held.Add(-bytes)
+	return false
+}
+
 // now is the time in seconds since 1970, as the backends' starts are told. It never steps back.
 func (p *Proxy) now() float64 { return p.stamp(time.Now()) }
 
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -11,6 +11,7 @@
 	status int
 	fields []byte // lines of an honoured answer's head that go on
 	body   []byte
+	held   int64   // bytes of room, to be given back
 	advice float64 // s; when to come back; 0: no advice
 }
 
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -18,6 +18,7 @@
 	sent     float64
 	begun    bool // on a connection, or on one that is being opened
 	ended    bool
+	err      error
 	neverRan bool
 }
 
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -97,15 +97,19 @@
 	answer := c.p.up()
 	if l != nil {
 		size := int64(len(l.head) + len(l.body))
-		over := c.p.held.Add(size) > c.p.heldMost || c.over
-		defer c.p.held.Add(-size)
+		room := c.p.hold(size)
+		if room {
+			defer c.p.held.Add(-size)
+		}
+		over := !room || c.over
 		c.p.post(func() { c.p.admit(l, a, over) })
 		if answer, err = c.await(l, came); err != nil {
 			c.p.post(func() { c.p.left(l) })
 			return false
 		}
 	}
-	closing = closing || c.over || c.p.stops.Load()
+	defer c.p.held.Add(-answer.held)
+	closing = closing || c.over || c.p.closes.Load()
 	if err := c.relay(answer, closing); err != nil || closing {
 		return false
 	}
@@ -208,6 +212,9 @@
 	}
 	a.Tariff = tariff
 	a.HardStop = p.stamp(arrived) + min(wait, longestWait)
+	if last := p.last.Load(); last != nil {
+		a.HardStop = min(a.HardStop, p.stamp(*last))
+	}
 	a.Again = string(h.Get("X-Second-Try")) == "1"
 	if name := h.Get("X-Customer"); name != nil {
 		a.Customer = p.names.Customer(string(name))
--- a/proxy/trace.go
+++ b/proxy/trace.go
@@ -29,7 +29,11 @@
 	for _, g := range l.legs {
 		legs += fmt.Sprintf("%s after %.3f ", g.to, g.sent-l.arrived)
 		if g.ended {
-			legs += g.outcome.String() + "; "
+			legs += g.outcome.String()
+			if g.err != nil {
+				legs += " (" + g.err.Error() + ")"
+			}
+			legs += "; "
 		} else {
 			legs += fmt.Sprintf("out for %.3f; ", p.now()-g.sent)
 		}
