Overdue legs are no load; a tariff's rows reset after 5 s, their bar by what most servers share

The trace of beliefs showed two causes. Each hung leg filled its backend's limit of one for a whole hard stop, so that the other tariffs found no room (257 dismissed with no leg, median 19 ms for 6): pick and begin counted legs that Wake had long counted as failures. And no row paused: successes of up to 15 s before diluted it, and the bar had risen to 0.8 with the fleet's own share of that tariff's failures (results, result). Now unload takes an overdue leg off what is in flight, once; a tariff's row resets after 5 s; and its bar rises with the share of failures that three backends in four exceed, so that what some fail is not taken as shared.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,6 +1,5 @@
 // Package balance decides where a proxy sends its lookups. It does no input or output and keeps no clock.
-// New makes the Balancer of one proxy. Take hands it a lookup and gives back a handle; what happens to it
-// later is a call on that handle. Listed and ListFailed tell what the list of backends says. Every call takes
+// Take gives back a handle of a lookup; what happens to it later is a call on that handle. Every call takes
 // the present time and returns Orders. The interface is in types.go, the reasons are in docs/design.md.
 package balance
 
@@ -14,6 +13,7 @@
 // Every constant of the decisions. Shares and payoffs are plain numbers from 0 to 1.
 const (
 	roundInterval   = 15.0  // s; the source's: counts older than this say little of now
+	tariffRound     = 5.0   // s; the same for one tariff at one server: a hang costs each lookup its hard stop
 	recoverInterval = 5.0   // s; the source's: long enough that a dead backend costs few lookups
 	recoverSpread   = 0.5   // of recoverInterval, by chance, so that shared pauses do not lapse together
 	minCheck        = 5     // results; the source's: fewer are chance
@@ -136,8 +136,7 @@
 	g := &l.legs[i]
 	g.out, g.neverRan = false, o.NeverRan()
 	l.out--
-	b.out--
-	g.s.inFlight--
+	b.unload(g)
 	g.s.tariffs[l.Tariff].inFlight--
 	if !(g.started && o == Honoured) { // its time to the end is the client's
 		b.learn(l, g, o, latency)
@@ -172,6 +171,7 @@
 			continue
 		}
 		g.counted = true // danger: a hanging backend would be known only a hard stop later
+		b.unload(g)      // danger: lookups of one tariff that hang leave others no room at their server
 		b.results(l, g.s, false)
 		g.s.payoff(b, 0)
 		// danger: a leg that was lost on its way is never answered, at whatever server
@@ -523,19 +523,20 @@
 // results keeps the rows of a server. Danger: one that fails a single tariff serves the others well, so its
 // own row never pauses it; the tariff's row there pauses it for that tariff.
 func (b *Balancer) results(l *Lookup, s *server, ok bool) {
-	b.result(&s.breaker, &b.failShare, ok)
-	b.result(&s.tariffs[l.Tariff], &l.row.failShare, ok)
+	b.failShare -= meanPart * b.failShare
+	if !ok {
+		b.failShare += meanPart
+	}
+	b.result(&s.breaker, ok, roundInterval, b.failShare)
+	b.result(&s.tariffs[l.Tariff], ok, tariffRound, b.shared(l.Tariff))
 }
 
-// result keeps a row; the share is that of failures on the whole fleet.
-func (b *Balancer) result(s *breaker, failShare *float64, ok bool) {
-	*failShare -= meanPart * *failShare
-	if !ok {
-		*failShare += meanPart
-	} else if !s.tracked {
+// result keeps a row; shared is the share of failures that servers have in common.
+func (b *Balancer) result(s *breaker, ok bool, round, shared float64) {
+	if ok && !s.tracked {
 		return
 	}
-	if !s.tracked || b.now-s.roundLast > roundInterval {
+	if !s.tracked || b.now-s.roundLast > round {
 		s.tracked, s.errCount, s.totalCount, s.roundLast = true, 0, 0, b.now
 	}
 	s.totalCount++
@@ -545,8 +546,8 @@
 		return
 	}
 	s.errCount++
-	// danger: when all fail alike, pausing them all helps nobody, so the bar rises with the fleet's own share
-	bar := cbkErrRate + (1-cbkErrRate)**failShare
+	// danger: when all fail alike, pausing them all helps nobody, so the bar rises with what they share
+	bar := cbkErrRate + (1-cbkErrRate)*shared
 	if s.totalCount > minCheck && float64(s.errCount)/float64(s.totalCount) > bar {
 		s.paused = true
 		s.cooldown = recoverInterval * (1 + recoverSpread*b.chance.Float())
@@ -568,8 +569,6 @@
 	}
 }
 
-func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.d.ColdFor }
-
 // coldRoom takes a lookup's work from a bucket: this proxy's part of what pushes a cold server over, at the
 // least capacity it can have by now. A service time counts for the work, so one core is taken for granted.
 // It holds what flows until a server's turn; what it holds short of a lookup is staked by chance.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -63,6 +63,90 @@
 	assert.Zero(t, to(1)[0], "one at a time")
 }
 
+// Danger: where most servers fail one tariff, the fleet's own share of failures would keep each from being paused.
+func TestOneTariffFailsAtMostServers(t *testing.T) {
+	for _, c := range []struct{ bad, paused int }{{7, 7}, {10, 0}} {
+		k := open(t, deployment(), 10)
+		for _, s := range k.servers {
+			k.hear(s, "fhhh") // opens the row
+		}
+		k.clock += tariffRound + 1
+		for range minCheck + 1 {
+			for i, s := range k.servers {
+				if i < c.bad {
+					k.hear(s, "f")
+				} else {
+					k.hear(s, "h")
+				}
+			}
+		}
+		paused := 0
+		for _, s := range k.servers {
+			if s.tariffs[0].paused {
+				paused++
+			}
+		}
+		assert.Equal(t, c.paused, paused)
+	}
+}
+
+// Danger: lookups of one tariff that hang at a server take up its limit, and all others wait.
+func TestOverdueLegIsNoLoad(t *testing.T) {
+	k := open(t, deployment(), 1)
+	k.servers[0].limit = 1
+	hung, _ := k.take(Arrival{})
+	_, steps := k.take(Arrival{})
+	assert.Zero(t, sends(steps), "no room")
+	k.clock += k.patience(hung)
+	o := hung.Wake(k.clock)
+	assert.Equal(t, 1, sends(o.Steps))
+	assert.Equal(t, 1, k.out)
+	hung.Ended(k.clock, 0, TooSlow, 1, false)
+	assert.Equal(t, 1, k.out, "it is taken off once")
+	assert.Equal(t, 1, k.servers[0].inFlight)
+}
+
+// Danger: a leg that was lost on its way is never answered, whatever is known of its server.
+func TestLegBesideAnOverdueOne(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		kind   Kind
+		beside bool
+		out    int // other legs
+		want   int // legs after the wake
+	}{
+		{"replayable", Replayable, true, 0, 2},
+		{"referenced, in its pod and window", Referenced, true, 0, 2},
+		{"single-use", SingleUse, true, 0, 1},
+		{"not allowed", Replayable, false, 0, 1},
+		{"little room", Replayable, true, 3, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := deployment(Tariff{Name: "a", Kind: c.kind, Scope: ScopePod, Window: 5})
+			d.Beside, d.Proxies = c.beside, 1
+			k := open(t, d, 3)
+			for _, s := range k.servers {
+				s.limit = 2
+			}
+			for range c.out {
+				k.take(Arrival{})
+			}
+			l, _ := k.take(Arrival{})
+			k.clock += k.patience(l)
+			assert.Equal(t, c.want-1, sends(l.Wake(k.clock).Steps))
+			if c.want < 2 {
+				return
+			}
+			assert.NotSame(t, l.legs[0].s, l.legs[1].s)
+			o := l.Ended(k.clock, 0, Cut, 0.2, false)
+			assert.Empty(t, o.Steps, "the other may still answer")
+			o = l.Ended(k.clock, 1, Honoured, 0.1, true)
+			assert.Empty(t, o.Steps)
+			assert.True(t, l.Done())
+		})
+	}
+}
+
 func TestSharedFailurePausesFewer(t *testing.T) {
 	k := open(t, deployment(), 4)
 	for range 40 {
--- a/balance/state.go
+++ b/balance/state.go
@@ -18,6 +18,7 @@
 	purses         []purse   // one a customer
 	held           []*Lookup // waiting with nothing out, by value, then by age
 	cands          []cand    // scratch
+	shares         []float64 // scratch
 	orders         Orders
 	out            int     // legs in flight
 	room           float64 // legs all admitted servers bear, as of the last pick
@@ -39,10 +40,9 @@
 // row holds what differs by tariff.
 type row struct {
 	Tariff
-	times     measure.Times
-	work      float64 // mean hint, s
-	base      float64 // the median when little waited, s
-	failShare float64 // share of its results that were failures, smoothed
+	times measure.Times
+	work  float64 // mean hint, s
+	base  float64 // the median when little waited, s
 }
 
 // median is what an answer of this tariff usually takes.
@@ -56,6 +56,8 @@
 // warm says whether backends may be warm for this lookup.
 func (b *Balancer) warm(l *Lookup) bool { return b.d.WarmKeys && l.Key != 0 }
 
+func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.d.ColdFor }
+
 // purse is what a customer's share still allows, in lookups.
 type purse struct{ left, at float64 }
 
@@ -107,6 +109,7 @@
 	pod, zone                       int
 	sent                            float64
 	out, neverRan, started, counted bool
+	unloaded                        bool
 }
 
 // Lookup is the handle of one lookup.
@@ -141,6 +144,36 @@
 	l.isHeld = false
 }
 
+// unload takes a leg from what is in flight, once: when it ends, or from when it is overdue.
+func (b *Balancer) unload(g *leg) {
+	if !g.unloaded {
+		g.unloaded = true
+		b.out--
+		g.s.inFlight--
+	}
+}
+
+// shared is the share of failures in a tariff's rows that three servers in four exceed: what only some servers fail, up
+// to that many, is not shared.
+func (b *Balancer) shared(tariff int) float64 {
+	b.shares = b.shares[:0]
+	for _, s := range b.servers {
+		if s == nil || s.State != Ready {
+			continue
+		}
+		share, r := 0.0, &s.tariffs[tariff]
+		if r.totalCount > 0 && b.now-r.accessLast < roundInterval {
+			share = float64(r.errCount) / float64(r.totalCount)
+		}
+		b.shares = append(b.shares, share)
+	}
+	if len(b.shares) == 0 {
+		return 0
+	}
+	slices.Sort(b.shares)
+	return b.shares[len(b.shares)/4]
+}
+
 // unheard is a server that nothing is known of but its model.
 func (b *Balancer) unheard(model int) *server {
 	return &server{limit: firstLimit / float64(b.d.Proxies), pace: 1, flowed: b.now, tariffs: make([]breaker, len(b.rows)),
