Nothing unasked is read as an answer; connections idle for longest are used first

The writer now looks at the socket once more before it writes, and the reader takes nothing for an answer before writing has begun; such a leg was never sent and goes elsewhere. Using the connection idle for longest leaves a backend time to close it. Besides: 20 interim answers at most; the fields that say whose a lookup is only once; no GET with a body.

--- a/internal/backends/backends_test.go
+++ b/internal/backends/backends_test.go
@@ -317,6 +317,43 @@
 	})
 }
 
+// Danger: what waits on a connection before a request is written would be taken for its answer.
+func TestUnasked(t *testing.T) {
+	for _, come := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold", ""} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NoError(t, err)
+		ours, err := net.Dial("tcp", ln.Addr().String())
+		assert.NoError(t, err)
+		end, err := ln.Accept()
+		assert.NoError(t, err)
+		assert.False(t, pending(ours))
+		io.WriteString(end, come)
+		if come == "" {
+			end.(*net.TCPConn).CloseWrite()
+		}
+		for !pending(ours) {
+			time.Sleep(time.Millisecond)
+		}
+		posted := make(chan func(), 2)
+		p := New(nil, func(f func()) { posted <- f })
+		p.Place(0, "one:1", 0)
+		var got []Result
+		ex := &Exchange{Head: []byte("GET"), wrote: make(chan struct{}), Report: func(r Result) { got = append(got, r) }}
+		c := &conn{pool: p, to: p.backends[0], nc: ours, ex: ex, jobs: make(chan *Exchange, 1)}
+		c.write(ex)
+		go c.read()
+		(<-posted)()
+		if assert.Len(t, got, 1) {
+			assert.Equal(t, balance.NeverSent, got[0].Outcome)
+		}
+		(<-posted)()
+		rest, _ := io.ReadAll(end)
+		assert.Empty(t, rest, "nothing is written")
+		end.Close()
+		ln.Close()
+	}
+}
+
 func TestReuse(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"lockloom/balance"
@@ -23,7 +24,7 @@
 	Until            time.Time    // no answer by then: it timed out
 	Before           time.Time    // not sent where no connection is up by then; zero: no such bound
 	Report           func(Result) // called once, on the owner's goroutine
-	off              bool         // called off; under conn.mu
+	off, begun       bool         // called off; being written; under conn.mu
 	wrote            chan struct{}
 	whole            bool // its last byte is written; read after wrote is closed
 	conn             *conn
@@ -123,9 +124,17 @@
 	}
 }
 
+// write writes a request, unless something has come before it. Danger: a second copy of the answer before would be read
+// as the answer to this request, and one written to a connection that the backend has closed may seem to have run.
 func (c *conn) write(ex *Exchange) {
-	c.nc.SetWriteDeadline(ex.Until)
-	err := heads.Write(c.nc, ex.Head, ex.Tail, ex.Body)
+	c.mu.Lock()
+	ex.begun = !c.dead && !pending(c.nc)
+	c.mu.Unlock()
+	err := errUnasked
+	if ex.begun {
+		c.nc.SetWriteDeadline(ex.Until)
+		err = heads.Write(c.nc, ex.Head, ex.Tail, ex.Body)
+	}
 	ex.whole = err == nil
 	close(ex.wrote)
 	if err != nil {
@@ -133,6 +142,27 @@
 	}
 }
 
+var errUnasked = errors.New("closed, or an answer to nothing")
+
+// pending tells whether bytes or the end wait to be read, as far as a connection can tell. The reader that waits for
+// them may not have run yet.
+func pending(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	waits := false
+	err = raw.Control(func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waits = err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return waits || err != nil
+}
+
 // read reads answers, and notices while none is due that the backend closes.
 func (c *conn) read() {
 	r := heads.NewReader(c.nc)
@@ -140,12 +170,19 @@
 		err := r.Wait()
 		c.mu.Lock()
 		ex := c.ex
-		c.dead = ex == nil
+		unasked := ex == nil || !ex.begun
+		c.dead = unasked
 		c.mu.Unlock()
-		if ex == nil { // closed, or an answer to nothing
+		if ex == nil {
 			break
 		}
-		res, keep := c.answer(r, ex, err)
+		res, keep := Result{Outcome: balance.NeverSent, Err: errUnasked}, false
+		if unasked {
+			<-ex.wrote // it was not
+			res.At = time.Now()
+		} else {
+			res, keep = c.answer(r, ex, err)
+		}
 		keep = keep && !c.pool.shut.Load()
 		if keep {
 			c.nc.SetReadDeadline(time.Time{})
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -13,7 +13,8 @@
 	"time"
 )
 
-// Pool hands out connections, the last used first.
+// Pool hands out connections, the one idle for longest first: what a backend sends behind an answer, or its closing, has
+// come by then.
 type Pool struct {
 	Connect time.Duration          // a connection that is not up by then never comes up
 	Idle    time.Duration          // one idle for so long is closed
@@ -77,8 +78,8 @@
 	b, now := p.backends[index], time.Now()
 	ex.wrote = make(chan struct{})
 	for n := len(b.idle); n > 0; n = len(b.idle) {
-		c := b.idle[n-1]
-		b.idle = b.idle[:n-1]
+		c := b.idle[0]
+		b.idle = slices.Delete(b.idle, 0, 1)
 		if now.Sub(c.since) >= p.Idle { // danger: a request to a connection that is being closed ends as a reset
 			p.retire(c)
 		} else if c.begin(ex) {
--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	Most       = 64 << 10 // bytes of a head, and of a body: the protocol's, unless Allow says otherwise
-	slack      = 4 << 10  // bytes of chunk sizes and trailers that a message may have besides
-	mostFields = 200      // of a head; one needs ten times the memory of its bytes at least
-	firstBytes = 4 << 10  // bytes of a buffer at first: most heads take a tenth of it
+	Most        = 64 << 10 // bytes of a head, and of a body: the protocol's, unless Allow says otherwise
+	slack       = 4 << 10  // bytes of chunk sizes and trailers that a message may have besides
+	mostFields  = 200      // of a head; one needs ten times the memory of its bytes at least
+	interimMost = 20       // interim answers to one request
+	firstBytes  = 4 << 10  // bytes of a buffer at first: most heads take a tenth of it
 )
 
 // Error is a message that cannot be taken, with the status that says so to a client.
@@ -53,6 +54,17 @@
 	return nil
 }
 
+// Twice tells whether there are several fields of that name.
+func (h *Head) Twice(name string) bool {
+	n := 0
+	for i := range h.Fields {
+		if is(h.Fields[i].Name, name) {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // is tells whether a field's name is this one, in whatever case.
 func is(name []byte, want string) bool {
 	return len(name) == len(want) && bytes.EqualFold(name, []byte(want))
@@ -209,7 +221,7 @@
 
 // Response reads a response's head, passing over interim ones.
 func (r *Reader) Response() (*Head, error) {
-	for {
+	for range interimMost {
 		raw, err := r.raw()
 		if err != nil {
 			return nil, err
@@ -239,6 +251,7 @@
 		}
 		return h, nil
 	}
+	return nil, bad(400, "too many interim answers")
 }
 
 // fields reads the version and the lines after the first.
--- a/internal/heads/heads_test.go
+++ b/internal/heads/heads_test.go
@@ -128,6 +128,7 @@
 		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", 200, "ab", false, false},
 		{"to the close", "HTTP/1.1 200 OK\r\n\r\nabc", 200, "abc", true, false},
 		{"interim first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", 503, "", false, false},
+		{"endless interim", strings.Repeat("HTTP/1.1 102 x\r\n\r\n", interimMost+1), 0, "", false, true},
 		{"no body by status", "HTTP/1.1 204 x\r\nContent-Length: 9\r\n\r\n", 204, "", false, false},
 		{"no reason", "HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", 200, "", false, false},
 		{"cut short", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", 200, "", false, true},
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -180,6 +180,9 @@
 	return l, a, err
 }
 
+// ownFields say whose lookup it is and how it may be sent again.
+var ownFields = []string{"X-Trace-Id", "X-Qos", "X-Expires-In", "Idempotency-Key"}
+
 // arrival is what a request's head says of its lookup.
 func (p *Proxy) arrival(h *heads.Head, path, query []byte, arrived time.Time) (balance.Arrival, error) {
 	a := balance.Arrival{Customer: -1}
@@ -196,7 +199,14 @@
 	}
 	get, kind := string(h.Method) == "GET", p.launch.Tariffs[tariff].Kind
 	wait, err := strconv.ParseFloat(string(h.Get("X-Expires-In")), 64)
+	for _, name := range ownFields { // danger: a backend may go by another of them than this proxy
+		if h.Twice(name) {
+			return refuse(400, name+" twice")
+		}
+	}
 	switch {
+	case get && (h.Length > 0 || h.Chunked): // danger: a backend that expects none takes it for a request
+		return refuse(400, "GET with a body")
 	case !bytes.Equal(first, named):
 		return refuse(400, "path and X-Qos differ")
 	case len(h.Get("X-Trace-Id")) == 0:
