No more idle connections are kept than a quarter of the clients' bound

Now an answer closes its connection where a quarter of the bound is idle between requests already, and those idle for 2 s go while that is so.

--- a/proxy/door.go
+++ b/proxy/door.go
@@ -11,6 +11,7 @@
 	mu         sync.Mutex
 	room       sync.Cond
 	most, over int // connections served; further ones that are dismissed at once
+	keep, kept int // idle between requests: most, and now
 	all        map[*client]bool
 	idle       []*client
 	crowded    int // connections taken over the bound
@@ -48,6 +49,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.all[c] = true
+	d.thin()
 	if len(d.all) <= d.most {
 		return false
 	}
@@ -69,16 +71,19 @@
 	d.room.Signal()
 }
 
-// rest notes that a connection waits for a request, its first or a later one.
-func (d *door) rest(c *client, first bool) {
+// rest notes that a connection is idle: fresh where its first request is on the way, kept where a later one may come.
+func (d *door) rest(c *client, fresh, kept bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed {
 		c.end()
 		return
 	}
-	c.begun, c.fresh, c.since = false, first, time.Now()
+	c.begun, c.fresh, c.kept, c.since = false, fresh, kept, time.Now()
 	d.idle = append(d.idle, c)
+	if kept {
+		d.kept++
+	}
 	d.room.Signal()
 }
 
@@ -105,6 +110,29 @@
 func (d *door) unrest(c *client) {
 	if i := slices.Index(d.idle, c); i >= 0 {
 		d.idle = slices.Delete(d.idle, i, i+1)
+		if c.kept {
+			d.kept--
+		}
+	}
+}
+
+// full tells whether as many connections are idle between requests as are kept. Danger: clients that ask once and stay
+// take up all that their side may open, and nobody can ask any more.
+func (d *door) full() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.kept >= d.keep
+}
+
+// thin closes, where there are so many, those that have been idle for long.
+func (d *door) thin() {
+	for i := 0; i < len(d.idle) && d.kept >= d.keep && time.Since(d.idle[i].since) >= keptIdle; {
+		if c := d.idle[i]; c.kept && !c.begun {
+			c.end()
+			d.unrest(c)
+		} else {
+			i++
+		}
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -43,6 +43,7 @@
 	reserve     = 64                      // descriptors for files, listener, discovery and what is just closing
 	clientPart  = 0.75                    // of the other descriptors: a lookup may wait longer than its legs take
 	overPart    = 0.2                     // of the clients': taken over the bound, to be dismissed at once
+	keptPart    = 0.25                    // of the clients': idle between requests; further ones close with their answer
 	heldPart    = 0.25                    // of the memory limit, for what is kept to be sent to backends
 	idlePart    = 0.8                     // of the time after which a backend closes an idle connection
 	idleUntold  = 2 * time.Second         // where that time is not told
@@ -51,6 +52,7 @@
 	traceEvery  = time.Second             // between lines of beliefs, where that is logged
 	reportEvery = 10 * time.Second        // between lines of counts in the log
 	firstList   = 300 * time.Millisecond  // to wait for discovery before being ready with the known list
+	keptIdle    = 2 * time.Second         // the same where there are as many idle as are kept
 	clientIdle  = 75 * time.Second        // a client's connection between requests
 	firstBegun  = 2100 * time.Millisecond // from a connection's start to its first request's first byte
 	firstWhole  = 2700 * time.Millisecond // and to its last: who says nothing, or trickles, is told or closed within 3 s
@@ -131,6 +133,7 @@
 	clients := max(int(clientPart*float64(most)), 2)
 	p.door.over = max(int(overPart*float64(clients)), 1)
 	p.door.most = clients - p.door.over
+	p.door.keep = max(int(keptPart*float64(p.door.most)), 1)
 	p.pool = backends.New(func(ctx context.Context, addr string) (net.Conn, error) { return p.Dial(ctx, addr) }, p.post)
 	p.pool.Most, p.pool.Hold = most-clients, p.hold
 	p.pool.Connect, p.pool.Idle = connectFor, idleUntold
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -891,6 +891,37 @@
 	})
 }
 
+// Danger: clients that ask once and keep their connections leave no connection for those that still ask.
+func TestKeptConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := serve(t, map[string][]string{"b1": {ok}}, nil)
+		y.door.keep = 3
+		once := func() (net.Conn, bool) {
+			c := y.client()
+			go io.WriteString(c, look)
+			status, h, _, err := answer(c)
+			assert.NoError(t, err)
+			assert.Equal(t, 200, status)
+			synctest.Wait()
+			return c, h.Close
+		}
+		var stay []net.Conn
+		for i := range 10 {
+			c, closes := once()
+			assert.Equal(t, i >= 3, closes, "so many are kept")
+			stay = append(stay, c)
+		}
+		time.Sleep(keptIdle)
+		once() // lets the first be seen as idle for too long
+		_, err := stay[0].Write([]byte("x"))
+		assert.Error(t, err)
+		c, closes := once()
+		assert.False(t, closes, "there is room to keep one again")
+		c.Close()
+		y.end()
+	})
+}
+
 // Danger: bodies of lookups that wait fill the memory, and the proxy is killed with all that it has taken.
 func TestHeldBytes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -25,6 +25,7 @@
 
 	// Under door.mu.
 	begun  bool      // its request has, and has not come whole
+	kept   bool      // idle between requests
 	fresh  bool      // new, or begun: gets time to go on
 	since  time.Time // waits since
 	closed bool      // by the door
@@ -64,7 +65,7 @@
 	c.nc.SetReadDeadline(c.met.Add(firstBegun))
 	go func() { came <- c.r.Wait() }()
 	for first := true; ; first = false {
-		c.p.door.rest(c, first)
+		c.p.door.rest(c, first, !first)
 		if err := <-came; err != nil || !c.p.door.begin(c, first) || !c.one(came, first) {
 			return
 		}
@@ -109,7 +110,7 @@
 		}
 	}
 	defer c.p.held.Add(-answer.held)
-	closing = closing || c.over || c.p.closes.Load()
+	closing = closing || c.over || c.p.closes.Load() || c.p.door.full()
 	if err := c.relay(answer, closing); err != nil || closing {
 		return false
 	}
@@ -265,7 +266,7 @@
 	}
 	if half, ok := c.nc.(interface{ CloseWrite() error }); ok {
 		half.CloseWrite()
-		c.p.door.rest(c, false) // danger: many that are turned away would keep others out while they are read on
+		c.p.door.rest(c, false, false) // danger: many that are turned away would keep others out while they are read on
 		c.nc.SetReadDeadline(time.Now().Add(lingerFor))
 		io.CopyN(io.Discard, c.nc, 2*heads.Most)
 	}
