--- a/balance/balance.go
+++ b/balance/balance.go
@@ -134,7 +134,7 @@
 		return &b.orders
 	}
 	g := &l.legs[i]
-	g.out, g.neverRan = false, o.NeverRan()
+	g.out, g.neverRan, g.noRoute = false, o.NeverRan(), o == NoRoute
 	l.out--
 	b.unload(g)
 	g.s.tariffs[l.Tariff].inFlight--
@@ -254,7 +254,7 @@
 func (b *Balancer) may(l *Lookup, s *server) bool {
 	for i := range l.legs {
 		g := &l.legs[i]
-		if g.s == s && (!g.neverRan || i == len(l.legs)-1) {
+		if g.s == s && (!g.neverRan || g.noRoute || i == len(l.legs)-1) {
 			return false
 		}
 		if g.neverRan || l.row.Kind == Replayable {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -106,6 +106,20 @@
 	assert.Equal(t, 1, k.servers[0].inFlight)
 }
 
+// Danger: a lookup whose first two servers are both down goes to and fro between them until it has no leg left.
+func TestNoWayBackWhereThereIsNoRoute(t *testing.T) {
+	for _, c := range []struct {
+		outcome Outcome
+		legs    int
+	}{{NoRoute, 2}, {NoRoom, 3}} {
+		k := open(t, deployment(), 2)
+		l, _ := k.take(Arrival{})
+		l.Ended(k.clock, 0, c.outcome, 0, false)
+		l.Ended(k.clock, 1, c.outcome, 0, false)
+		assert.Len(t, l.legs, c.legs)
+	}
+}
+
 // Danger: a leg that was lost on its way is never answered, whatever is known of its server.
 func TestLegBesideAnOverdueOne(t *testing.T) {
 	for _, c := range []struct {
--- a/balance/state.go
+++ b/balance/state.go
@@ -109,7 +109,7 @@
 	pod, zone                       int
 	sent                            float64
 	out, neverRan, started, counted bool
-	unloaded                        bool
+	unloaded, noRoute               bool
 }
 
 // Lookup is the handle of one lookup.
