In a large bank overdue legs stay load, and none gets another beside it

Where a server's limit is below half a leg only the sum of what is out binds, and taking overdue legs off it lets each of 388 proxies send more to full servers. They are now taken off only where the server's limit is half a leg or more; and a leg beside another counts itself against half of the room, so a proxy whose room is below two legs sends none.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -136,7 +136,7 @@
 	g := &l.legs[i]
 	g.out, g.neverRan, g.noRoute = false, o.NeverRan(), o == NoRoute
 	l.out--
-	b.unload(g)
+	b.unload(g, true)
 	g.s.tariffs[l.Tariff].inFlight--
 	if !(g.started && o == Honoured) { // its time to the end is the client's
 		b.learn(l, g, o, latency)
@@ -170,12 +170,12 @@
 		if !g.out || g.counted || now < g.sent+b.patience(l)-1e-6 {
 			continue
 		}
-		g.counted = true // danger: a hanging backend would be known only a hard stop later
-		b.unload(g)      // danger: lookups of one tariff that hang leave others no room at their server
+		g.counted = true                  // danger: a hanging backend would be known only a hard stop later
+		b.unload(g, g.s.limit >= halfLeg) // danger: a tariff that hangs there leaves the others no room
 		b.results(l, g.s, false)
 		g.s.payoff(b, 0)
 		// danger: a leg that was lost on its way is never answered, at whatever server
-		if s, _ := b.pick(l); s != nil && b.d.Beside && float64(b.out) < spareShare*b.room {
+		if s, _ := b.pick(l); s != nil && b.d.Beside && float64(b.out+1) <= spareShare*b.room {
 			b.send(l, s)
 		}
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -144,9 +144,10 @@
 	l.isHeld = false
 }
 
-// unload takes a leg from what is in flight, once: when it ends, or from when it is overdue.
-func (b *Balancer) unload(g *leg) {
-	if !g.unloaded {
+// unload takes a leg from what is in flight, once: when it ends, or from when it is overdue. Danger: where a server's
+// limit is too small to hold back a leg, only the sum of what is out does, and overdue ones must count in it.
+func (b *Balancer) unload(g *leg, when bool) {
+	if when && !g.unloaded {
 		g.unloaded = true
 		b.out--
 		g.s.inFlight--
