--- a/balance/balance.go
+++ b/balance/balance.go
@@ -175,7 +175,7 @@
 		b.results(l, g.s, false)
 		g.s.payoff(b, 0)
 		// danger: a leg that was lost on its way is never answered, at whatever server
-		if s, _ := b.pick(l); s != nil && b.d.Beside && float64(b.out+1) <= spareShare*b.room {
+		if s, _ := b.pick(l); s != nil && b.d.Beside && float64(max(b.out, 1)) < spareShare*b.room {
 			b.send(l, s)
 		}
 	}
