A connection on which a request waits to be read makes no room for another

The core is short there, and the goroutine that waits for that request has not run yet when accept makes room (door.go, idlest and thin). Both now look at the socket first, as the writer to backends does.

--- a/internal/backends/backends_test.go
+++ b/internal/backends/backends_test.go
@@ -326,12 +326,12 @@
 		assert.NoError(t, err)
 		end, err := ln.Accept()
 		assert.NoError(t, err)
-		assert.False(t, pending(ours))
+		assert.False(t, Pending(ours))
 		io.WriteString(end, come)
 		if come == "" {
 			end.(*net.TCPConn).CloseWrite()
 		}
-		for !pending(ours) {
+		for !Pending(ours) {
 			time.Sleep(time.Millisecond)
 		}
 		posted := make(chan func(), 2)
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -128,7 +128,7 @@
 // as the answer to this request, and one written to a connection that the backend has closed may seem to have run.
 func (c *conn) write(ex *Exchange) {
 	c.mu.Lock()
-	ex.begun = !c.dead && !pending(c.nc)
+	ex.begun = !c.dead && !Pending(c.nc)
 	c.mu.Unlock()
 	err := errUnasked
 	if ex.begun {
@@ -144,9 +144,9 @@
 
 var errUnasked = errors.New("closed, or an answer to nothing")
 
-// pending tells whether bytes or the end wait to be read, as far as a connection can tell. The reader that waits for
+// Pending tells whether bytes or the end wait to be read, as far as a connection can tell. The reader that waits for
 // them may not have run yet.
-func pending(nc net.Conn) bool {
+func Pending(nc net.Conn) bool {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return false
--- a/proxy/door.go
+++ b/proxy/door.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"lockloom/internal/backends"
 )
 
 // door knows the clients' connections, and which wait for a request, those for longest first.
@@ -31,10 +33,11 @@
 }
 
 // idlest is the place of a connection that may go, idle for longest, or -1. Danger: a new one looks idle while its
-// first request is on the way; but one that never sends it, or sends a part only, must not keep others out.
+// first request is on the way; but one that never sends it, or sends a part only, must not keep others out. One whose
+// request has come and was not read yet, because the core is busy, would be lost.
 func (d *door) idlest() int {
 	for i, c := range d.idle {
-		if !c.fresh || time.Since(c.since) >= freshFor {
+		if (!c.fresh || time.Since(c.since) >= freshFor) && !backends.Pending(c.nc) {
 			return i
 		}
 	}
@@ -127,7 +130,7 @@
 // thin closes, where there are so many, those that have been idle for long.
 func (d *door) thin() {
 	for i := 0; i < len(d.idle) && d.kept >= d.keep && time.Since(d.idle[i].since) >= keptIdle; {
-		if c := d.idle[i]; c.kept && !c.begun {
+		if c := d.idle[i]; c.kept && !c.begun && !backends.Pending(c.nc) {
 			c.end()
 			d.unrest(c)
 		} else {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -891,6 +891,40 @@
 	})
 }
 
+// Danger: a request that has come and was not read yet is lost if its connection has to make room.
+func TestUnreadRequestStays(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	defer ln.Close()
+	d := &door{most: 1, keep: 1, all: map[*client]bool{}}
+	d.room.L = &d.mu
+	var clients []*client
+	var ends []net.Conn
+	for range 2 {
+		end, err := net.Dial("tcp", ln.Addr().String())
+		assert.NoError(t, err)
+		defer end.Close()
+		nc, err := ln.Accept()
+		assert.NoError(t, err)
+		defer nc.Close()
+		c := &client{nc: nc}
+		d.all[c] = true
+		d.rest(c, false, true)
+		clients, ends = append(clients, c), append(ends, end)
+	}
+	io.WriteString(ends[0], look)
+	for !backends.Pending(clients[0].nc) {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, 1, d.idlest(), "the other one makes room")
+	for _, c := range clients {
+		c.since = time.Now().Add(-keptIdle)
+	}
+	d.thin()
+	assert.False(t, clients[0].closed)
+	assert.True(t, clients[1].closed)
+}
+
 // Danger: clients that ask once and keep their connections leave no connection for those that still ask.
 func TestKeptConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
