--- a/balance/balance.go
+++ b/balance/balance.go
@@ -528,7 +528,7 @@
 		b.failShare += meanPart
 	}
 	b.result(&s.breaker, ok, roundInterval, b.failShare)
-	b.result(&s.tariffs[l.Tariff], ok, tariffRound, b.shared(l.Tariff))
+	b.result(&s.tariffs[l.Tariff], ok, tariffRound, b.shared(l.Tariff, ok))
 }
 
 // result keeps a row; shared is the share of failures that servers have in common.
--- a/balance/state.go
+++ b/balance/state.go
@@ -155,8 +155,11 @@
 }
 
 // shared is the share of failures in a tariff's rows that three servers in four exceed: what only some servers fail, up
-// to that many, is not shared.
-func (b *Balancer) shared(tariff int) float64 {
+// to that many, is not shared. It is asked for with every result; one that is ok is held to no bar and needs none.
+func (b *Balancer) shared(tariff int, ok bool) float64 {
+	if ok {
+		return 0
+	}
 	b.shares = b.shares[:0]
 	for _, s := range b.servers {
 		if s == nil || s.State != Ready {
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -77,7 +77,7 @@
 func (p *Pool) Send(index int, ex *Exchange) bool {
 	b, now := p.backends[index], time.Now()
 	ex.wrote = make(chan struct{})
-	for n := len(b.idle); n > 0; n = len(b.idle) {
+	for len(b.idle) > 0 {
 		c := b.idle[0]
 		b.idle = slices.Delete(b.idle, 0, 1)
 		if now.Sub(c.since) >= p.Idle { // danger: a request to a connection that is being closed ends as a reset
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -24,7 +24,7 @@
 	lineMost   = 4 << 20                // bytes of a line: a list of some ten thousand backends
 )
 
-// Watch follows a list from a version on. Its fields are not changed while it runs.
+// Watch follows a list from a version on. While it runs, Version is the list's last and nobody else changes a field.
 type Watch struct {
 	Addr    string
 	Version int64
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -52,8 +52,8 @@
 	traceEvery  = time.Second             // between lines of beliefs, where that is logged
 	reportEvery = 10 * time.Second        // between lines of counts in the log
 	firstList   = 300 * time.Millisecond  // to wait for discovery before being ready with the known list
-	keptIdle    = 2 * time.Second         // the same where there are as many idle as are kept
 	clientIdle  = 75 * time.Second        // a client's connection between requests
+	keptIdle    = 2 * time.Second         // the same where there are as many idle as are kept
 	firstBegun  = 2100 * time.Millisecond // from a connection's start to its first request's first byte
 	firstWhole  = 2700 * time.Millisecond // and to its last: who says nothing, or trickles, is told or closed within 3 s
 	freshFor    = 100 * time.Millisecond  // for the first request of a connection, where others wait to be accepted
