A bank that loses discovery asks again at a pace for its size, and waits its turn

So discovery shares its pace among all that wait, and those past its patience are lost work. Ruled out: the kept streams (news reaches them within 0.2 s of each other).

At fault: watch.go, pauses of 0.1 to 1 s made for one proxy, and dialFor as the bound on the answer.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -7,7 +7,10 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,3 +142,114 @@
 		time.Sleep(time.Minute) // the silent agent's own end
 	})
 }
+
+// An agent whose discovery is overbooked lets calls wait. Danger: giving up to ask anew, at every proxy, is what keeps it so.
+func TestWatchWaitsItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, _ := test.NewNullLogger()
+		a := &agent{began: time.Now()}
+		a.plays = []func(net.Conn){func(end net.Conn) {
+			time.Sleep(7 * time.Second)
+			io.WriteString(end, stream+line(42, true))
+			end.Close()
+		}}
+		ctx, stop := context.WithCancel(t.Context())
+		var told []int64
+		w := &Watch{Addr: "agent:1", Version: 41, Dial: a.dial, Log: log, Up: func() {}, Told: func(l List) { told = append(told, l.Version) }}
+		go w.Run(ctx)
+		time.Sleep(7*time.Second - time.Millisecond)
+		synctest.Wait()
+		assert.Len(t, a.asked, 1, "it asks once and waits")
+		time.Sleep(time.Second)
+		stop()
+		synctest.Wait()
+		assert.Equal(t, []int64{42}, told)
+	})
+}
+
+// overbooked is a discovery that shares its pace among all calls that wait, turns away those that it has no place for, and
+// those that waited too long: the work done for them is lost.
+type overbooked struct {
+	pace   float64 // calls a second
+	places int
+	waits  time.Duration
+	lock   sync.Mutex
+	calls  []*call
+	asked  int
+}
+
+type call struct {
+	end  net.Conn
+	came time.Time
+	done float64 // of one
+}
+
+func (o *overbooked) dial(context.Context, string) (net.Conn, error) {
+	ours, theirs := net.Pipe()
+	go func() {
+		buf := make([]byte, 1000)
+		if _, err := theirs.Read(buf); err != nil {
+			return
+		}
+		o.lock.Lock()
+		defer o.lock.Unlock()
+		if o.asked++; len(o.calls) >= o.places {
+			go refuse(theirs)
+			return
+		}
+		o.calls = append(o.calls, &call{end: theirs, came: time.Now()})
+	}()
+	return ours, nil
+}
+
+func refuse(end net.Conn) {
+	io.WriteString(end, "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n")
+	end.Close()
+}
+
+// run has it answer for so long.
+func (o *overbooked) run(length, step time.Duration) {
+	for began := time.Now(); time.Since(began) < length; time.Sleep(step) {
+		o.lock.Lock()
+		share := o.pace * step.Seconds() / float64(max(len(o.calls), 1))
+		o.calls = slices.DeleteFunc(o.calls, func(c *call) bool {
+			c.done += share
+			switch {
+			case c.done >= 1:
+				go io.WriteString(c.end, stream+line(42, true))
+			case time.Since(c.came) > o.waits:
+				go refuse(c.end)
+			default:
+				return false
+			}
+			return true
+		})
+		o.lock.Unlock()
+	}
+}
+
+// A bank that has lost discovery all at once gets it back, though discovery answers few at a time.
+func TestBankLosesDiscovery(t *testing.T) {
+	for _, bank := range []int{1, 8, 80, 200} {
+		t.Run(fmt.Sprint(bank), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := &overbooked{pace: 16, places: 40, waits: 2 * time.Second}
+				log, _ := test.NewNullLogger()
+				ctx, stop := context.WithCancel(t.Context())
+				told := make([]atomic.Bool, bank)
+				for i := range bank {
+					w := &Watch{Addr: "agent:1", Version: 41, Bank: bank, Dial: o.dial, Log: log, Up: func() {},
+						Told: func(l List) { told[i].Store(true) }}
+					go w.Run(ctx)
+				}
+				// No beat comes, so a watch that was told asks again 3 s later: the load does not fall.
+				o.run(time.Duration(bank)*250*time.Millisecond+5*time.Second, 10*time.Millisecond)
+				for i := range told {
+					assert.True(t, told[i].Load(), "proxy %d", i)
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -18,9 +18,11 @@
 
 const (
 	dialFor    = time.Second            // to reach an agent on this machine
+	answerFor  = 10 * time.Second       // for the first word: whoever gives up and asks anew waits behind all others again
 	silentFor  = 3 * time.Second        // without a line: its beat comes every 2 s
 	pauseFirst = 100 * time.Millisecond // before the first new try
 	pauseMost  = time.Second            // before a later one: what is to be told counts as told within 6 s
+	eachPause  = 50 * time.Millisecond  // a proxy of the bank: the least mean pause, so that all ask 20 times a second together
 	lineMost   = 4 << 20                // bytes of a line: a list of some ten thousand backends
 )
 
@@ -28,18 +30,23 @@
 type Watch struct {
 	Addr    string
 	Version int64
+	Bank    int // proxies that may ask at the same time, this one included
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
 	Up      func()     // each time discovery answers; what it tells follows
 	Told    func(List) // each list, in order
 	Log     logrus.FieldLogger
 }
 
-// Run watches until the context ends, connecting anew after a growing pause spread by chance.
+// Run watches until the context ends, connecting anew after a growing pause spread by chance. Danger: a bank that loses
+// discovery all at once and asks again all at once keeps it overbooked, so that nobody hears anything: the more proxies
+// there are, the longer each waits.
 func (w *Watch) Run(ctx context.Context) {
-	pause := pauseFirst
+	first := max(pauseFirst, time.Duration(w.Bank)*eachPause)
+	most := max(pauseMost, 2*first)
+	pause := first
 	for ctx.Err() == nil {
 		before := w.Version
-		err := w.follow(ctx, func() { pause = pauseFirst })
+		err := w.follow(ctx, func() { pause = first })
 		if ctx.Err() != nil {
 			return
 		}
@@ -48,7 +55,7 @@
 		case <-ctx.Done():
 		case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(pause))):
 		}
-		pause = min(2*pause, pauseMost)
+		pause = min(2*pause, most)
 	}
 }
 
@@ -62,7 +69,7 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(dialFor)) // an agent answers at once; a silent one is asked again
+	conn.SetDeadline(time.Now().Add(answerFor)) // danger: a bank that asks anew each second keeps discovery overbooked
 	head := fmt.Appendf(nil, "GET /discovery/hosts?stream=1&index=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.Version, w.Addr)
 	if _, err := conn.Write(head); err != nil {
 		return err
