Cold budgets count a lookup's work without its wait

Cause: coldRoom counted the present median as the work, 80 ms where 20 ms are worked, so the fuller the warm ones the less a cold one gets. Now the lesser of the median and the median with little wait counts.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -571,14 +571,15 @@
 }
 
 // coldRoom takes a lookup's work from a bucket: this proxy's part of what pushes a cold server over, at the
-// least capacity it can have by now. A service time counts for the work, so one core is taken for granted.
+// least capacity it can have by now. A time with little wait counts for the work: one core is taken for granted.
 // It holds what flows until a server's turn; what it holds short of a lookup is staked by chance.
 func (b *Balancer) coldRoom(l *Lookup, s *server) bool {
 	part := b.d.ColdShare + (1-b.d.ColdShare)*max(b.now-s.UpSince, 0)/max(b.d.ColdFor, 1e-9)
 	rate := coldMargin * b.d.FallMultiple * part / float64(b.d.Proxies)
 	turn := max(b.d.FallFor*coldDepth, b.gap*b.servable)
 	s.bucket, s.flowed = min(s.bucket+(b.now-s.flowed)*rate, rate*turn), b.now
-	stake := min(s.bucket, b.typical(l))
+	work := b.work(l) // danger: counted with its wait, a crowd at the warm ones would shut the cold ones too
+	stake := min(s.bucket, work)
 	s.bucket -= stake
-	return b.chance.Float()*b.typical(l) < stake // danger: one lookup each from hundreds of proxies is a flood
+	return b.chance.Float()*work < stake // danger: one lookup each from hundreds of proxies is a flood
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -459,7 +459,7 @@
 				open[l.Ref] = l
 				for _, s := range steps {
 					if s.Send {
-						cost[s.Backend] += k.typical(open[s.Ref])
+						cost[s.Backend] += k.work(open[s.Ref])
 						open[s.Ref].Ended(k.clock, 0, Honoured, 0.05, true)
 					}
 				}
@@ -473,6 +473,30 @@
 	}
 }
 
+func TestCrowdShutsNoColdServer(t *testing.T) {
+	for name, crowd := range map[string]int{"calm": 0, "a crowd at the warm one": 120} {
+		t.Run(name, func(t *testing.T) {
+			k := open(t, deployment(), 2)
+			for range 200 {
+				k.hear(k.servers[0], "h") // in 0.05 s
+			}
+			for range crowd {
+				k.hear(k.servers[0], "l") // in 0.5 s
+			}
+			k.Listed(0, false, false, []Backend{{Index: 1, Mark: 2, Zone: 1, UpSince: 0.001}})
+			sent := 0
+			l := &Lookup{b: k.Balancer, row: &k.rows[0], heavy: 1}
+			for k.clock = 0; k.clock < 10; k.clock += 0.01 {
+				k.now = k.clock
+				if k.coldRoom(l, k.servers[1]) {
+					sent++
+				}
+			}
+			assert.Greater(t, sent, 25, "what waits at another server is no work at this one")
+		})
+	}
+}
+
 func TestColdBudgetOfManyProxies(t *testing.T) {
 	for seed := range uint64(5) {
 		d := deployment()
@@ -491,7 +515,7 @@
 				k.now = now
 				l := &Lookup{b: k.Balancer, row: &k.rows[0], Arrival: Arrival{HardStop: 9}, heavy: 1}
 				if s, _ := k.pick(l); s != nil && s.Index == 1 {
-					sent += k.typical(l)
+					sent += k.work(l)
 				}
 			}
 		}
