Idle connections to backends are kept until 0.25 s before they are closed

Ruled out: refusals for want of connections (3,500 at once). At fault: idlePart, 0.8 of the time whatever it is, in proxy.New. Change: a margin of 0.25 s, at most half of the time.

Test fails with the old part.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -45,7 +45,7 @@
 	overPart    = 0.2                     // of the clients': taken over the bound, to be dismissed at once
 	keptPart    = 0.25                    // of the clients': idle between requests; further ones close with their answer
 	heldPart    = 0.25                    // of the memory limit, for what is kept to be sent to backends
-	idlePart    = 0.8                     // of the time after which a backend closes an idle connection
+	idleMargin  = 250 * time.Millisecond  // before a backend closes an idle connection: the way there, and a look that comes late
 	idleUntold  = 2 * time.Second         // where that time is not told
 	connectFor  = time.Second             // where the deployment does not tell it
 	sweepEvery  = 100 * time.Millisecond  // between looks for connections idle too long
@@ -151,7 +151,7 @@
 		p.pool.Connect = seconds(l.ConnectFor)
 	}
 	if l.IdleFor > 0 {
-		p.pool.Idle = seconds(idlePart * l.IdleFor)
+		p.pool.Idle = max(seconds(l.IdleFor)-idleMargin, seconds(l.IdleFor/2)) // danger: in a large bank most new connections replace lapsed ones
 	}
 	if p.heldMost = int64(heldPart * float64(l.Limits.Memory)); p.heldMost == 0 {
 		p.heldMost = math.MaxInt64
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -111,6 +111,16 @@
 	return y
 }
 
+func TestIdleConnectionsAreKeptAlmostAsLongAsTheyMay(t *testing.T) {
+	for _, c := range []struct {
+		closed float64 // s
+		kept   time.Duration
+	}{{5, 4750 * time.Millisecond}, {0.4, 200 * time.Millisecond}, {0, idleUntold}} {
+		y := made(t, nil, func(l *Launch) { l.IdleFor = c.closed })
+		assert.Equal(t, c.kept, y.pool.Idle, "closed by the backend after %v s", c.closed)
+	}
+}
+
 func (y *yard) begin() {
 	ctx, stop := context.WithCancel(context.Background())
 	y.stop = stop
