--- a/balance/balance.go
+++ b/balance/balance.go
@@ -588,3 +588,15 @@
 	s.bucket -= stake
 	return b.chance.Float()*work < stake // danger: one lookup each from hundreds of proxies is a flood
 }
+
+// Probed tells what asking a backend for its load found.
+func (b *Balancer) Probed(now float64, backend int, ok bool, latency float64, r Report) *Orders {
+	b.begin(now)
+	return b.pump()
+}
+
+// Heard takes in what a peer tells.
+func (b *Balancer) Heard(now float64, from int, n Note) *Orders {
+	b.begin(now)
+	return &b.orders
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -54,7 +54,15 @@
 // Deployment is what a proxy is told when it starts. Times are in seconds.
 type Deployment struct {
 	Seed         uint64
-	Proxies      int // proxies in the bank, this one included
+	Proxies      int     // proxies in the bank, this one included
+	Self         int     // this one's number among them, from 0
+	Zone         int     // where this one stands; -1: not told
+	Apart        bool    // each client process has a proxy of its own, so their traffic differs widely
+	Peers        bool    // proxies may send one another notes
+	Probes       bool    // backends may be asked for their load
+	Streams      int     // lookups that a connection carries at once
+	PeerPrice    float64 // of the service, for one full note a lookup
+	ProbePrice   float64 // and for one probe a lookup
 	Tariffs      []Tariff
 	Customers    []Customer
 	ValueByWork  bool    // a lookup's value is its tariff's for each unit of its work
@@ -104,7 +112,8 @@
 	Mark    uint64 // hash of its name, alike at every proxy
 	Zone    int
 	Pod     int
-	Model   int // its machine's, a small number
+	Model   int     // its machine's, a small number
+	Heft    float64 // its registered size, roughly; 0: not told
 	State   State
 	UpSince float64 // when it last started; 0: long ago
 }
@@ -132,8 +141,34 @@
 	Wake    float64 // call the lookup's Wake at this clock time
 }
 
+// Report is what a backend tells of its load; -1 for what it does not tell.
+type Report struct {
+	Held  float64 // lookups it holds
+	Queue float64 // those that wait there
+	Busy  float64 // share of its cores
+	Rate  float64 // lookups a second
+}
+
+// Note is what one proxy tells another: hearsay, which may be lost, late or wrong.
+type Note struct {
+	Rate   float64 // lookups a second that its sender takes
+	Sights []Sight // the newest first
+}
+
+// Sight is the last that was seen of a backend by any proxy: how a leg of a tariff ended there, or its load.
+type Sight struct {
+	Mark   uint32  // the lower half of Backend.Mark
+	Tariff int     // -1: a report of load
+	Age    float64 // s, at the time of telling
+	Value  float64 // the leg's payoff, 0 where it failed, or the load
+}
+
 // Orders is what to do after a call. It is valid until the next call.
 type Orders struct {
+	Probe     []int   // ask these backends for their load
+	HangUp    []int   // close the idle connections to these
+	Tell      *Note   // send this to a peer
+	Peer      int     // of this number
 	Steps     []Step  // in this order
 	Subscribe bool    // ask the list of backends for its changes from now on
 	Wake      float64 // call the balancer's Wake at this clock time; 0: no need
--- a/cmd/benchlink/host.go
+++ b/cmd/benchlink/host.go
@@ -7,6 +7,7 @@
 	"lockloom/balance"
 	"lockloom/internal/benchwire"
 	"lockloom/internal/figures"
+	"lockloom/internal/notes"
 )
 
 // host keeps the instances of this process apart; they share nothing but the clock.
@@ -142,9 +143,24 @@
 	return nil
 }
 
-func (h *host) Ignored() error {
-	_, err := h.instance()
-	return err
+func (h *host) Probed(backend string, ok bool, latency float64, r balance.Report) error {
+	in, err := h.instance()
+	if err != nil {
+		return err
+	}
+	index, known := in.names.Find(backend)
+	if !known {
+		return nil
+	}
+	return h.decide(in, func(now float64) *balance.Orders { return in.b.Probed(now, index, ok, latency, r) })
+}
+
+func (h *host) Heard(from int, n balance.Note) error {
+	in, err := h.instance()
+	if err != nil {
+		return err
+	}
+	return h.decide(in, func(now float64) *balance.Orders { return in.b.Heard(now, from, n) })
 }
 
 func (h *host) instance() (*instance, error) {
@@ -180,9 +196,18 @@
 		}
 	}()
 	o := call(h.now)
-	if len(o.Steps) > 0 || o.Subscribe || o.Wake > 0 {
+	if len(o.Steps) > 0 || len(o.Probe) > 0 || len(o.HangUp) > 0 || o.Tell != nil || o.Subscribe || o.Wake > 0 {
 		h.context()
 	}
+	for _, i := range o.HangUp { // before a send, which then opens anew
+		h.w.HangUp(in.names.Name(i))
+	}
+	for _, i := range o.Probe {
+		h.w.Probe(in.names.Name(i))
+	}
+	if o.Tell != nil {
+		h.w.Tell(o.Peer, notes.ToHex(*o.Tell))
+	}
 	for i := range o.Steps {
 		s := &o.Steps[i]
 		id := in.slots[s.Ref].id
--- a/internal/benchwire/reader.go
+++ b/internal/benchwire/reader.go
@@ -12,6 +12,7 @@
 
 	"lockloom/balance"
 	"lockloom/internal/figures"
+	"lockloom/internal/notes"
 )
 
 // Receiver is told what the wire says. Times are in seconds.
@@ -27,7 +28,8 @@
 	Ended(End) error
 	Left(id string) error
 	Fired(label int) error
-	Ignored() error // an event that means nothing to this project
+	Probed(backend string, ok bool, latency float64, r balance.Report) error
+	Heard(from int, n balance.Note) error
 }
 
 // ListKind says what a list of backends holds.
@@ -131,6 +133,30 @@
 	return v == "1"
 }
 
+// report reads a load report. Fields that are not known, and those that are no numbers, tell nothing.
+func (l *line) report() balance.Report {
+	r := balance.Report{Held: -1, Queue: -1, Busy: -1, Rate: -1}
+	text, _ := l.text("Pressure")
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(part, ":")
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(x >= 0) || x > 1e6 {
+			continue
+		}
+		switch name {
+		case "outstanding":
+			r.Held = x
+		case "backlog":
+			r.Queue = x
+		case "utilization":
+			r.Busy = x
+		case "throughput":
+			r.Rate = x
+		}
+	}
+	return r
+}
+
 func word[T any](l *line, field string, words map[string]T) T {
 	v := l.must(field)
 	w, ok := words[v]
@@ -194,7 +220,7 @@
 			e.ModelName, _ = l.text("Flavor")
 			e.State = word(l, "StageState", states)
 			e.UpSince = l.maybe("UpSinceMs") / 1000
-			e.Pod = int(l.maybe("Pack"))
+			e.Pod, e.Heft = int(l.maybe("Pack")), l.maybe("Heft")
 			pages[page] = append(pages[page], e)
 		case "view":
 			kind := word(l, "How", lists)
@@ -228,8 +254,18 @@
 		case "fired":
 			label := l.whole("Label")
 			call = func() error { return to.Fired(label) }
-		case "check_result", "peer_data":
-			call = to.Ignored
+		case "check_result":
+			name, ok, latency, report := l.must("Backend"), l.must("Status") == "pass", l.num("LatencyMs")/1000, l.report()
+			call = func() error { return to.Probed(name, ok, latency, report) }
+		case "peer_data":
+			from, data := l.whole("Who"), l.must("Data")
+			call = func() error {
+				n, err := notes.FromHex(data)
+				if err != nil { // danger: a peer of another build or a broken wire; its word changes nothing
+					return nil
+				}
+				return to.Heard(from, n)
+			}
 		default:
 			l.fail("message", "unknown")
 		}
--- a/internal/benchwire/writer.go
+++ b/internal/benchwire/writer.go
@@ -42,6 +42,14 @@
 
 func (w *Writer) Subscribe() { w.line("keep_informed Enable=1") }
 
+func (w *Writer) Probe(backend string) { w.line("inspect Backend=", backend) }
+
+func (w *Writer) HangUp(backend string) { w.line("hang_up Backend=", backend) }
+
+func (w *Writer) Tell(peer int, data string) {
+	w.line("broadcast_to Target=", strconv.Itoa(peer), " Data=", data)
+}
+
 // Broken says that the decisions have failed, in words.
 func (w *Writer) Broken(text string) {
 	w.line("give_in Line=", strings.Join(strings.Fields(text), " "))
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -36,6 +37,14 @@
 	}
 	f.Deployment = balance.Deployment{
 		Seed:         seed,
+		Self:         int(e.num("SlotNo")),
+		Zone:         slices.Index(f.Zones, values["Zone"]),
+		Apart:        values["KindOfService"] == "mesh",
+		Peers:        e.bool("Ceilings.PeerMessages"),
+		Probes:       e.bool("Ceilings.Probes") && values["Feedback.Via"] == "on_probe",
+		Streams:      max(int(e.num("Ceilings.StreamsPerConn")), 1),
+		PeerPrice:    e.num("Tariffs.Peer"),
+		ProbePrice:   e.num("Tariffs.Probe"),
 		Proxies:      int(e.num("ReplicasOfMe")),
 		ValueByWork:  values["ValuePer"] == "work",
 		BeyondShare:  e.num("BeyondShareValue"),
--- a/internal/figures/register.go
+++ b/internal/figures/register.go
@@ -77,6 +77,12 @@
 // Backends is how many numbers were given out at once, most.
 func (r *Register) Backends() int { return len(r.names) }
 
+// Find is the number of a backend's name, and whether it has one.
+func (r *Register) Find(name string) (int, bool) {
+	i, ok := r.backends[name]
+	return i, ok
+}
+
 // Name is that of a backend.
 func (r *Register) Name(index int) string { return r.names[index] }
 
--- /dev/null
+++ b/internal/notes/notes.go
@@ -0,0 +1,85 @@
+// Package notes is the form in which proxies tell one another what they saw: bytes to balance.Note and back, in the
+// simulator as in the program. It decides nothing; what it cannot read is an error, and changes nothing.
+//
+// A note is a byte of version, two of the sender's lookups a second in sixteenths, and seven for each sight: four of the
+// backend's mark, one of the tariff (255: a report of load), one of the age in 20 ms, one of the value: a payoff in
+// 254ths, or the load as whole lookups. All numbers have their highest byte first.
+package notes
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"math"
+
+	"lockloom/balance"
+)
+
+const (
+	version   = 1
+	headBytes = 3
+	bytesEach = 7
+	MaxBytes  = 256 // the longest note that a platform passes on
+	perSecond = 50  // units of an age
+	load      = 255 // in the place of a tariff
+	whole     = 254 // units of a payoff of 1
+	sixteenth = 16
+)
+
+// Most is how many sights a note holds.
+const Most = (MaxBytes - headBytes) / bytesEach
+
+// Encode writes a note. What does not fit in it is left out, from the end.
+func Encode(n balance.Note) []byte {
+	out := binary.BigEndian.AppendUint16([]byte{version}, uint16(bound(n.Rate*sixteenth, math.MaxUint16)))
+	for _, s := range n.Sights[:min(len(n.Sights), Most)] {
+		tariff, value := byte(load), s.Value
+		if s.Tariff >= 0 {
+			tariff, value = byte(bound(float64(s.Tariff), load-1)), s.Value*whole
+		}
+		out = binary.BigEndian.AppendUint32(out, s.Mark)
+		out = append(out, tariff, byte(bound(math.Ceil(s.Age*perSecond), 255)), byte(bound(value+0.5, 255)))
+	}
+	return out
+}
+
+// Decode reads a note.
+func Decode(data []byte) (balance.Note, error) {
+	switch {
+	case len(data) < headBytes || len(data) > MaxBytes || (len(data)-headBytes)%bytesEach != 0:
+		return balance.Note{}, fmt.Errorf("note of %d bytes", len(data))
+	case data[0] != version:
+		return balance.Note{}, fmt.Errorf("note of version %d, not %d", data[0], version)
+	}
+	n := balance.Note{Rate: float64(binary.BigEndian.Uint16(data[1:])) / sixteenth}
+	for rest := data[headBytes:]; len(rest) > 0; rest = rest[bytesEach:] {
+		s := balance.Sight{Mark: binary.BigEndian.Uint32(rest), Tariff: int(rest[4]), Age: float64(rest[5]) / perSecond,
+			Value: float64(rest[6])}
+		if s.Tariff == load {
+			s.Tariff = -1
+		} else {
+			s.Value = min(s.Value/whole, 1)
+		}
+		n.Sights = append(n.Sights, s)
+	}
+	return n, nil
+}
+
+// ToHex and FromHex are the same in hex digits.
+func ToHex(n balance.Note) string { return hex.EncodeToString(Encode(n)) }
+
+func FromHex(text string) (balance.Note, error) {
+	data, err := hex.DecodeString(text)
+	if err != nil {
+		return balance.Note{}, fmt.Errorf("note: %w", err)
+	}
+	return Decode(data)
+}
+
+// bound keeps x between 0 and most; no number is 0.
+func bound(x, most float64) float64 {
+	if !(x > 0) {
+		return 0
+	}
+	return min(x, most)
+}
