--- a/balance/balance.go
+++ b/balance/balance.go
@@ -59,6 +59,13 @@
 	paceSmoothing   = 0.05  // of a gap between sends: about twenty gaps
 	spareLegs       = 10.0  // usual legs past a small room, saved up: a part of all arrivals comes in clumps
 	spareRoom       = 4.0   // legs; a room of so many smooths half of that by itself
+	freshFor        = 0.4   // s; a told load this old says little more than the mean
+	seenFor         = 2.0   // s without any told load: it is not seen
+	seenShare       = 0.45   // of the due time that a usual lookup may take at a full server whose load is seen
+	seenReserve     = 0.3   // of the room, for lookups of more than the usual priority
+	spend           = 0.004 // of the service, to pay for probes, and as much for notes
+	leastBusy       = 0.1   // share of the cores: less tells nothing of how many there are
+	mostAsked       = 2.0   // probes a lookup, however cheap
 	meanPart        = 0.02  // smoothing of fleet-wide means: about fifty results
 )
 
@@ -102,6 +109,7 @@
 	} else if n := ownServers * b.servable / float64(b.d.Proxies); n < b.servable {
 		l.place = b.d.Seed + uint64(b.chance.Float()*n) // danger: who sees little of all can tell none apart
 	}
+	b.ask()
 	l.priority = b.priority(l)
 	b.usual += meanPart * (l.priority - b.usual)
 	b.step(Step{Ref: a.Ref, Wake: a.HardStop - answerEarly})
@@ -141,6 +149,9 @@
 	l.out--
 	b.unload(g, true)
 	g.s.tariffs[l.Tariff].inFlight--
+	if g.sent > g.s.toldAt {
+		g.s.since--
+	}
 	if !(g.started && o == Honoured) { // its time to the end is the client's
 		b.learn(l, g, o, latency)
 	}
@@ -240,7 +251,9 @@
 }
 
 func (b *Balancer) send(l *Lookup, s *server) {
-	l.legs = append(l.legs, leg{s: s, pod: s.Pod, zone: s.Zone, sent: b.now, out: true})
+	l.legs = append(l.legs, leg{s: s, pod: s.Pod, zone: s.Zone, sent: b.now, out: true,
+		crowd: max(b.load(s)+1, s.cores()) / s.cores()})
+	s.since++
 	l.out++
 	b.out++
 	s.inFlight++
@@ -383,14 +396,15 @@
 		return nil, false
 	}
 	b.cands = b.cands[:0]
-	full, admitted := false, 0
+	full, admitted, out := false, 0, 0.0
 	b.room = 0
 	for _, s := range b.servers {
 		if s == nil || s.State != Ready || !b.admitted(&s.breaker) {
 			continue
 		}
 		admitted++
-		b.room += s.limit
+		b.room += b.bears(s)
+		out += b.load(s)
 		if !b.admitted(&s.tariffs[l.Tariff]) || !b.may(l, s) {
 			continue
 		}
@@ -404,11 +418,15 @@
 		}
 		b.cands = append(b.cands, cand{s, score + b.noise(l, s)})
 	}
-	if float64(b.out) >= b.space(l.priority) { // danger: a room below one leg binds over time, not at once
+	b.load0 = out
+	if !b.seen() {
+		out = float64(b.out)
+	}
+	if out >= b.space(l.priority) { // danger: a room below one leg binds over time, not at once
 		return nil, full
 	}
 	b.servable = float64(max(admitted, 1))
-	bound, draws := crowdMultiple*float64(b.out)/b.servable, len(b.cands)
+	bound, draws := crowdMultiple*out/b.servable, len(b.cands)
 	if b.warm(l) && b.now < l.taken+homeTime*l.row.Due { // danger: a key on every server is warm on none
 		draws = min(draws, homes)
 	}
@@ -429,11 +447,14 @@
 			draws = min(draws+1, len(b.cands))
 			continue
 		}
-		if float64(s.inFlight) < max(s.limit, 1) {
-			if float64(s.inFlight) <= bound {
+		if b.seen() {
+			bound = out / b.room * b.bears(s)
+		}
+		if b.load(s) < max(b.bears(s), 1) {
+			if b.load(s) <= bound {
 				return s, true
 			}
-			if last == nil || s.inFlight < last.inFlight {
+			if last == nil || b.load(s)/b.bears(s) < b.load(last)/b.bears(last) {
 				last = s
 			}
 		}
@@ -466,9 +487,12 @@
 		s.payoff(b, 0)
 	case Honoured:
 		b.results(l, s, true)
-		s.pace += smoothing * (latency/(l.row.median()*max(l.heavy, 0.5)) - s.pace)
+		alone := latency / max(g.crowd, 1) / max(l.heavy, 0.5) // what it had taken at an idle server
+		l.row.alone.Add(alone)
+		m := l.row.alone.Quantile(0.5, l.row.Due/4)
+		s.pace += smoothing * (alone/m - s.pace)
 		l.row.times.Add(latency / max(l.heavy, 0.5))
-		if m := l.row.median(); m > l.row.base {
+		if m > l.row.base {
 			l.row.base += baseRise * (m - l.row.base)
 		} else {
 			l.row.base += meanPart * (m - l.row.base) // danger: a mere minimum keeps the luckiest start
@@ -478,7 +502,7 @@
 		} else {
 			s.payoff(b, latePayoff)
 		}
-		if float64(b.out+1) < busyShare*b.space(b.usual) { // with the leg that just ended
+		if b.seen() || float64(b.out+1) < busyShare*b.space(b.usual) { // with the leg that just ended
 			return // danger: a limit that moves while it does not bind is wrong when it does
 		}
 		grow := 1 + limitGain*latency/float64(1+b.d.Proxies)/s.limit
@@ -520,6 +544,9 @@
 // than the usual priority leaves some, one of more may run into debt: few are ever held to choose from.
 func (b *Balancer) space(priority float64) float64 {
 	reserve := (b.usual - priority) / max(b.usual+priority, 1e-9)
+	if b.seen() {
+		return b.room * (1 - seenReserve*reserve)
+	}
 	return b.room + b.credit/b.rows[0].median() - b.clumps()*reserve
 }
 
@@ -589,12 +616,57 @@
 	return b.chance.Float()*work < stake // danger: one lookup each from hundreds of proxies is a flood
 }
 
-// Probed tells what asking a backend for its load found.
+// Probed tells what asking a backend for its load found. A probe that fails is no failed lookup.
 func (b *Balancer) Probed(now float64, backend int, ok bool, latency float64, r Report) *Orders {
 	b.begin(now)
+	if backend < len(b.servers) && b.servers[backend] != nil && ok && r.Held >= 0 {
+		s := b.servers[backend]
+		s.told, s.toldAt, s.since, b.seenAt = r.Held, now, 0, now
+		if o := s.opinions[1]; r.Busy >= 0 { // what it holds over the share of its cores in use, where least waits
+			o.held += meanPart * (r.Held - o.held)
+			o.busy += meanPart * (r.Busy - o.busy)
+			if o.told++; o.told > 1/meanPart && o.busy > leastBusy && (o.cores == 0 || o.held/o.busy < o.cores) {
+				o.cores = max(o.held/o.busy, 1)
+			}
+		}
+	}
 	return b.pump()
 }
 
+// ask orders probes, as many for a lookup as the price allows.
+func (b *Balancer) ask() {
+	if !b.d.Probes {
+		return
+	}
+	b.asks += min(spend/max(b.d.ProbePrice, 1e-9), mostAsked)
+	for ; b.asks >= 1; b.asks-- {
+		if s := b.servers[int(b.chance.Float()*float64(len(b.servers)))]; s != nil && s.State == Ready {
+			b.orders.Probe = append(b.orders.Probe, s.Index)
+		}
+	}
+}
+
+// seen says whether backends tell their load.
+func (b *Balancer) seen() bool { return b.seenAt > 0 && b.now < b.seenAt+seenFor }
+
+// load is how many legs a server holds: as it told, or by this proxy's own alone.
+func (b *Balancer) load(s *server) float64 {
+	if !b.seen() {
+		return float64(s.inFlight)
+	}
+	trust := math.Exp((s.toldAt - b.now) / freshFor)
+	return trust*s.told + (1-trust)*b.fill*b.bears(s) + float64(s.since)
+}
+
+// bears is how many legs a server is given: where its load is seen, as many as leave a usual lookup seenShare of
+// its due time, else this proxy's limit there.
+func (b *Balancer) bears(s *server) float64 {
+	if !b.seen() {
+		return s.limit
+	}
+	return s.cores() * max(seenShare*b.ease/s.pace, 1)
+}
+
 // Heard takes in what a peer tells.
 func (b *Balancer) Heard(now float64, from int, n Note) *Orders {
 	b.begin(now)
--- a/balance/state.go
+++ b/balance/state.go
@@ -35,14 +35,19 @@
 	askPause       float64
 	askAt          float64 // when to ask the list again; +Inf: no need
 	pumpAt         float64
+	seenAt         float64 // when a backend last told its load; 0: never
+	load0          float64 // legs at all admitted servers, as of the last pick
+	fill, ease     float64 // of the room in use; due time over the usual time of a lookup alone, the least of the tariffs
+	asks           float64 // probes saved up
 }
 
 // row holds what differs by tariff.
 type row struct {
 	Tariff
 	times measure.Times
-	work  float64 // mean hint, s
-	base  float64 // the median when little waited, s
+	alone measure.Times // the same over the crowd that shared the server
+	work  float64       // mean hint, s
+	base  float64       // the median when little waited, s
 }
 
 // median is what an answer of this tariff usually takes.
@@ -73,6 +78,8 @@
 	tariffs        []breaker   // for those of one
 	opinions       [3]*opinion // of the fleet, its model and itself
 	pace           float64     // smoothed time of its answers over the usual for their work
+	told, toldAt   float64     // legs of all proxies there, as it told last, and when
+	since          int         // own legs sent there since
 	limit          float64     // legs it bears from this proxy; below one, only some of the time
 	bucket, flowed float64     // cold budget saved up, s of work; when it last flowed
 }
@@ -87,7 +94,10 @@
 }
 
 // opinion is by how much the payoff of servers alike differs from what is else known of them.
-type opinion struct{ pay, sure, heard, lasts float64 }
+type opinion struct{ pay, sure, heard, lasts, cores, held, busy, told float64 }
+
+// cores are those of its model, as far as reports tell; else one is taken for granted.
+func (s *server) cores() float64 { return max(s.opinions[1].cores, 1) }
 
 // fade is the part of it that is not forgotten by now.
 func (o *opinion) fade(now float64) float64 { return math.Exp((o.heard - now) / o.lasts) }
@@ -113,6 +123,7 @@
 	s                               *server
 	pod, zone                       int
 	sent                            float64
+	crowd                           float64 // what shared each core of its server then
 	out, neverRan, started, counted bool
 	unloaded, noRoute               bool
 }
@@ -134,6 +145,14 @@
 func (l *Lookup) Done() bool { return l.over && l.out == 0 }
 
 func (b *Balancer) begin(now float64) *Balancer {
+	if b.seen() {
+		b.credit = 0
+		b.fill = min(b.load0/max(b.room, 1e-9), 1)
+		b.ease = math.Inf(1)
+		for i := range b.rows {
+			b.ease = min(b.ease, b.rows[i].Due/b.rows[i].alone.Quantile(0.5, b.rows[i].Due/4))
+		}
+	}
 	b.credit += (b.room - float64(b.out)) * (now - b.now)
 	b.credit = min(b.credit, b.clumps()*b.rows[0].median())
 	b.now = now
