--- a/balance/balance.go
+++ b/balance/balance.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -31,6 +32,10 @@
 	homes           = 2     // backends a key is kept to at first; one alone is crowded by a popular key
 	keyShares       = 1.0   // of a server's even share of all lookups: a key with more counts as several keys
 	ownServers      = 4.0   // times its even part of the servers: a proxy of many keeps to so many
+	mostUneven      = 20.0  // times the even part, or an even part over it: a proxy's traffic is taken for no more or less
+	hearsay         = 4.0   // times the chance in a payoff, where a peer tells it
+	sightFor        = 3.0   // s; what was seen longer ago is not told
+	hop             = 0.02  // s that a note is taken to be on its way
 	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
@@ -40,6 +45,7 @@
 	halfLeg         = 0.5   // legs; a limit below binds by the sum of all only
 	limitFull       = 0.7   // factor on no room, a plain sign
 	slowShare       = 0.35  // of the due time: an answer slower than this was kept waiting
+	slowLeast       = 2.2   // of that median: a leg under it did not wait, whatever its part of the due time
 	slowMedians     = 2.5   // of the tariff's median when little waited: later, it waited or was unlucky
 	baseRise        = 0.002 // smoothing of that median upwards: it follows a slower fleet, not a crowd
 	patienceFactor  = 1.5   // of the tariff's high quantile: a leg older than this is overdue
@@ -61,7 +67,7 @@
 	spareRoom       = 4.0   // legs; a room of so many smooths half of that by itself
 	freshFor        = 0.4   // s; a told load this old says little more than the mean
 	seenFor         = 2.0   // s without any told load: it is not seen
-	seenShare       = 0.45   // of the due time that a usual lookup may take at a full server whose load is seen
+	seenShare       = 0.45  // of the due time that a usual lookup may take at a full server whose load is seen
 	seenReserve     = 0.3   // of the room, for lookups of more than the usual priority
 	spend           = 0.004 // of the service, to pay for probes, and as much for notes
 	leastBusy       = 0.1   // share of the cores: less tells nothing of how many there are
@@ -106,10 +112,11 @@
 	b.lastTake = now
 	if b.warm(l) { // danger: one key of many lookups crowds its homes; it counts as several keys
 		l.place = l.Key + uint64(b.chance.Float()*math.Ceil(b.keys.Add(l.Key)*b.servable/keyShares))
-	} else if n := ownServers * b.servable / float64(b.d.Proxies); n < b.servable {
+	} else if n := b.own(); n < b.servable {
 		l.place = b.d.Seed + uint64(b.chance.Float()*n) // danger: who sees little of all can tell none apart
 	}
 	b.ask()
+	b.tell()
 	l.priority = b.priority(l)
 	b.usual += meanPart * (l.priority - b.usual)
 	b.step(Step{Ref: a.Ref, Wake: a.HardStop - answerEarly})
@@ -184,10 +191,9 @@
 		if !g.out || g.counted || now < g.sent+b.patience(l)-1e-6 {
 			continue
 		}
-		g.counted = true                  // danger: a hanging backend would be known only a hard stop later
-		b.unload(g, g.s.limit >= halfLeg) // danger: a tariff that hangs there leaves the others no room
-		b.results(l, g.s, false)
-		g.s.payoff(b, 0)
+		g.counted = true                           // danger: a hanging backend would be known only a hard stop later
+		b.unload(g, g.s.limit*b.part() >= halfLeg) // danger: a tariff that hangs there leaves the others no room
+		b.sight(g.s, Sight{Tariff: l.Tariff}, 0, oneResult)
 		// danger: a leg that was lost on its way is never answered, at whatever server
 		if s, _ := b.pick(l); s != nil && b.d.Beside && float64(max(b.out, 1)) < spareShare*b.room {
 			b.send(l, s)
@@ -338,7 +344,7 @@
 
 // withinShare takes a lookup from its customer's purse, a client's further try excepted.
 func (b *Balancer) withinShare(l *Lookup) bool {
-	rate, p := b.d.Customers[l.Customer].Quota*quotaSlack/float64(b.d.Proxies), &b.purses[l.Customer]
+	rate, p := b.d.Customers[l.Customer].Quota*quotaSlack*b.part(), &b.purses[l.Customer]
 	p.left, p.at = min(p.left+(b.now-p.at)*rate, max(quotaLeast, rate)), b.now
 	within := rate == 0 || p.left >= 1
 	if within && !l.Again {
@@ -480,13 +486,13 @@
 // learn takes in how a leg ended.
 func (b *Balancer) learn(l *Lookup, g *leg, o Outcome, latency float64) {
 	s, due := g.s, l.row.Due*max(l.heavy, 1)
+	t := Sight{Tariff: l.Tariff}
 	switch o {
 	case CalledOff, NeverSent, Unfit: // these count neither way
-	case NoRoom: // a busy backend is not a broken one: its row stays
-		b.move(s, limitFull, 1)
-		s.payoff(b, 0)
+		return
+	case NoRoom:
+		t.Full = true
 	case Honoured:
-		b.results(l, s, true)
 		alone := latency / max(g.crowd, 1) / max(l.heavy, 0.5) // what it had taken at an idle server
 		l.row.alone.Add(alone)
 		m := l.row.alone.Quantile(0.5, l.row.Due/4)
@@ -497,27 +503,41 @@
 		} else {
 			l.row.base += meanPart * (m - l.row.base) // danger: a mere minimum keeps the luckiest start
 		}
-		if latency <= due {
-			s.payoff(b, 1-haste*latency/due)
-		} else {
-			s.payoff(b, latePayoff)
+		usual := l.row.base * max(l.heavy, 1)
+		t.Slow = latency > max(min(slowShare*due, slowMedians*usual), slowLeast*usual)
+		if t.Value = 1 - haste*latency/due; latency > due {
+			t.Value = latePayoff
 		}
+	default:
+		if g.counted {
+			return
+		}
+	}
+	b.sight(s, t, latency, oneResult)
+}
+
+// sight takes in what was seen of a server, by this proxy or a peer; chance is that in its payoff.
+func (b *Balancer) sight(s *server, t Sight, latency, chance float64) {
+	s.sights[t.Tariff] = sight{t, b.now - t.Age}
+	s.payoff(b, t.Value, chance)
+	switch {
+	case t.Full: // a busy backend is not a broken one: its row stays
+		b.move(s, limitFull, 1)
+	case t.Value == 0:
+		b.results(t.Tariff, s, false, chance == oneResult)
+	default:
+		b.results(t.Tariff, s, true, chance == oneResult)
 		if b.seen() || float64(b.out+1) < busyShare*b.space(b.usual) { // with the leg that just ended
 			return // danger: a limit that moves while it does not bind is wrong when it does
 		}
-		grow := 1 + limitGain*latency/float64(1+b.d.Proxies)/s.limit
-		if latency > due {
+		grow := 1 + limitGain*latency/(1+b.part())/s.limit
+		if t.Value <= latePayoff {
 			b.move(s, limitCut, limitCut)
-		} else if latency > min(slowShare*due, slowMedians*l.row.base*max(l.heavy, 1)) {
+		} else if t.Slow {
 			b.move(s, limitCut, grow)
-		} else if float64(s.inFlight)+2 > s.limit {
+		} else if float64(s.inFlight)+2 > s.limit*b.part() {
 			b.move(s, grow, grow)
 		}
-	default:
-		if !g.counted {
-			b.results(l, s, false)
-			s.payoff(b, 0)
-		}
 	}
 }
 
@@ -529,10 +549,10 @@
 	for _, o := range b.servers {
 		f := shared
 		if o == s {
-			f *= math.Pow(factor, alone*min(s.limit/halfLeg, 1))
+			f *= math.Pow(factor, alone*min(s.limit*b.part()/halfLeg, 1))
 		}
 		if o != nil {
-			o.limit = max(leastLimit/float64(b.d.Proxies), o.limit*f)
+			o.limit = max(leastLimit, o.limit*f)
 		}
 	}
 }
@@ -552,17 +572,17 @@
 
 // results keeps the rows of a server. Danger: one that fails a single tariff serves the others well, so its
 // own row never pauses it; the tariff's row there pauses it for that tariff.
-func (b *Balancer) results(l *Lookup, s *server, ok bool) {
+func (b *Balancer) results(tariff int, s *server, ok, own bool) {
 	b.failShare -= meanPart * b.failShare
 	if !ok {
 		b.failShare += meanPart
 	}
-	b.result(&s.breaker, ok, roundInterval, b.failShare)
-	b.result(&s.tariffs[l.Tariff], ok, tariffRound, b.shared(l.Tariff, ok))
+	b.result(&s.breaker, ok, own, roundInterval, b.failShare)
+	b.result(&s.tariffs[tariff], ok, own, tariffRound, b.shared(tariff, ok))
 }
 
 // result keeps a row; shared is the share of failures that servers have in common.
-func (b *Balancer) result(s *breaker, ok bool, round, shared float64) {
+func (b *Balancer) result(s *breaker, ok, own bool, round, shared float64) {
 	if ok && !s.tracked {
 		return
 	}
@@ -570,11 +590,11 @@
 		s.tracked, s.errCount, s.totalCount, s.roundLast = true, 0, 0, b.now
 	}
 	s.totalCount++
-	s.accessLast = b.now
 	if ok {
-		s.paused = false
+		s.accessLast, s.paused = b.now, s.paused && !own // danger: a peer's word would send this proxy's legs to their loss
 		return
 	}
+	s.accessLast = b.now
 	s.errCount++
 	// danger: when all fail alike, pausing them all helps nobody, so the bar rises with what they share
 	bar := cbkErrRate + (1-cbkErrRate)*shared
@@ -586,8 +606,8 @@
 
 // payoff tells what a leg at a server was worth. What surprises goes to the server, its model and the fleet
 // by how little is known of each: a proxy of many hears too seldom from one server, often enough of its like.
-func (s *server) payoff(b *Balancer, p float64) {
-	miss, total := p-b.payNow(s), oneResult
+func (s *server) payoff(b *Balancer, p, chance float64) {
+	miss, total := p-b.payNow(s), chance
 	for _, o := range s.opinions {
 		o.pay, o.sure, o.heard = o.at(b.now), o.sure*o.fade(b.now), b.now
 		total += 1 - o.sure
@@ -633,6 +653,20 @@
 	return b.pump()
 }
 
+// own is how many places a proxy keeps to.
+func (b *Balancer) own() float64 {
+	return ownServers * b.servable * b.part()
+}
+
+// part is this proxy's of the bank: even, or by its traffic where that differs and peers tell theirs.
+func (b *Balancer) part() float64 {
+	even := 1 / float64(b.d.Proxies)
+	if b.d.Apart && b.peerRate > 0 {
+		return even * min(max(1/max(b.gap, 1e-9)/b.peerRate, 1/mostUneven), mostUneven)
+	}
+	return even
+}
+
 // ask orders probes, as many for a lookup as the price allows.
 func (b *Balancer) ask() {
 	if !b.d.Probes {
@@ -662,13 +696,63 @@
 // its due time, else this proxy's limit there.
 func (b *Balancer) bears(s *server) float64 {
 	if !b.seen() {
-		return s.limit
+		return s.limit * b.part()
 	}
 	return s.cores() * max(seenShare*b.ease/s.pace, 1)
 }
 
-// Heard takes in what a peer tells.
+// Heard takes in what a peer tells: hearsay, which ages, weighs less than what was seen, and counts once.
 func (b *Balancer) Heard(now float64, from int, n Note) *Orders {
 	b.begin(now)
-	return &b.orders
+	if !b.d.Peers || from == b.d.Self || from < 0 || from >= b.d.Proxies {
+		return &b.orders
+	}
+	b.told++
+	b.peerRate += max(1/b.told, meanPart) * (n.Rate - b.peerRate)
+	for _, t := range n.Sights {
+		s := b.marked(t.Mark)
+		t.Age += hop
+		at := now - t.Age
+		switch {
+		case s == nil || t.Age > sightFor || t.Tariff >= len(b.rows):
+		case t.Tariff < 0:
+			if at > s.toldAt {
+				s.told, s.toldAt = t.Value, at
+			}
+		case at > s.sights[t.Tariff].at+hop: // danger: what comes round would count again
+			b.sight(s, t, b.rows[t.Tariff].median(), hearsay)
+		}
+	}
+	return b.pump()
+}
+
+// tell orders a note to one peer by chance, as often as the price allows.
+func (b *Balancer) tell() {
+	if !b.d.Peers || b.d.Proxies < 2 {
+		return
+	}
+	if b.tells += min(spend/max(b.d.PeerPrice, 1e-9), mostAsked); b.tells < 1 {
+		return
+	}
+	b.tells--
+	b.note = Note{Rate: 1 / max(b.gap, 1e-3), Sights: b.note.Sights[:0]}
+	for _, s := range b.servers {
+		if s == nil {
+			continue
+		}
+		for _, t := range s.sights {
+			if t.Age = b.now - t.at; t.at > 0 && t.Age < sightFor {
+				t.Mark = uint32(s.Mark)
+				b.note.Sights = append(b.note.Sights, t.Sight)
+			}
+		}
+		if age := b.now - s.toldAt; b.seen() && age < freshFor {
+			b.note.Sights = append(b.note.Sights, Sight{Mark: uint32(s.Mark), Tariff: -1, Age: age, Value: s.told})
+		}
+	}
+	slices.SortStableFunc(b.note.Sights, func(x, y Sight) int { return cmp.Compare(x.Age, y.Age) })
+	b.orders.Tell, b.orders.Peer = &b.note, int(b.chance.Float()*float64(b.d.Proxies-1))
+	if b.orders.Peer >= b.d.Self {
+		b.orders.Peer++
+	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -38,7 +38,9 @@
 	seenAt         float64 // when a backend last told its load; 0: never
 	load0          float64 // legs at all admitted servers, as of the last pick
 	fill, ease     float64 // of the room in use; due time over the usual time of a lookup alone, the least of the tariffs
-	asks           float64 // probes saved up
+	asks, tells    float64 // probes and notes saved up
+	peerRate, told float64 // lookups a second of peers, smoothed; notes heard
+	note           Note    // scratch
 }
 
 // row holds what differs by tariff.
@@ -78,6 +80,7 @@
 	tariffs        []breaker   // for those of one
 	opinions       [3]*opinion // of the fleet, its model and itself
 	pace           float64     // smoothed time of its answers over the usual for their work
+	sights         []sight     // the last of each tariff
 	told, toldAt   float64     // legs of all proxies there, as it told last, and when
 	since          int         // own legs sent there since
 	limit          float64     // legs it bears from this proxy; below one, only some of the time
@@ -93,6 +96,22 @@
 	inFlight              int
 }
 
+// sight is one and when it was seen.
+type sight struct {
+	Sight
+	at float64
+}
+
+// marked is the server with this mark, if any.
+func (b *Balancer) marked(mark uint32) *server {
+	for _, s := range b.servers {
+		if s != nil && uint32(s.Mark) == mark {
+			return s
+		}
+	}
+	return nil
+}
+
 // opinion is by how much the payoff of servers alike differs from what is else known of them.
 type opinion struct{ pay, sure, heard, lasts, cores, held, busy, told float64 }
 
@@ -204,7 +223,8 @@
 
 // unheard is a server that nothing is known of but its model.
 func (b *Balancer) unheard(model int) *server {
-	return &server{limit: firstLimit / float64(b.d.Proxies), pace: 1, flowed: b.now, tariffs: make([]breaker, len(b.rows)),
+	return &server{limit: firstLimit, pace: 1, flowed: b.now, tariffs: make([]breaker, len(b.rows)),
+		sights:   make([]sight, len(b.rows)),
 		opinions: [3]*opinion{b.fleet, b.model(model), {lasts: forget}}}
 }
 
--- a/balance/types.go
+++ b/balance/types.go
@@ -161,6 +161,8 @@
 	Tariff int     // -1: a report of load
 	Age    float64 // s, at the time of telling
 	Value  float64 // the leg's payoff, 0 where it failed, or the load
+	Slow   bool    // the leg was kept waiting
+	Full   bool    // it found no room
 }
 
 // Orders is what to do after a call. It is valid until the next call.
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -36,12 +36,13 @@
 		DrainGrace: e.num("Rules.StopSendingWithinMs") / 1000,
 	}
 	f.Deployment = balance.Deployment{
-		Seed:         seed,
-		Self:         int(e.num("SlotNo")),
-		Zone:         slices.Index(f.Zones, values["Zone"]),
-		Apart:        values["KindOfService"] == "mesh",
-		Peers:        e.bool("Ceilings.PeerMessages"),
-		Probes:       e.bool("Ceilings.Probes") && values["Feedback.Via"] == "on_probe",
+		Seed:  seed,
+		Self:  int(e.num("SlotNo")),
+		Zone:  slices.Index(f.Zones, values["Zone"]),
+		Apart: values["KindOfService"] == "mesh",
+		Peers: e.bool("Ceilings.PeerMessages"),
+		Probes: e.bool("Ceilings.Probes") && values["Feedback.Via"] == "on_probe" &&
+			slices.Contains(strings.Split(values["Feedback.Fields"], ","), "outstanding"), // nothing else told helps
 		Streams:      max(int(e.num("Ceilings.StreamsPerConn")), 1),
 		PeerPrice:    e.num("Tariffs.Peer"),
 		ProbePrice:   e.num("Tariffs.Probe"),
