--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,11 +34,15 @@
 	ownServers      = 4.0   // times its even part of the servers: a proxy of many keeps to so many
 	mostUneven      = 20.0  // times the even part, or an even part over it: a proxy's traffic is taken for no more or less
 	hearsay         = 4.0   // times the chance in a payoff, where a peer tells it
+	idleFor         = 2.0   // s; a connection unused for longer costs a backend more than opening it anew
+	beatEvery       = 0.1   // s between looks at the clock while legs are out
+	lateBeat        = 0.1   // s; a look this late tells that this proxy stood still
 	sightFor        = 3.0   // s; what was seen longer ago is not told
 	hop             = 0.02  // s that a note is taken to be on its way
 	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
+	firstTold       = 20.0  // the same where peers tell of what they see there: a bank finds its limit sooner than it fills it
 	leastLimit      = 1.0   // legs of all proxies together: a backend is never wholly shut by its limit
 	limitGain       = 1.2   // legs a second at a server, over the proxies and one; more chokes, less starves
 	limitCut        = 0.9   // factor on a slow answer
@@ -154,11 +158,13 @@
 	g := &l.legs[i]
 	g.out, g.neverRan, g.noRoute = false, o.NeverRan(), o == NoRoute
 	l.out--
+	g.s.legs--
 	b.unload(g, true)
 	g.s.tariffs[l.Tariff].inFlight--
 	if g.sent > g.s.toldAt {
 		g.s.since--
 	}
+	g.s.used = now
 	if !(g.started && o == Honoured) { // its time to the end is the client's
 		b.learn(l, g, o, latency)
 	}
@@ -191,6 +197,10 @@
 		if !g.out || g.counted || now < g.sent+b.patience(l)-1e-6 {
 			continue
 		}
+		if b.stood == now { // danger: the wait was here, and its answer may be among what came meanwhile
+			b.step(Step{Ref: l.Ref, Wake: now + lateBeat})
+			continue
+		}
 		g.counted = true                           // danger: a hanging backend would be known only a hard stop later
 		b.unload(g, g.s.limit*b.part() >= halfLeg) // danger: a tariff that hangs there leaves the others no room
 		b.sight(g.s, Sight{Tariff: l.Tariff}, 0, oneResult)
@@ -212,6 +222,29 @@
 	return b.pump()
 }
 
+// tidy closes connections that were idle for too long, and looks at the clock while something is out.
+func (b *Balancer) tidy() {
+	if !b.d.Apart || b.beat > b.now {
+		return
+	}
+	b.beat = math.Inf(1)
+	for _, s := range b.servers {
+		switch {
+		case s == nil:
+		case s.legs > 0:
+			b.beat = b.now + beatEvery
+		case s.used > 0 && b.d.ConnPrice > 0:
+			if b.now >= s.used+idleFor {
+				s.used = 0
+				b.orders.HangUp = append(b.orders.HangUp, s.Index)
+			} else {
+				b.beat = b.now + beatEvery
+			}
+		}
+	}
+	b.wake(b.beat)
+}
+
 // Listed takes in the list of backends or, unless full, the changed entries. The first one also subscribes.
 func (b *Balancer) Listed(now float64, full, first bool, list []Backend) *Orders {
 	b.begin(now)
@@ -251,7 +284,7 @@
 	if b.d.AsksList { // danger: unsubscribed, this proxy soon counts as told of what it never heard
 		b.askAt = now + b.askPause*(0.5+b.chance.Float())
 		b.askPause = min(2*b.askPause, askMost, max(b.d.AskEvery/4, askFirst))
-		b.orders.Wake = b.askAt
+		b.wake(b.askAt)
 	}
 	return &b.orders
 }
@@ -263,6 +296,10 @@
 	l.out++
 	b.out++
 	s.inFlight++
+	s.legs++
+	if math.IsInf(b.beat, 1) {
+		b.beat = 0
+	}
 	s.tariffs[l.Tariff].inFlight++
 	if len(b.held) > 0 { // only then does every place go to one of them
 		b.pace += paceSmoothing * (b.now - b.lastSend - b.pace)
@@ -389,8 +426,9 @@
 	}
 	if len(b.held) > 0 && b.pumpAt <= b.now { // danger: a timer asked for at every call breeds without end
 		b.pumpAt = b.now + pumpEvery
-		b.orders.Wake = b.pumpAt
+		b.wake(b.pumpAt)
 	}
+	b.tidy()
 	return &b.orders
 }
 
@@ -493,6 +531,10 @@
 	case NoRoom:
 		t.Full = true
 	case Honoured:
+		if g.sent < b.stood && b.now == b.stood { // danger: a standstill here would be booked to every backend
+			b.results(l.Tariff, s, true, true)
+			return
+		}
 		alone := latency / max(g.crowd, 1) / max(l.heavy, 0.5) // what it had taken at an idle server
 		l.row.alone.Add(alone)
 		m := l.row.alone.Quantile(0.5, l.row.Due/4)
--- a/balance/state.go
+++ b/balance/state.go
@@ -41,6 +41,7 @@
 	asks, tells    float64 // probes and notes saved up
 	peerRate, told float64 // lookups a second of peers, smoothed; notes heard
 	note           Note    // scratch
+	beat, stood    float64 // when to look at the clock next; the end of the last standstill
 }
 
 // row holds what differs by tariff.
@@ -80,6 +81,8 @@
 	tariffs        []breaker   // for those of one
 	opinions       [3]*opinion // of the fleet, its model and itself
 	pace           float64     // smoothed time of its answers over the usual for their work
+	legs           int         // out, overdue ones too
+	used           float64     // when a leg ended last; 0: nothing is open
 	sights         []sight     // the last of each tariff
 	told, toldAt   float64     // legs of all proxies there, as it told last, and when
 	since          int         // own legs sent there since
@@ -163,7 +166,17 @@
 // Done says that nothing more will happen to the lookup or its legs.
 func (l *Lookup) Done() bool { return l.over && l.out == 0 }
 
+// wake asks for a call at this time, if not for an earlier one.
+func (b *Balancer) wake(at float64) {
+	if !math.IsInf(at, 1) && (b.orders.Wake == 0 || at < b.orders.Wake) {
+		b.orders.Wake = at
+	}
+}
+
 func (b *Balancer) begin(now float64) *Balancer {
+	if b.beat > 0 && now > b.beat+lateBeat {
+		b.stood = now
+	}
 	if b.seen() {
 		b.credit = 0
 		b.fill = min(b.load0/max(b.room, 1e-9), 1)
@@ -223,7 +236,11 @@
 
 // unheard is a server that nothing is known of but its model.
 func (b *Balancer) unheard(model int) *server {
-	return &server{limit: firstLimit, pace: 1, flowed: b.now, tariffs: make([]breaker, len(b.rows)),
+	limit := firstLimit
+	if b.d.Peers && !b.d.Probes {
+		limit = firstTold
+	}
+	return &server{limit: limit, pace: 1, flowed: b.now, tariffs: make([]breaker, len(b.rows)),
 		sights:   make([]sight, len(b.rows)),
 		opinions: [3]*opinion{b.fleet, b.model(model), {lasts: forget}}}
 }
--- a/balance/types.go
+++ b/balance/types.go
@@ -61,6 +61,7 @@
 	Peers        bool    // proxies may send one another notes
 	Probes       bool    // backends may be asked for their load
 	Streams      int     // lookups that a connection carries at once
+	ConnPrice    float64 // of the service, for a hundred connections open to each backend
 	PeerPrice    float64 // of the service, for one full note a lookup
 	ProbePrice   float64 // and for one probe a lookup
 	Tariffs      []Tariff
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -44,6 +44,7 @@
 		Probes: e.bool("Ceilings.Probes") && values["Feedback.Via"] == "on_probe" &&
 			slices.Contains(strings.Split(values["Feedback.Fields"], ","), "outstanding"), // nothing else told helps
 		Streams:      max(int(e.num("Ceilings.StreamsPerConn")), 1),
+		ConnPrice:    e.num("Tariffs.Connection"),
 		PeerPrice:    e.num("Tariffs.Peer"),
 		ProbePrice:   e.num("Tariffs.Probe"),
 		Proxies:      int(e.num("ReplicasOfMe")),
