--- a/balance/balance.go
+++ b/balance/balance.go
@@ -201,8 +201,8 @@
 			b.step(Step{Ref: l.Ref, Wake: now + lateBeat})
 			continue
 		}
-		g.counted = true                           // danger: a hanging backend would be known only a hard stop later
-		b.unload(g, g.s.limit*b.part() >= halfLeg) // danger: a tariff that hangs there leaves the others no room
+		g.counted = true                  // danger: a hanging backend would be known only a hard stop later
+		b.unload(g, g.s.limit >= halfLeg) // danger: a tariff that hangs there leaves the others no room
 		b.sight(g.s, Sight{Tariff: l.Tariff}, 0, oneResult)
 		// danger: a leg that was lost on its way is never answered, at whatever server
 		if s, _ := b.pick(l); s != nil && b.d.Beside && float64(max(b.out, 1)) < spareShare*b.room {
@@ -290,8 +290,10 @@
 }
 
 func (b *Balancer) send(l *Lookup, s *server) {
-	l.legs = append(l.legs, leg{s: s, pod: s.Pod, zone: s.Zone, sent: b.now, out: true,
-		crowd: max(b.load(s)+1, s.cores()) / s.cores()})
+	l.legs = append(l.legs, leg{s: s, pod: s.Pod, zone: s.Zone, sent: b.now, out: true, crowd: 1})
+	if b.seen() {
+		l.legs[len(l.legs)-1].crowd = max((b.load(s)+1)/s.cores(), 1)
+	}
 	s.since++
 	l.out++
 	b.out++
@@ -381,7 +383,7 @@
 
 // withinShare takes a lookup from its customer's purse, a client's further try excepted.
 func (b *Balancer) withinShare(l *Lookup) bool {
-	rate, p := b.d.Customers[l.Customer].Quota*quotaSlack*b.part(), &b.purses[l.Customer]
+	rate, p := b.d.Customers[l.Customer].Quota*quotaSlack/float64(b.d.Proxies)*b.uneven(), &b.purses[l.Customer]
 	p.left, p.at = min(p.left+(b.now-p.at)*rate, max(quotaLeast, rate)), b.now
 	within := rate == 0 || p.left >= 1
 	if within && !l.Again {
@@ -471,6 +473,9 @@
 	}
 	b.servable = float64(max(admitted, 1))
 	bound, draws := crowdMultiple*out/b.servable, len(b.cands)
+	if b.seen() {
+		bound = out / b.room
+	}
 	if b.warm(l) && b.now < l.taken+homeTime*l.row.Due { // danger: a key on every server is warm on none
 		draws = min(draws, homes)
 	}
@@ -491,14 +496,11 @@
 			draws = min(draws+1, len(b.cands))
 			continue
 		}
-		if b.seen() {
-			bound = out / b.room * b.bears(s)
-		}
 		if b.load(s) < max(b.bears(s), 1) {
-			if b.load(s) <= bound {
+			if b.crowd(s) <= bound {
 				return s, true
 			}
-			if last == nil || b.load(s)/b.bears(s) < b.load(last)/b.bears(last) {
+			if last == nil || b.crowd(s) < b.crowd(last) {
 				last = s
 			}
 		}
@@ -535,7 +537,7 @@
 			b.results(l.Tariff, s, true, true)
 			return
 		}
-		alone := latency / max(g.crowd, 1) / max(l.heavy, 0.5) // what it had taken at an idle server
+		alone := latency / g.crowd / max(l.heavy, 0.5) // what it had taken at an idle server
 		l.row.alone.Add(alone)
 		m := l.row.alone.Quantile(0.5, l.row.Due/4)
 		s.pace += smoothing * (alone/m - s.pace)
@@ -546,7 +548,7 @@
 			l.row.base += meanPart * (m - l.row.base) // danger: a mere minimum keeps the luckiest start
 		}
 		usual := l.row.base * max(l.heavy, 1)
-		t.Slow = latency > max(min(slowShare*due, slowMedians*usual), slowLeast*usual)
+		t.Slow = latency > min(slowShare*due, slowMedians*usual) && (!b.d.Apart || latency > slowLeast*usual)
 		if t.Value = 1 - haste*latency/due; latency > due {
 			t.Value = latePayoff
 		}
@@ -561,10 +563,12 @@
 // sight takes in what was seen of a server, by this proxy or a peer; chance is that in its payoff.
 func (b *Balancer) sight(s *server, t Sight, latency, chance float64) {
 	s.sights[t.Tariff] = sight{t, b.now - t.Age}
+	if t.Full { // a busy backend is not a broken one: its row stays
+		b.move(s, limitFull, 1)
+	}
 	s.payoff(b, t.Value, chance)
 	switch {
-	case t.Full: // a busy backend is not a broken one: its row stays
-		b.move(s, limitFull, 1)
+	case t.Full:
 	case t.Value == 0:
 		b.results(t.Tariff, s, false, chance == oneResult)
 	default:
@@ -572,12 +576,12 @@
 		if b.seen() || float64(b.out+1) < busyShare*b.space(b.usual) { // with the leg that just ended
 			return // danger: a limit that moves while it does not bind is wrong when it does
 		}
-		grow := 1 + limitGain*latency/(1+b.part())/s.limit
+		grow := 1 + limitGain*latency/float64(1+b.d.Proxies)/s.limit
 		if t.Value <= latePayoff {
 			b.move(s, limitCut, limitCut)
 		} else if t.Slow {
 			b.move(s, limitCut, grow)
-		} else if float64(s.inFlight)+2 > s.limit*b.part() {
+		} else if float64(s.inFlight)+2 > s.limit {
 			b.move(s, grow, grow)
 		}
 	}
@@ -591,10 +595,10 @@
 	for _, o := range b.servers {
 		f := shared
 		if o == s {
-			f *= math.Pow(factor, alone*min(s.limit*b.part()/halfLeg, 1))
+			f *= math.Pow(factor, alone*min(s.limit/halfLeg, 1))
 		}
 		if o != nil {
-			o.limit = max(leastLimit, o.limit*f)
+			o.limit = max(leastLimit/float64(b.d.Proxies), o.limit*f)
 		}
 	}
 }
@@ -697,16 +701,15 @@
 
 // own is how many places a proxy keeps to.
 func (b *Balancer) own() float64 {
-	return ownServers * b.servable * b.part()
+	return ownServers * b.servable / float64(b.d.Proxies) * b.uneven()
 }
 
-// part is this proxy's of the bank: even, or by its traffic where that differs and peers tell theirs.
-func (b *Balancer) part() float64 {
-	even := 1 / float64(b.d.Proxies)
-	if b.d.Apart && b.peerRate > 0 {
-		return even * min(max(1/max(b.gap, 1e-9)/b.peerRate, 1/mostUneven), mostUneven)
+// uneven is this proxy's part of the bank's traffic over the even one, as far as peers tell theirs.
+func (b *Balancer) uneven() float64 {
+	if !b.d.Apart || b.peerRate == 0 {
+		return 1
 	}
-	return even
+	return min(max(1/max(b.gap, 1e-9)/b.peerRate, 1/mostUneven), mostUneven)
 }
 
 // ask orders probes, as many for a lookup as the price allows.
@@ -734,11 +737,19 @@
 	return trust*s.told + (1-trust)*b.fill*b.bears(s) + float64(s.since)
 }
 
+// crowd is what the redraw bound is held to: a server's load, over what it bears where that is seen.
+func (b *Balancer) crowd(s *server) float64 {
+	if !b.seen() {
+		return float64(s.inFlight)
+	}
+	return b.load(s) / b.bears(s)
+}
+
 // bears is how many legs a server is given: where its load is seen, as many as leave a usual lookup seenShare of
 // its due time, else this proxy's limit there.
 func (b *Balancer) bears(s *server) float64 {
 	if !b.seen() {
-		return s.limit * b.part()
+		return s.limit * b.uneven()
 	}
 	return s.cores() * max(seenShare*b.ease/s.pace, 1)
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -240,7 +240,7 @@
 	if b.d.Peers && !b.d.Probes {
 		limit = firstTold
 	}
-	return &server{limit: limit, pace: 1, flowed: b.now, tariffs: make([]breaker, len(b.rows)),
+	return &server{limit: limit / float64(b.d.Proxies), pace: 1, flowed: b.now, tariffs: make([]breaker, len(b.rows)),
 		sights:   make([]sight, len(b.rows)),
 		opinions: [3]*opinion{b.fleet, b.model(model), {lasts: forget}}}
 }
