--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,8 +35,7 @@
 	mostUneven      = 20.0  // times the even part, or an even part over it: a proxy's traffic is taken for no more or less
 	hearsay         = 4.0   // times the chance in a payoff, where a peer tells it
 	idleFor         = 2.0   // s; a connection unused for longer costs a backend more than opening it anew
-	beatEvery       = 0.1   // s between looks at the clock while legs are out
-	lateBeat        = 0.1   // s; a look this late tells that this proxy stood still
+	tidyEvery       = 0.1   // s between looks for connections to close
 	sightFor        = 3.0   // s; what was seen longer ago is not told
 	hop             = 0.02  // s that a note is taken to be on its way
 	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
@@ -197,10 +196,6 @@
 		if !g.out || g.counted || now < g.sent+b.patience(l)-1e-6 {
 			continue
 		}
-		if b.stood == now { // danger: the wait was here, and its answer may be among what came meanwhile
-			b.step(Step{Ref: l.Ref, Wake: now + lateBeat})
-			continue
-		}
 		g.counted = true                  // danger: a hanging backend would be known only a hard stop later
 		b.unload(g, g.s.limit >= halfLeg) // danger: a tariff that hangs there leaves the others no room
 		b.sight(g.s, Sight{Tariff: l.Tariff}, 0, oneResult)
@@ -222,27 +217,24 @@
 	return b.pump()
 }
 
-// tidy closes connections that were idle for too long, and looks at the clock while something is out.
+// tidy closes connections that were idle for too long.
 func (b *Balancer) tidy() {
-	if !b.d.Apart || b.beat > b.now {
+	if !b.d.Apart || b.d.ConnPrice == 0 || b.tidyAt > b.now {
 		return
 	}
-	b.beat = math.Inf(1)
+	b.tidyAt = 0
 	for _, s := range b.servers {
-		switch {
-		case s == nil:
-		case s.legs > 0:
-			b.beat = b.now + beatEvery
-		case s.used > 0 && b.d.ConnPrice > 0:
-			if b.now >= s.used+idleFor {
-				s.used = 0
-				b.orders.HangUp = append(b.orders.HangUp, s.Index)
-			} else {
-				b.beat = b.now + beatEvery
-			}
+		if s == nil || s.legs > 0 || s.used == 0 {
+			continue
+		}
+		if b.now >= s.used+idleFor {
+			s.used = 0
+			b.orders.HangUp = append(b.orders.HangUp, s.Index)
+		} else {
+			b.tidyAt = b.now + tidyEvery
 		}
 	}
-	b.wake(b.beat)
+	b.wake(b.tidyAt)
 }
 
 // Listed takes in the list of backends or, unless full, the changed entries. The first one also subscribes.
@@ -299,9 +291,6 @@
 	b.out++
 	s.inFlight++
 	s.legs++
-	if math.IsInf(b.beat, 1) {
-		b.beat = 0
-	}
 	s.tariffs[l.Tariff].inFlight++
 	if len(b.held) > 0 { // only then does every place go to one of them
 		b.pace += paceSmoothing * (b.now - b.lastSend - b.pace)
@@ -455,7 +444,7 @@
 			continue
 		}
 		full = true
-		pay := b.payNow(s)
+		pay := b.payNow(s, l.Tariff)
 		m := s.opinions[1].at(b.now)
 		score := m/temperature + (pay-m)/keyTemperature
 		if !b.warm(l) {
@@ -533,10 +522,6 @@
 	case NoRoom:
 		t.Full = true
 	case Honoured:
-		if g.sent < b.stood && b.now == b.stood { // danger: a standstill here would be booked to every backend
-			b.results(l.Tariff, s, true, true)
-			return
-		}
 		alone := latency / g.crowd / max(l.heavy, 0.5) // what it had taken at an idle server
 		l.row.alone.Add(alone)
 		m := l.row.alone.Quantile(0.5, l.row.Due/4)
@@ -566,9 +551,12 @@
 	if t.Full { // a busy backend is not a broken one: its row stays
 		b.move(s, limitFull, 1)
 	}
-	s.payoff(b, t.Value, chance)
+	if t.Full {
+		s.payoff(b, -1, t.Value, chance)
+		return
+	}
+	s.payoff(b, t.Tariff, t.Value, chance)
 	switch {
-	case t.Full:
 	case t.Value == 0:
 		b.results(t.Tariff, s, false, chance == oneResult)
 	default:
@@ -590,7 +578,7 @@
 // move changes a server's limit, and the others' too as far as too little is heard from it to learn it alone.
 // One too small to hold back a leg moves with the others only: it binds by their sum.
 func (b *Balancer) move(s *server, factor, others float64) {
-	alone := 1 - math.Pow(1-s.opinions[len(s.opinions)-1].sure, 2)
+	alone := 1 - math.Pow(1-s.opinions[2].sure, 2)
 	shared := math.Pow(others, 1-alone)
 	for _, o := range b.servers {
 		f := shared
@@ -652,13 +640,13 @@
 
 // payoff tells what a leg at a server was worth. What surprises goes to the server, its model and the fleet
 // by how little is known of each: a proxy of many hears too seldom from one server, often enough of its like.
-func (s *server) payoff(b *Balancer, p, chance float64) {
-	miss, total := p-b.payNow(s), chance
-	for _, o := range s.opinions {
+func (s *server) payoff(b *Balancer, tariff int, p, chance float64) {
+	miss, total := p-b.payNow(s, tariff), chance
+	for _, o := range s.of(tariff) {
 		o.pay, o.sure, o.heard = o.at(b.now), o.sure*o.fade(b.now), b.now
 		total += 1 - o.sure
 	}
-	for _, o := range s.opinions {
+	for _, o := range s.of(tariff) {
 		part := (1 - o.sure) / total
 		o.pay += part * miss
 		o.sure += part * (1 - o.sure)
--- a/balance/state.go
+++ b/balance/state.go
@@ -41,7 +41,7 @@
 	asks, tells    float64 // probes and notes saved up
 	peerRate, told float64 // lookups a second of peers, smoothed; notes heard
 	note           Note    // scratch
-	beat, stood    float64 // when to look at the clock next; the end of the last standstill
+	tidyAt         float64 // when to look for connections to close next
 }
 
 // row holds what differs by tariff.
@@ -77,17 +77,17 @@
 // server is one backend as this proxy knows it.
 type server struct {
 	Backend
-	breaker                    // for lookups of all tariffs
-	tariffs        []breaker   // for those of one
-	opinions       [3]*opinion // of the fleet, its model and itself
-	pace           float64     // smoothed time of its answers over the usual for their work
-	legs           int         // out, overdue ones too
-	used           float64     // when a leg ended last; 0: nothing is open
-	sights         []sight     // the last of each tariff
-	told, toldAt   float64     // legs of all proxies there, as it told last, and when
-	since          int         // own legs sent there since
-	limit          float64     // legs it bears from this proxy; below one, only some of the time
-	bucket, flowed float64     // cold budget saved up, s of work; when it last flowed
+	breaker                   // for lookups of all tariffs
+	tariffs        []breaker  // for those of one
+	opinions       []*opinion // of the fleet, its model and itself; then, in a bank that tells, one of each tariff there
+	pace           float64    // smoothed time of its answers over the usual for their work
+	legs           int        // out, overdue ones too
+	used           float64    // when a leg ended last; 0: nothing is open
+	sights         []sight    // the last of each tariff
+	told, toldAt   float64    // legs of all proxies there, as it told last, and when
+	since          int        // own legs sent there since
+	limit          float64    // legs it bears from this proxy; below one, only some of the time
+	bucket, flowed float64    // cold budget saved up, s of work; when it last flowed
 }
 
 // breaker is one row of the source's.
@@ -127,10 +127,18 @@
 // at is what is left of its payoff.
 func (o *opinion) at(now float64) float64 { return o.pay * o.fade(now) }
 
+// of is the opinions that bear on a tariff at a server.
+func (s *server) of(tariff int) []*opinion {
+	if len(s.opinions) == 3 || tariff < 0 {
+		return s.opinions[:3]
+	}
+	return []*opinion{s.opinions[0], s.opinions[1], s.opinions[2], s.opinions[3+tariff]}
+}
+
 // payNow is a server's payoff; what was long unheard is forgotten, so it goes back to that of its like.
-func (b *Balancer) payNow(s *server) float64 {
+func (b *Balancer) payNow(s *server, tariff int) float64 {
 	p := 1.0
-	for _, o := range s.opinions {
+	for _, o := range s.of(tariff) {
 		p += o.at(b.now)
 	}
 	return p
@@ -168,15 +176,12 @@
 
 // wake asks for a call at this time, if not for an earlier one.
 func (b *Balancer) wake(at float64) {
-	if !math.IsInf(at, 1) && (b.orders.Wake == 0 || at < b.orders.Wake) {
+	if at > 0 && (b.orders.Wake == 0 || at < b.orders.Wake) {
 		b.orders.Wake = at
 	}
 }
 
 func (b *Balancer) begin(now float64) *Balancer {
-	if b.beat > 0 && now > b.beat+lateBeat {
-		b.stood = now
-	}
 	if b.seen() {
 		b.credit = 0
 		b.fill = min(b.load0/max(b.room, 1e-9), 1)
@@ -240,9 +245,15 @@
 	if b.d.Peers && !b.d.Probes {
 		limit = firstTold
 	}
-	return &server{limit: limit / float64(b.d.Proxies), pace: 1, flowed: b.now, tariffs: make([]breaker, len(b.rows)),
+	s := &server{limit: limit / float64(b.d.Proxies), pace: 1, flowed: b.now, tariffs: make([]breaker, len(b.rows)),
 		sights:   make([]sight, len(b.rows)),
-		opinions: [3]*opinion{b.fleet, b.model(model), {lasts: forget}}}
+		opinions: []*opinion{b.fleet, b.model(model), {lasts: forget}}}
+	for range b.rows {
+		if b.d.Peers {
+			s.opinions = append(s.opinions, &opinion{lasts: forget})
+		}
+	}
+	return s
 }
 
 // model is the opinion that servers of a model share.
@@ -281,7 +292,7 @@
 	var all []Belief
 	for _, s := range b.servers {
 		if s != nil {
-			all = append(all, Belief{s.Index, s.inFlight, s.limit, b.payNow(s), s.paused, b.cold(s), s.errCount,
+			all = append(all, Belief{s.Index, s.inFlight, s.limit, b.payNow(s, 0), s.paused, b.cold(s), s.errCount,
 				s.totalCount, now - s.opinions[2].heard})
 		}
 	}
