--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,6 +26,7 @@
 	forget          = 10.0  // s; unheard this long, a payoff has gone most of the way back to the mean
 	forgetModel     = 60.0  // s; what a model can do stays, but another tariff mix may ask other things of it
 	haste           = 0.4   // payoff an answer loses by using its whole due time up
+	farther         = 0.12  // payoff lost on the way to another location, where clients have proxies of their own
 	latePayoff      = 0.3   // payoff of a late answer: better than none, worse than any in time
 	busyShare       = 0.9   // of the room there is: with less in flight the limits do not bind
 	spareShare      = 0.5   // of the room: with less in flight a leg beside another keeps nobody out
@@ -445,6 +446,9 @@
 		}
 		full = true
 		pay := b.payNow(s, l.Tariff)
+		if b.d.Apart && s.Zone != b.d.Zone {
+			pay -= farther
+		}
 		m := s.opinions[1].at(b.now)
 		score := m/temperature + (pay-m)/keyTemperature
 		if !b.warm(l) {
