--- a/balance/balance.go
+++ b/balance/balance.go
@@ -69,9 +69,10 @@
 	paceSmoothing   = 0.05  // of a gap between sends: about twenty gaps
 	spareLegs       = 10.0  // usual legs past a small room, saved up: a part of all arrivals comes in clumps
 	spareRoom       = 4.0   // legs; a room of so many smooths half of that by itself
-	freshFor        = 0.4   // s; a told load this old says little more than the mean
+	freshFor        = 0.08  // s; a told load this old says little more than the mean
 	seenFor         = 2.0   // s without any told load: it is not seen
-	seenShare       = 0.45  // of the due time that a usual lookup may take at a full server whose load is seen
+	crowdCost       = 8.0   // in the draw, of a full server over an empty one; a usual leg's payoff there is worth 2.2
+	seenShare       = 0.55  // of the due time that a usual lookup may take at a full server whose load is seen
 	seenReserve     = 0.3   // of the room, for lookups of more than the usual priority
 	spend           = 0.004 // of the service, to pay for probes, and as much for notes
 	leastBusy       = 0.1   // share of the cores: less tells nothing of how many there are
@@ -455,6 +456,9 @@
 			heft := haste * max(l.heavy-1, 0) * l.row.median() * s.pace / l.row.Due // its work's cost here
 			score = (pay - heft) / temperature
 		}
+		if b.seen() {
+			score -= crowdCost * (b.crowd(s) - b.fill)
+		}
 		b.cands = append(b.cands, cand{s, score + b.noise(l, s)})
 	}
 	b.load0 = out
