--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,7 +34,7 @@
 	keyShares       = 1.0   // of a server's even share of all lookups: a key with more counts as several keys
 	ownServers      = 4.0   // times its even part of the servers: a proxy of many keeps to so many
 	mostUneven      = 20.0  // times the even part, or an even part over it: a proxy's traffic is taken for no more or less
-	hearsay         = 4.0   // times the chance in a payoff, where a peer tells it
+	hearsay         = 10.0  // times the chance in a payoff, where a peer tells it
 	idleFor         = 2.0   // s; a connection unused for longer costs a backend more than opening it anew
 	tidyEvery       = 0.1   // s between looks for connections to close
 	sightFor        = 3.0   // s; what was seen longer ago is not told
