--- a/balance/balance.go
+++ b/balance/balance.go
@@ -82,7 +82,7 @@
 
 // New refuses a deployment it cannot decide on.
 func New(d Deployment, now float64) (*Balancer, error) {
-	if err := d.check(); err != nil {
+	if err := d.Check(); err != nil {
 		return nil, err
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
@@ -284,9 +284,9 @@
 }
 
 func (b *Balancer) send(l *Lookup, s *server) {
-	l.legs = append(l.legs, leg{s: s, pod: s.Pod, zone: s.Zone, sent: b.now, out: true, crowd: 1})
+	l.legs = append(l.legs, leg{s: s, pod: s.Pod, zone: s.Zone, sent: b.now, out: true})
 	if b.seen() {
-		l.legs[len(l.legs)-1].crowd = max((b.load(s)+1)/s.cores(), 1)
+		l.legs[len(l.legs)-1].crowd = (b.load(s) + 1) / s.cores()
 	}
 	s.since++
 	l.out++
@@ -530,7 +530,7 @@
 	case NoRoom:
 		t.Full = true
 	case Honoured:
-		alone := latency / g.crowd / max(l.heavy, 0.5) // what it had taken at an idle server
+		alone := latency / max(g.crowd, 1) / max(l.heavy, 0.5) // what it had taken at an idle server
 		l.row.alone.Add(alone)
 		m := l.row.alone.Quantile(0.5, l.row.Due/4)
 		s.pace += smoothing * (alone/m - s.pace)
@@ -714,7 +714,7 @@
 		return
 	}
 	b.asks += min(spend/max(b.d.ProbePrice, 1e-9), mostAsked)
-	for ; b.asks >= 1; b.asks-- {
+	for ; b.asks >= 1 && len(b.servers) > 0; b.asks-- {
 		if s := b.servers[int(b.chance.Float()*float64(len(b.servers)))]; s != nil && s.State == Ready {
 			b.orders.Probe = append(b.orders.Probe, s.Index)
 		}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -636,7 +636,7 @@
 	assert.False(t, l.Done())
 	l.Ended(5, 0, Honoured, 5, true)
 	assert.True(t, l.Done())
-	assert.Greater(t, k.payNow(l.legs[0].s), 0.7, "judged by when it began, not by its end")
+	assert.Greater(t, k.payNow(l.legs[0].s, 0), 0.7, "judged by when it began, not by its end")
 }
 
 func TestSameSeedSameDecisions(t *testing.T) {
--- a/balance/types.go
+++ b/balance/types.go
@@ -60,7 +60,6 @@
 	Apart        bool    // each client process has a proxy of its own, so their traffic differs widely
 	Peers        bool    // proxies may send one another notes
 	Probes       bool    // backends may be asked for their load
-	Streams      int     // lookups that a connection carries at once
 	ConnPrice    float64 // of the service, for a hundred connections open to each backend
 	PeerPrice    float64 // of the service, for one full note a lookup
 	ProbePrice   float64 // and for one probe a lookup
@@ -144,10 +143,8 @@
 
 // Report is what a backend tells of its load; -1 for what it does not tell.
 type Report struct {
-	Held  float64 // lookups it holds
-	Queue float64 // those that wait there
-	Busy  float64 // share of its cores
-	Rate  float64 // lookups a second
+	Held float64 // lookups it holds
+	Busy float64 // share of its cores in use
 }
 
 // Note is what one proxy tells another: hearsay, which may be lost, late or wrong.
--- a/internal/benchwire/reader.go
+++ b/internal/benchwire/reader.go
@@ -133,28 +133,10 @@
 	return v == "1"
 }
 
-// report reads a load report. Fields that are not known, and those that are no numbers, tell nothing.
+// report reads a load report, where there is one.
 func (l *line) report() balance.Report {
-	r := balance.Report{Held: -1, Queue: -1, Busy: -1, Rate: -1}
 	text, _ := l.text("Pressure")
-	for part := range strings.SplitSeq(text, ",") {
-		name, value, _ := strings.Cut(part, ":")
-		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(x >= 0) || x > 1e6 {
-			continue
-		}
-		switch name {
-		case "outstanding":
-			r.Held = x
-		case "backlog":
-			r.Queue = x
-		case "utilization":
-			r.Busy = x
-		case "throughput":
-			r.Rate = x
-		}
-	}
-	return r
+	return figures.Report(text)
 }
 
 func word[T any](l *line, field string, words map[string]T) T {
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -15,11 +15,20 @@
 type Figures struct {
 	balance.Deployment
 	Zones      []string // numbered as they are listed
+	Streams    int      // lookups that a connection to a backend carries at once, at most
 	ConnectFor float64  // a connection that is not up by then counts as never coming up; 0: not told
 	IdleFor    float64  // a backend closes a connection idle for this long, or earlier; 0: not told
 	DrainGrace float64  // from being told that a backend drains or is gone to the last send there
 }
 
+// Fields of a load report that the decisions know.
+const (
+	fieldHeld = "outstanding"
+	fieldBusy = "utilization"
+	untold    = -1
+	mostTold  = 1e6 // danger: a wild number would be taken for a load
+)
+
 var (
 	kinds = map[string]balance.Kind{"retryable": balance.Replayable, "dedup": balance.Referenced,
 		"fragile": balance.SingleUse}
@@ -31,6 +40,7 @@
 	e := env{values: values}
 	f := Figures{
 		Zones:      strings.Split(values["Zones"], ","),
+		Streams:    1,
 		ConnectFor: e.num("Ceilings.ConnectTimeoutMs") / 1000,
 		IdleFor:    e.num("Ceilings.ConnIdleMs") / 1000,
 		DrainGrace: e.num("Rules.StopSendingWithinMs") / 1000,
@@ -42,8 +52,7 @@
 		Apart: values["KindOfService"] == "mesh",
 		Peers: e.bool("Ceilings.PeerMessages"),
 		Probes: e.bool("Ceilings.Probes") && values["Feedback.Via"] == "on_probe" &&
-			slices.Contains(strings.Split(values["Feedback.Fields"], ","), "outstanding"), // nothing else told helps
-		Streams:      max(int(e.num("Ceilings.StreamsPerConn")), 1),
+			slices.Contains(strings.Split(values["Feedback.Fields"], ","), fieldHeld), // danger: a probe costs, and nothing else that is told helps
 		ConnPrice:    e.num("Tariffs.Connection"),
 		PeerPrice:    e.num("Tariffs.Peer"),
 		ProbePrice:   e.num("Tariffs.Probe"),
@@ -61,6 +70,9 @@
 		FallMultiple: e.num("Rules.FallMultiple"),
 		FallFor:      e.num("Rules.OverloadForMs") / 1000,
 	}
+	if _, told := values["Ceilings.StreamsPerConn"]; told {
+		f.Streams = int(e.num("Ceilings.StreamsPerConn"))
+	}
 	if e.bool("Ceilings.RetryAfter") {
 		f.MaxAdvice = e.num("Ceilings.MaxRetryAfterMs") / 1000
 	}
@@ -86,6 +98,26 @@
 	return f, e.err
 }
 
+// Report reads a load report, name:value with commas between. Fields that are not known, and those that are no
+// numbers, tell nothing.
+func Report(text string) balance.Report {
+	r := balance.Report{Held: untold, Busy: untold}
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(part, ":")
+		x, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil || !(x >= 0) || x > mostTold {
+			continue
+		}
+		switch strings.TrimSpace(name) {
+		case fieldHeld:
+			r.Held = x
+		case fieldBusy:
+			r.Busy = x
+		}
+	}
+	return r
+}
+
 // env is the values and the first thing found wrong with them.
 type env struct {
 	values map[string]string
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -4,8 +4,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -22,6 +24,13 @@
 	figures.Figures
 	Known  discovery.List // perhaps old
 	Limits Limits
+	Bank   Bank
+}
+
+// Bank is where this proxy hears its peers and where they hear it, in a bank that tells one another.
+type Bank struct {
+	Listen string
+	Peers  map[int]string // by number
 }
 
 // Limits are those of the proxy's machine; 0: not told.
@@ -83,6 +92,7 @@
 			Sockets  int
 		}
 		Known    *discovery.List
+		Peers    Bank
 		Settings map[string]any
 	}
 	dec := json.NewDecoder(bytes.NewReader(text))
@@ -111,10 +121,58 @@
 	if err != nil {
 		return Launch{}, fmt.Errorf("settings: %w", err)
 	}
-	return Launch{Discovery: in.Discovery, Figures: f, Known: *in.Known,
+	if err := shape(f, values, in.Peers); err != nil {
+		return Launch{}, fmt.Errorf("settings: %w", err)
+	}
+	return Launch{Bank: in.Peers, Discovery: in.Discovery, Figures: f, Known: *in.Known,
 		Limits: Limits{in.Limits.Cores, int64(in.Limits.MemoryMB * (1 << 20)), in.Limits.Sockets}}, nil
 }
 
+// shape refuses settings that mix two shapes of a deployment, or ask for what this program does not do, by their key. A
+// bank behind a pool (any KindOfService but mesh, or none told) tells and probes nothing; where each client process has a
+// proxy of its own (mesh), proxies may do both.
+func shape(f figures.Figures, values map[string]string, bank Bank) error {
+	var wrong string
+	if err := f.Deployment.Check(); err != nil {
+		return err
+	}
+	_, _, listens := net.SplitHostPort(bank.Listen)
+	switch {
+	case f.Peers && !f.Apart:
+		wrong = "Ceilings.PeerMessages: true, but KindOfService is not mesh"
+	case f.Probes && !f.Apart:
+		wrong = "Feedback.Via: on_probe, but KindOfService is not mesh"
+	case f.Apart && values["Feedback.Via"] == "inline":
+		wrong = "Feedback.Via: inline, but KindOfService is mesh"
+	case f.Apart && f.WarmKeys:
+		wrong = "FamilyInfo.WarmKeys: true, but KindOfService is mesh"
+	case f.Apart && f.Deployment.Zone < 0:
+		wrong = fmt.Sprintf("Zone: not among Zones: %q", values["Zone"])
+	case f.Streams < 1:
+		wrong = "Ceilings.StreamsPerConn: under 1"
+	case f.Streams > 1:
+		wrong = fmt.Sprintf("Ceilings.StreamsPerConn: %d: this program sends one lookup at a time on a connection", f.Streams)
+	case !f.Peers && (bank.Listen != "" || len(bank.Peers) > 0):
+		wrong = "Ceilings.PeerMessages: not true, but there are peers"
+	case f.Peers && listens != nil:
+		wrong = fmt.Sprintf("Ceilings.PeerMessages: true, but peers.listen is no address: %q", bank.Listen)
+	case f.Peers && len(bank.Peers) == 0 && f.Proxies > 1:
+		wrong = "Ceilings.PeerMessages: true, but peers.peers has none"
+	}
+	if wrong != "" {
+		return errors.New(wrong)
+	}
+	for i, addr := range bank.Peers {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return fmt.Errorf("peers.peers: %d: %w", i, err)
+		}
+		if i == f.Self || i < 0 || i >= f.Proxies {
+			return fmt.Errorf("peers.peers: %d: no other proxy's number of %d", i, f.Proxies)
+		}
+	}
+	return nil
+}
+
 // flatten lays nested values out by path, as figures.Read takes them.
 func flatten(values map[string]string, path string, value any) {
 	switch v := value.(type) {
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,107 @@
+// Package peers carries notes between the proxies of a bank: each note is one datagram, which may be lost. It decides
+// nothing. Whoever embeds it says to which peer a note goes and takes in what came.
+//
+// A datagram is two bytes of the sender's number, highest first, and the note in the form of package notes. One from an
+// address that is not that number's, and one that cannot be read, is counted and dropped.
+package peers
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"lockloom/balance"
+	"lockloom/internal/notes"
+)
+
+const numberBytes = 2
+
+// Link is this proxy's end of it.
+type Link struct {
+	Sent, Heard, Dropped atomic.Int64 // notes
+
+	self  int
+	conn  *net.UDPConn
+	bank  map[int]netip.AddrPort
+	ended chan struct{}
+}
+
+// Open listens for notes of a bank, by number; heard gets each, on a goroutine of its own, until Close.
+func Open(listen string, self int, bank map[int]string, heard func(from int, n balance.Note)) (*Link, error) {
+	l := &Link{self: self, bank: map[int]netip.AddrPort{}, ended: make(chan struct{})}
+	for i, addr := range bank {
+		at, err := netip.ParseAddrPort(addr)
+		if err != nil {
+			return nil, fmt.Errorf("peer %d: %w", i, err)
+		}
+		l.bank[i] = at
+	}
+	at, err := netip.ParseAddrPort(listen)
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	if l.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	go l.hear(heard)
+	return l, nil
+}
+
+// Addr is where it listens.
+func (l *Link) Addr() string { return l.conn.LocalAddr().String() }
+
+// Tell sends a note to one peer. Nothing tells whether it came.
+func (l *Link) Tell(to int, n balance.Note) {
+	at, ok := l.bank[to]
+	if !ok {
+		return
+	}
+	data := append(binary.BigEndian.AppendUint16(nil, uint16(l.self)), notes.Encode(n)...)
+	if _, err := l.conn.WriteToUDPAddrPort(data, at); err != nil { // a peer that is gone, or a full buffer: as if lost on its way
+		l.Dropped.Add(1)
+		return
+	}
+	l.Sent.Add(1)
+}
+
+// Close ends it; nothing is heard after that.
+func (l *Link) Close() {
+	l.conn.Close()
+	<-l.ended
+}
+
+func (l *Link) hear(heard func(int, balance.Note)) {
+	defer close(l.ended)
+	buf := make([]byte, numberBytes+notes.MaxBytes+1) // one more, so that a longer one is seen to be too long
+	for {
+		size, from, err := l.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue // danger: on some systems a peer that is gone shows as an error of the next read
+		}
+		number, n, err := l.read(buf[:size], from)
+		if err != nil {
+			l.Dropped.Add(1)
+			continue
+		}
+		l.Heard.Add(1)
+		heard(number, n)
+	}
+}
+
+func (l *Link) read(data []byte, from netip.AddrPort) (int, balance.Note, error) {
+	if len(data) < numberBytes {
+		return 0, balance.Note{}, fmt.Errorf("datagram of %d bytes", len(data))
+	}
+	number := int(binary.BigEndian.Uint16(data))
+	if at, ok := l.bank[number]; !ok || at.Port() != from.Port() || at.Addr().Unmap() != from.Addr().Unmap() {
+		return 0, balance.Note{}, fmt.Errorf("no peer %d at %s", number, from)
+	}
+	n, err := notes.Decode(data[numberBytes:])
+	return number, n, err
+}
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -10,8 +10,8 @@
 
 // counts are what the owner has seen since the start.
 type counts struct {
-	Taken, Honoured, Dismissed, Forfeited, Left, TurnedAway, Unseen, InVain, Legs, Late int
-	Outcomes                                                                            [9]int // of legs
+	Taken, Honoured, Dismissed, Forfeited, Left, TurnedAway, Unseen, InVain, Legs, Late, Probes int
+	Outcomes                                                                                    [9]int // of legs
 }
 
 // book tells the decisions how a leg ended. The first honoured one answers its lookup.
@@ -62,6 +62,10 @@
 		"unfit": c.Outcomes[balance.Unfit], "cut": c.Outcomes[balance.Cut], "called_off": c.Outcomes[balance.CalledOff],
 		"never_sent": c.Outcomes[balance.NeverSent], "connections": pool.Total(), "opened": pool.Opened,
 		"retired": pool.Retired, "lost_idle": pool.Lost, "no_connection": pool.Full}
+	if p.link != nil {
+		fields["probes"], fields["told"], fields["heard"] = c.Probes, p.link.Sent.Load(), p.link.Heard.Load()
+		fields["unheard"] = p.link.Dropped.Load()
+	}
 	fields["clients"], fields["crowded"] = p.door.counted()
 	line, broken := p.log.WithFields(fields), invariant.Broken()
 	return func() {
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -33,6 +33,9 @@
 		case <-p.quit:
 			p.watched.end()
 			p.sought.end()
+			if p.link != nil {
+				go p.link.Close() // danger: what hears its last note may wait for this goroutine
+			}
 			p.pool.Shut()
 			p.counted()()
 			close(p.ended)
@@ -72,6 +75,15 @@
 // call, so whatever would lead to one is left for later.
 func (p *Proxy) decide(in *branch, call func(now float64) *balance.Orders) {
 	o := call(p.now())
+	for _, i := range o.HangUp { // before a leg is sent there, which then opens anew
+		p.pool.Close(i)
+	}
+	for _, i := range o.Probe {
+		p.probe(in, i)
+	}
+	if o.Tell != nil && p.link != nil {
+		p.link.Tell(o.Peer, *o.Tell)
+	}
 	for i := range o.Steps {
 		p.route(&o.Steps[i])
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"lockloom/internal/figures"
 	"lockloom/internal/invariant"
 	"lockloom/internal/launch"
+	"lockloom/internal/peers"
 )
 
 // What a proxy is told when it starts.
@@ -117,6 +118,8 @@
 	door   door
 	work   sync.WaitGroup // client connections
 
+	link *peers.Link // to the bank's other proxies; nil: they are told nothing
+
 	held     atomic.Int64 // bytes kept: to be sent to backends, and of large answers
 	heldMost int64
 }
@@ -169,6 +172,14 @@
 // Serve serves the listener's connections until the context ends; then it answers all it has taken and what
 // still comes for a short time, and returns.
 func (p *Proxy) Serve(ctx context.Context, ln net.Listener) error {
+	if p.launch.Peers && p.link == nil {
+		link, err := peers.Open(p.launch.Bank.Listen, p.launch.Self, p.launch.Bank.Peers, p.heardOf)
+		if err != nil {
+			ln.Close()
+			return err
+		}
+		p.link = link
+	}
 	p.list(p.launch.Known, true)
 	p.follow(p.launch.Discovery)
 	go p.own()
@@ -220,6 +231,13 @@
 	return err
 }
 
+// heardOf takes in what a peer tells.
+func (p *Proxy) heardOf(from int, n balance.Note) {
+	p.post(func() {
+		p.decide(p.main, func(now float64) *balance.Orders { return p.main.b.Heard(now, from, n) })
+	})
+}
+
 // Reload takes in what the proxy is told anew. Only discovery may be another; the rest holds until the next start,
 // since lookups were taken by it.
 func (p *Proxy) Reload(l Launch) {
