--- a/balance/balance.go
+++ b/balance/balance.go
@@ -200,7 +200,8 @@
 		}
 		g.counted = true                  // danger: a hanging backend would be known only a hard stop later
 		b.unload(g, g.s.limit >= halfLeg) // danger: a tariff that hangs there leaves the others no room
-		b.sight(g.s, Sight{Tariff: l.Tariff}, 0, oneResult)
+		b.results(l, g.s, false)
+		g.s.seen(b, l.Tariff, 0)
 		// danger: a leg that was lost on its way is never answered, at whatever server
 		if s, _ := b.pick(l); s != nil && b.d.Beside && float64(max(b.out, 1)) < spareShare*b.room {
 			b.send(l, s)
@@ -285,7 +286,7 @@
 
 func (b *Balancer) send(l *Lookup, s *server) {
 	l.legs = append(l.legs, leg{s: s, pod: s.Pod, zone: s.Zone, sent: b.now, out: true})
-	if b.seen() {
+	if b.loads() {
 		l.legs[len(l.legs)-1].crowd = (b.load(s) + 1) / s.cores()
 	}
 	s.since++
@@ -456,13 +457,13 @@
 			heft := haste * max(l.heavy-1, 0) * l.row.median() * s.pace / l.row.Due // its work's cost here
 			score = (pay - heft) / temperature
 		}
-		if b.seen() {
+		if b.loads() {
 			score -= crowdCost * (b.crowd(s) - b.fill)
 		}
 		b.cands = append(b.cands, cand{s, score + b.noise(l, s)})
 	}
 	b.load0 = out
-	if !b.seen() {
+	if !b.loads() {
 		out = float64(b.out)
 	}
 	if out >= b.space(l.priority) { // danger: a room below one leg binds over time, not at once
@@ -470,22 +471,16 @@
 	}
 	b.servable = float64(max(admitted, 1))
 	bound, draws := crowdMultiple*out/b.servable, len(b.cands)
-	if b.seen() {
+	if b.loads() {
 		bound = out / b.room
 	}
 	if b.warm(l) && b.now < l.taken+homeTime*l.row.Due { // danger: a key on every server is warm on none
 		draws = min(draws, homes)
 	}
+	slices.SortFunc(b.cands, func(x, y cand) int { return cmp.Compare(y.score, x.score) })
 	var last *server
 	for n := 0; n < draws; n++ {
-		top := 0
-		for i := range b.cands {
-			if b.cands[i].score > b.cands[top].score {
-				top = i
-			}
-		}
-		s := b.cands[top].s
-		b.cands[top].score = math.Inf(-1)
+		s := b.cands[n].s
 		if b.cold(s) {
 			if float64(s.inFlight) <= bound && b.coldRoom(l, s) {
 				return s, true
@@ -523,13 +518,13 @@
 // learn takes in how a leg ended.
 func (b *Balancer) learn(l *Lookup, g *leg, o Outcome, latency float64) {
 	s, due := g.s, l.row.Due*max(l.heavy, 1)
-	t := Sight{Tariff: l.Tariff}
 	switch o {
 	case CalledOff, NeverSent, Unfit: // these count neither way
-		return
-	case NoRoom:
-		t.Full = true
+	case NoRoom: // a busy backend is not a broken one: its row stays
+		b.move(s, limitFull, 1)
+		s.payoff(b, -1, 0, oneResult)
 	case Honoured:
+		b.results(l, s, true)
 		alone := latency / max(g.crowd, 1) / max(l.heavy, 0.5) // what it had taken at an idle server
 		l.row.alone.Add(alone)
 		m := l.row.alone.Quantile(0.5, l.row.Due/4)
@@ -540,46 +535,27 @@
 		} else {
 			l.row.base += meanPart * (m - l.row.base) // danger: a mere minimum keeps the luckiest start
 		}
-		usual := l.row.base * max(l.heavy, 1)
-		t.Slow = latency > min(slowShare*due, slowMedians*usual) && (!b.d.Apart || latency > slowLeast*usual)
-		if t.Value = 1 - haste*latency/due; latency > due {
-			t.Value = latePayoff
-		}
-	default:
-		if g.counted {
-			return
+		if latency <= due {
+			s.seen(b, l.Tariff, 1-haste*latency/due)
+		} else {
+			s.seen(b, l.Tariff, latePayoff)
 		}
-	}
-	b.sight(s, t, latency, oneResult)
-}
-
-// sight takes in what was seen of a server, by this proxy or a peer; chance is that in its payoff.
-func (b *Balancer) sight(s *server, t Sight, latency, chance float64) {
-	s.sights[t.Tariff] = sight{t, b.now - t.Age}
-	if t.Full { // a busy backend is not a broken one: its row stays
-		b.move(s, limitFull, 1)
-	}
-	if t.Full {
-		s.payoff(b, -1, t.Value, chance)
-		return
-	}
-	s.payoff(b, t.Tariff, t.Value, chance)
-	switch {
-	case t.Value == 0:
-		b.results(t.Tariff, s, false, chance == oneResult)
-	default:
-		b.results(t.Tariff, s, true, chance == oneResult)
-		if b.seen() || float64(b.out+1) < busyShare*b.space(b.usual) { // with the leg that just ended
+		if b.loads() || float64(b.out+1) < busyShare*b.space(b.usual) { // with the leg that just ended
 			return // danger: a limit that moves while it does not bind is wrong when it does
 		}
-		grow := 1 + limitGain*latency/float64(1+b.d.Proxies)/s.limit
-		if t.Value <= latePayoff {
+		grow, usual := 1+limitGain*latency/float64(1+b.d.Proxies)/s.limit, l.row.base*max(l.heavy, 1)
+		if latency > due {
 			b.move(s, limitCut, limitCut)
-		} else if t.Slow {
+		} else if latency > min(slowShare*due, slowMedians*usual) && (!b.d.Apart || latency > slowLeast*usual) {
 			b.move(s, limitCut, grow)
 		} else if float64(s.inFlight)+2 > s.limit {
 			b.move(s, grow, grow)
 		}
+	default:
+		if !g.counted {
+			b.results(l, s, false)
+			s.seen(b, l.Tariff, 0)
+		}
 	}
 }
 
@@ -606,7 +582,7 @@
 // than the usual priority leaves some, one of more may run into debt: few are ever held to choose from.
 func (b *Balancer) space(priority float64) float64 {
 	reserve := (b.usual - priority) / max(b.usual+priority, 1e-9)
-	if b.seen() {
+	if b.loads() {
 		return b.room * (1 - seenReserve*reserve)
 	}
 	return b.room + b.credit/b.rows[0].median() - b.clumps()*reserve
@@ -614,17 +590,17 @@
 
 // results keeps the rows of a server. Danger: one that fails a single tariff serves the others well, so its
 // own row never pauses it; the tariff's row there pauses it for that tariff.
-func (b *Balancer) results(tariff int, s *server, ok, own bool) {
+func (b *Balancer) results(l *Lookup, s *server, ok bool) {
 	b.failShare -= meanPart * b.failShare
 	if !ok {
 		b.failShare += meanPart
 	}
-	b.result(&s.breaker, ok, own, roundInterval, b.failShare)
-	b.result(&s.tariffs[tariff], ok, own, tariffRound, b.shared(tariff, ok))
+	b.result(&s.breaker, ok, roundInterval, b.failShare)
+	b.result(&s.tariffs[l.Tariff], ok, tariffRound, b.shared(l.Tariff, ok))
 }
 
 // result keeps a row; shared is the share of failures that servers have in common.
-func (b *Balancer) result(s *breaker, ok, own bool, round, shared float64) {
+func (b *Balancer) result(s *breaker, ok bool, round, shared float64) {
 	if ok && !s.tracked {
 		return
 	}
@@ -632,11 +608,11 @@
 		s.tracked, s.errCount, s.totalCount, s.roundLast = true, 0, 0, b.now
 	}
 	s.totalCount++
+	s.accessLast = b.now
 	if ok {
-		s.accessLast, s.paused = b.now, s.paused && !own // danger: a peer's word would send this proxy's legs to their loss
+		s.paused = false
 		return
 	}
-	s.accessLast = b.now
 	s.errCount++
 	// danger: when all fail alike, pausing them all helps nobody, so the bar rises with what they share
 	bar := cbkErrRate + (1-cbkErrRate)*shared
@@ -646,7 +622,13 @@
 	}
 }
 
-// payoff tells what a leg at a server was worth. What surprises goes to the server, its model and the fleet
+// seen is payoff for what this proxy saw itself, which peers may be told.
+func (s *server) seen(b *Balancer, tariff int, p float64) {
+	s.payoff(b, tariff, p, oneResult)
+	s.sights[tariff] = sight{Sight{Tariff: tariff, Value: p}, b.now}
+}
+
+// payoff tells what a leg at a server was worth; chance is that in it. What surprises goes to the server, its model and the fleet
 // by how little is known of each: a proxy of many hears too seldom from one server, often enough of its like.
 func (s *server) payoff(b *Balancer, tariff int, p, chance float64) {
 	miss, total := p-b.payNow(s, tariff), chance
@@ -710,23 +692,20 @@
 
 // ask orders probes, as many for a lookup as the price allows.
 func (b *Balancer) ask() {
-	if !b.d.Probes {
-		return
-	}
 	b.asks += min(spend/max(b.d.ProbePrice, 1e-9), mostAsked)
-	for ; b.asks >= 1 && len(b.servers) > 0; b.asks-- {
+	for ; b.d.Probes && b.asks >= 1 && len(b.servers) > 0; b.asks-- {
 		if s := b.servers[int(b.chance.Float()*float64(len(b.servers)))]; s != nil && s.State == Ready {
 			b.orders.Probe = append(b.orders.Probe, s.Index)
 		}
 	}
 }
 
-// seen says whether backends tell their load.
-func (b *Balancer) seen() bool { return b.seenAt > 0 && b.now < b.seenAt+seenFor }
+// loads says whether backends tell theirs.
+func (b *Balancer) loads() bool { return b.seenAt > 0 && b.now < b.seenAt+seenFor }
 
 // load is how many legs a server holds: as it told, or by this proxy's own alone.
 func (b *Balancer) load(s *server) float64 {
-	if !b.seen() {
+	if !b.loads() {
 		return float64(s.inFlight)
 	}
 	trust := math.Exp((s.toldAt - b.now) / freshFor)
@@ -735,7 +714,7 @@
 
 // crowd is what the redraw bound is held to: a server's load, over what it bears where that is seen.
 func (b *Balancer) crowd(s *server) float64 {
-	if !b.seen() {
+	if !b.loads() {
 		return float64(s.inFlight)
 	}
 	return b.load(s) / b.bears(s)
@@ -744,32 +723,32 @@
 // bears is how many legs a server is given: where its load is seen, as many as leave a usual lookup seenShare of
 // its due time, else this proxy's limit there.
 func (b *Balancer) bears(s *server) float64 {
-	if !b.seen() {
+	if !b.loads() {
 		return s.limit * b.uneven()
 	}
 	return s.cores() * max(seenShare*b.ease/s.pace, 1)
 }
 
-// Heard takes in what a peer tells: hearsay, which ages, weighs less than what was seen, and counts once.
+// Heard takes in what a peer tells: hearsay, which ages, weighs less than what was seen, and counts once. It bears
+// on payoffs and loads alone; rows, limits and cold budgets rest on what this proxy saw.
 func (b *Balancer) Heard(now float64, from int, n Note) *Orders {
 	b.begin(now)
 	if !b.d.Peers || from == b.d.Self || from < 0 || from >= b.d.Proxies {
 		return &b.orders
 	}
-	b.told++
-	b.peerRate += max(1/b.told, meanPart) * (n.Rate - b.peerRate)
+	b.notes++
+	b.peerRate += max(1/b.notes, meanPart) * (n.Rate - b.peerRate)
 	for _, t := range n.Sights {
-		s := b.marked(t.Mark)
-		t.Age += hop
-		at := now - t.Age
+		s, at := b.marked(t.Mark), now-t.Age-hop
 		switch {
-		case s == nil || t.Age > sightFor || t.Tariff >= len(b.rows):
+		case s == nil || t.Age+hop > sightFor || t.Tariff >= len(b.rows):
 		case t.Tariff < 0:
 			if at > s.toldAt {
 				s.told, s.toldAt = t.Value, at
 			}
 		case at > s.sights[t.Tariff].at+hop: // danger: what comes round would count again
-			b.sight(s, t, b.rows[t.Tariff].median(), hearsay)
+			s.sights[t.Tariff] = sight{t, at}
+			s.payoff(b, t.Tariff, t.Value, hearsay)
 		}
 	}
 	return b.pump()
@@ -777,30 +756,11 @@
 
 // tell orders a note to one peer by chance, as often as the price allows.
 func (b *Balancer) tell() {
-	if !b.d.Peers || b.d.Proxies < 2 {
-		return
-	}
-	if b.tells += min(spend/max(b.d.PeerPrice, 1e-9), mostAsked); b.tells < 1 {
+	if b.tells += min(spend/max(b.d.PeerPrice, 1e-9), mostAsked); !b.d.Peers || b.d.Proxies < 2 || b.tells < 1 {
 		return
 	}
-	b.tells--
-	b.note = Note{Rate: 1 / max(b.gap, 1e-3), Sights: b.note.Sights[:0]}
-	for _, s := range b.servers {
-		if s == nil {
-			continue
-		}
-		for _, t := range s.sights {
-			if t.Age = b.now - t.at; t.at > 0 && t.Age < sightFor {
-				t.Mark = uint32(s.Mark)
-				b.note.Sights = append(b.note.Sights, t.Sight)
-			}
-		}
-		if age := b.now - s.toldAt; b.seen() && age < freshFor {
-			b.note.Sights = append(b.note.Sights, Sight{Mark: uint32(s.Mark), Tariff: -1, Age: age, Value: s.told})
-		}
-	}
-	slices.SortStableFunc(b.note.Sights, func(x, y Sight) int { return cmp.Compare(x.Age, y.Age) })
-	b.orders.Tell, b.orders.Peer = &b.note, int(b.chance.Float()*float64(b.d.Proxies-1))
+	b.tells = 0
+	b.orders.Tell, b.orders.Peer = b.told(), int(b.chance.Float()*float64(b.d.Proxies-1))
 	if b.orders.Peer >= b.d.Self {
 		b.orders.Peer++
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -10,38 +11,38 @@
 
 // Balancer decides for one proxy. It is not safe for concurrent use.
 type Balancer struct {
-	d              Deployment
-	chance         chance.Source
-	now            float64
-	servers        []*server // by Backend.Index, nil where there is none
-	rows           []row     // one a tariff
-	purses         []purse   // one a customer
-	held           []*Lookup // waiting with nothing out, by value, then by age
-	cands          []cand    // scratch
-	shares         []float64 // scratch
-	orders         Orders
-	out            int     // legs in flight
-	room           float64 // legs all admitted servers bear, as of the last pick
-	servable       float64 // servers admitted as of the last pick
-	keys           measure.Shares
-	usual          float64 // priority of lookups, smoothed
-	lookups        float64 // taken
-	gap, lastTake  float64 // s between lookups taken; the last one
-	fleet          *opinion
-	models         []*opinion
-	failShare      float64 // share of all results that were failures, smoothed
-	pace, lastSend float64 // s between sends while lookups are held; the last one
-	credit         float64 // legs times seconds below the room, saved up
-	askPause       float64
-	askAt          float64 // when to ask the list again; +Inf: no need
-	pumpAt         float64
-	seenAt         float64 // when a backend last told its load; 0: never
-	load0          float64 // legs at all admitted servers, as of the last pick
-	fill, ease     float64 // of the room in use; due time over the usual time of a lookup alone, the least of the tariffs
-	asks, tells    float64 // probes and notes saved up
-	peerRate, told float64 // lookups a second of peers, smoothed; notes heard
-	note           Note    // scratch
-	tidyAt         float64 // when to look for connections to close next
+	d               Deployment
+	chance          chance.Source
+	now             float64
+	servers         []*server // by Backend.Index, nil where there is none
+	rows            []row     // one a tariff
+	purses          []purse   // one a customer
+	held            []*Lookup // waiting with nothing out, by value, then by age
+	cands           []cand    // scratch
+	shares          []float64 // scratch
+	orders          Orders
+	out             int     // legs in flight
+	room            float64 // legs all admitted servers bear, as of the last pick
+	servable        float64 // servers admitted as of the last pick
+	keys            measure.Shares
+	usual           float64 // priority of lookups, smoothed
+	lookups         float64 // taken
+	gap, lastTake   float64 // s between lookups taken; the last one
+	fleet           *opinion
+	models          []*opinion
+	failShare       float64 // share of all results that were failures, smoothed
+	pace, lastSend  float64 // s between sends while lookups are held; the last one
+	credit          float64 // legs times seconds below the room, saved up
+	askPause        float64
+	askAt           float64 // when to ask the list again; +Inf: no need
+	pumpAt          float64
+	seenAt          float64 // when a backend last told its load; 0: never
+	load0           float64 // legs at all admitted servers, as of the last pick
+	fill, ease      float64 // of the room in use; due time over the usual time of a lookup alone, the least of the tariffs
+	asks, tells     float64 // probes and notes saved up
+	peerRate, notes float64 // lookups a second of peers, smoothed; notes heard
+	note            Note    // scratch
+	tidyAt          float64 // when to look for connections to close next
 }
 
 // row holds what differs by tariff.
@@ -105,6 +106,26 @@
 	at float64
 }
 
+// told is what a note tells: what was seen lately, the newest first.
+func (b *Balancer) told() *Note {
+	b.note = Note{Rate: 1 / max(b.gap, 1e-3), Sights: b.note.Sights[:0]}
+	for _, s := range b.servers {
+		if s == nil {
+			continue
+		}
+		for _, t := range s.sights {
+			if t.Age, t.Mark = b.now-t.at, uint32(s.Mark); t.at > 0 && t.Age < sightFor {
+				b.note.Sights = append(b.note.Sights, t.Sight)
+			}
+		}
+		if age := b.now - s.toldAt; b.loads() && age < freshFor {
+			b.note.Sights = append(b.note.Sights, Sight{Mark: uint32(s.Mark), Tariff: -1, Age: age, Value: s.told})
+		}
+	}
+	slices.SortStableFunc(b.note.Sights, func(x, y Sight) int { return cmp.Compare(x.Age, y.Age) })
+	return &b.note
+}
+
 // marked is the server with this mark, if any.
 func (b *Balancer) marked(mark uint32) *server {
 	for _, s := range b.servers {
@@ -182,7 +203,7 @@
 }
 
 func (b *Balancer) begin(now float64) *Balancer {
-	if b.seen() {
+	if b.loads() {
 		b.credit = 0
 		b.fill = min(b.load0/max(b.room, 1e-9), 1)
 		b.ease = math.Inf(1)
--- a/balance/types.go
+++ b/balance/types.go
@@ -153,14 +153,12 @@
 	Sights []Sight // the newest first
 }
 
-// Sight is the last that was seen of a backend by any proxy: how a leg of a tariff ended there, or its load.
+// Sight is the last that was seen of a backend by any proxy: what a leg of a tariff was worth there, or its load.
 type Sight struct {
 	Mark   uint32  // the lower half of Backend.Mark
 	Tariff int     // -1: a report of load
 	Age    float64 // s, at the time of telling
 	Value  float64 // the leg's payoff, 0 where it failed, or the load
-	Slow   bool    // the leg was kept waiting
-	Full   bool    // it found no room
 }
 
 // Orders is what to do after a call. It is valid until the next call.
--- a/internal/notes/notes.go
+++ b/internal/notes/notes.go
@@ -3,8 +3,7 @@
 //
 // A note is a byte of version, two of the sender's lookups a second in sixteenths, and seven for each sight: four of the
 // backend's mark, one of the tariff (255: a report of load), one of the age in 20 ms, one of the value: a payoff in
-// hundredths, and 101 more where the leg was kept waiting; 255 where it found no room; or the load as whole lookups. All
-// numbers have their highest byte first.
+// hundredths, or the load as whole lookups. All numbers have their highest byte first.
 package notes
 
 import (
@@ -24,8 +23,6 @@
 	perSecond = 50  // units of an age
 	load      = 255 // in the place of a tariff
 	whole     = 100 // units of a payoff of 1
-	slow      = whole + 1
-	full      = 255
 	sixteenth = 16
 )
 
@@ -39,12 +36,6 @@
 		tariff, value := byte(load), s.Value
 		if s.Tariff >= 0 {
 			tariff, value = byte(bound(float64(s.Tariff), load-1)), bound(s.Value, 1)*whole
-			if s.Slow {
-				value += slow
-			}
-			if s.Full {
-				value = full
-			}
 		}
 		out = binary.BigEndian.AppendUint32(out, s.Mark)
 		out = append(out, tariff, byte(bound(math.Ceil(s.Age*perSecond), 255)), byte(bound(value+0.5, 255)))
@@ -67,13 +58,7 @@
 		if s.Tariff == load {
 			s.Tariff = -1
 		} else {
-			s.Slow, s.Full = s.Value >= slow, s.Value == full
-			if s.Slow {
-				s.Value -= slow
-			}
-			if s.Value /= whole; s.Full || s.Value > 1 {
-				s.Value = 0
-			}
+			s.Value = min(s.Value/whole, 1)
 		}
 		n.Sights = append(n.Sights, s)
 	}
