--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,8 +36,7 @@
 	mostUneven      = 20.0  // times the even part, or an even part over it: a proxy's traffic is taken for no more or less
 	hearsay         = 10.0  // times the chance in a payoff, where a peer tells it
 	idleFor         = 2.0   // s; a connection unused for longer costs a backend more than opening it anew
-	tidyEvery       = 0.1   // s between looks for connections to close
-	sightFor        = 3.0   // s; what was seen longer ago is not told
+	sightFor        = 3.0   // s; what was seen longer ago is not told, and without any load told for so long none is seen
 	hop             = 0.02  // s that a note is taken to be on its way
 	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
@@ -53,8 +52,6 @@
 	slowMedians     = 2.5   // of the tariff's median when little waited: later, it waited or was unlucky
 	baseRise        = 0.002 // smoothing of that median upwards: it follows a slower fleet, not a crowd
 	patienceFactor  = 1.5   // of the tariff's high quantile: a leg older than this is overdue
-	quotaSlack      = 1.2   // of this proxy's even part of a customer's share: clients do not spread evenly
-	quotaLeast      = 6.0   // lookups of it saved up: less judges a part of a lookup in many seconds by luck
 	againPart       = 0.2   // of the priority, for a client's further try: most of its due time is gone
 	holdPart        = 0.4   // of the time to the hard stop to wait for a first leg: past half it costs more
 	answerEarly     = 0.01  // s before the hard stop, more than two of any proxy's ticks
@@ -70,12 +67,10 @@
 	spareLegs       = 10.0  // usual legs past a small room, saved up: a part of all arrivals comes in clumps
 	spareRoom       = 4.0   // legs; a room of so many smooths half of that by itself
 	freshFor        = 0.08  // s; a told load this old says little more than the mean
-	seenFor         = 2.0   // s without any told load: it is not seen
 	crowdCost       = 8.0   // in the draw, of a full server over an empty one; a usual leg's payoff there is worth 2.2
 	seenShare       = 0.55  // of the due time that a usual lookup may take at a full server whose load is seen
 	seenReserve     = 0.3   // of the room, for lookups of more than the usual priority
 	spend           = 0.004 // of the service, to pay for probes, and as much for notes
-	leastBusy       = 0.1   // share of the cores: less tells nothing of how many there are
 	mostAsked       = 2.0   // probes a lookup, however cheap
 	meanPart        = 0.02  // smoothing of fleet-wide means: about fifty results
 )
@@ -88,9 +83,6 @@
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, askPause: askFirst,
 		fleet: &opinion{lasts: forget}, askAt: math.Inf(1), lastSend: now, lastTake: now}
-	for range d.Customers {
-		b.purses = append(b.purses, purse{quotaLeast, now})
-	}
 	for _, t := range d.Tariffs {
 		if t.Due == 0 { // no due time set: half of what the client waits
 			t.Due = t.HardStop / 2
@@ -117,7 +109,7 @@
 	b.lastTake = now
 	if b.warm(l) { // danger: one key of many lookups crowds its homes; it counts as several keys
 		l.place = l.Key + uint64(b.chance.Float()*math.Ceil(b.keys.Add(l.Key)*b.servable/keyShares))
-	} else if n := b.own(); n < b.servable {
+	} else if n := ownServers * b.servable / float64(b.d.Proxies) * b.uneven(); n < b.servable {
 		l.place = b.d.Seed + uint64(b.chance.Float()*n) // danger: who sees little of all can tell none apart
 	}
 	b.ask()
@@ -220,7 +212,7 @@
 	return b.pump()
 }
 
-// tidy closes connections that were idle for too long.
+// tidy closes connections that were idle for too long, where they are paid for.
 func (b *Balancer) tidy() {
 	if !b.d.Apart || b.d.ConnPrice == 0 || b.tidyAt > b.now {
 		return
@@ -230,11 +222,9 @@
 		if s == nil || s.legs > 0 || s.used == 0 {
 			continue
 		}
-		if b.now >= s.used+idleFor {
+		if b.tidyAt = b.now + pumpEvery; b.now >= s.used+idleFor {
 			s.used = 0
 			b.orders.HangUp = append(b.orders.HangUp, s.Index)
-		} else {
-			b.tidyAt = b.now + tidyEvery
 		}
 	}
 	b.wake(b.tidyAt)
@@ -243,29 +233,7 @@
 // Listed takes in the list of backends or, unless full, the changed entries. The first one also subscribes.
 func (b *Balancer) Listed(now float64, full, first bool, list []Backend) *Orders {
 	b.begin(now)
-	if full {
-		for _, s := range b.servers {
-			if s != nil {
-				s.State = Gone // unless the list still has it, below
-			}
-		}
-	}
-	for _, e := range list {
-		for len(b.servers) <= e.Index {
-			b.servers = append(b.servers, nil)
-		}
-		s := b.servers[e.Index]
-		if s == nil || s.UpSince != e.UpSince && e.State == Ready { // danger: a restart is a cold backend
-			s = b.unheard(e.Model)
-			b.servers[e.Index] = s
-		}
-		s.Backend = e
-	}
-	for i, s := range b.servers {
-		if s != nil && s.State == Gone {
-			b.servers[i] = nil // legs still out keep their own hold on it
-		}
-	}
+	b.place(full, list)
 	if !first {
 		b.askPause = askFirst
 	}
@@ -367,23 +335,9 @@
 	if l.Again {
 		p *= againPart
 	}
-	if l.Customer >= 0 && !b.withinShare(l) {
-		p *= b.d.BeyondShare
-	}
 	return p
 }
 
-// withinShare takes a lookup from its customer's purse, a client's further try excepted.
-func (b *Balancer) withinShare(l *Lookup) bool {
-	rate, p := b.d.Customers[l.Customer].Quota*quotaSlack/float64(b.d.Proxies)*b.uneven(), &b.purses[l.Customer]
-	p.left, p.at = min(p.left+(b.now-p.at)*rate, max(quotaLeast, rate)), b.now
-	within := rate == 0 || p.left >= 1
-	if within && !l.Again {
-		p.left--
-	}
-	return within
-}
-
 // next holds a lookup with nothing out, by priority, then by age; pump sends it at once where there is room.
 func (b *Balancer) next(l *Lookup) {
 	i := len(b.held)
@@ -440,9 +394,10 @@
 		if s == nil || s.State != Ready || !b.admitted(&s.breaker) {
 			continue
 		}
+		c := cand{s: s, load: b.load(s), bears: b.bears(s)}
 		admitted++
-		b.room += b.bears(s)
-		out += b.load(s)
+		b.room += c.bears
+		out += c.load
 		if !b.admitted(&s.tariffs[l.Tariff]) || !b.may(l, s) {
 			continue
 		}
@@ -457,10 +412,12 @@
 			heft := haste * max(l.heavy-1, 0) * l.row.median() * s.pace / l.row.Due // its work's cost here
 			score = (pay - heft) / temperature
 		}
-		if b.loads() {
-			score -= crowdCost * (b.crowd(s) - b.fill)
+		if c.crowd = c.load; b.loads() {
+			c.crowd /= c.bears
+			score -= crowdCost * (c.crowd - b.fill)
 		}
-		b.cands = append(b.cands, cand{s, score + b.noise(l, s)})
+		c.score = score + b.noise(l, s)
+		b.cands = append(b.cands, c)
 	}
 	b.load0 = out
 	if !b.loads() {
@@ -478,26 +435,24 @@
 		draws = min(draws, homes)
 	}
 	slices.SortFunc(b.cands, func(x, y cand) int { return cmp.Compare(y.score, x.score) })
-	var last *server
+	var last cand
 	for n := 0; n < draws; n++ {
-		s := b.cands[n].s
-		if b.cold(s) {
-			if float64(s.inFlight) <= bound && b.coldRoom(l, s) {
-				return s, true
+		c := b.cands[n]
+		if b.cold(c.s) {
+			if float64(c.s.inFlight) <= bound && b.coldRoom(l, c.s) {
+				return c.s, true
 			}
 			draws = min(draws+1, len(b.cands))
-			continue
-		}
-		if b.load(s) < max(b.bears(s), 1) {
-			if b.crowd(s) <= bound {
-				return s, true
+		} else if c.load < max(c.bears, 1) {
+			if c.crowd <= bound {
+				return c.s, true
 			}
-			if last == nil || b.crowd(s) < b.crowd(last) {
-				last = s
+			if last.s == nil || c.crowd < last.crowd {
+				last = c
 			}
 		}
 	}
-	return last, full
+	return last.s, full
 }
 
 // admitted is the source's access query.
@@ -522,7 +477,7 @@
 	case CalledOff, NeverSent, Unfit: // these count neither way
 	case NoRoom: // a busy backend is not a broken one: its row stays
 		b.move(s, limitFull, 1)
-		s.payoff(b, -1, 0, oneResult)
+		s.seen(b, len(b.rows), 0)
 	case Honoured:
 		b.results(l, s, true)
 		alone := latency / max(g.crowd, 1) / max(l.heavy, 0.5) // what it had taken at an idle server
@@ -666,22 +621,11 @@
 	if backend < len(b.servers) && b.servers[backend] != nil && ok && r.Held >= 0 {
 		s := b.servers[backend]
 		s.told, s.toldAt, s.since, b.seenAt = r.Held, now, 0, now
-		if o := s.opinions[1]; r.Busy >= 0 { // what it holds over the share of its cores in use, where least waits
-			o.held += meanPart * (r.Held - o.held)
-			o.busy += meanPart * (r.Busy - o.busy)
-			if o.told++; o.told > 1/meanPart && o.busy > leastBusy && (o.cores == 0 || o.held/o.busy < o.cores) {
-				o.cores = max(o.held/o.busy, 1)
-			}
-		}
+		s.opinions[1].report(r)
 	}
 	return b.pump()
 }
 
-// own is how many places a proxy keeps to.
-func (b *Balancer) own() float64 {
-	return ownServers * b.servable / float64(b.d.Proxies) * b.uneven()
-}
-
 // uneven is this proxy's part of the bank's traffic over the even one, as far as peers tell theirs.
 func (b *Balancer) uneven() float64 {
 	if !b.d.Apart || b.peerRate == 0 {
@@ -701,7 +645,7 @@
 }
 
 // loads says whether backends tell theirs.
-func (b *Balancer) loads() bool { return b.seenAt > 0 && b.now < b.seenAt+seenFor }
+func (b *Balancer) loads() bool { return b.seenAt > 0 && b.now < b.seenAt+sightFor }
 
 // load is how many legs a server holds: as it told, or by this proxy's own alone.
 func (b *Balancer) load(s *server) float64 {
@@ -712,14 +656,6 @@
 	return trust*s.told + (1-trust)*b.fill*b.bears(s) + float64(s.since)
 }
 
-// crowd is what the redraw bound is held to: a server's load, over what it bears where that is seen.
-func (b *Balancer) crowd(s *server) float64 {
-	if !b.loads() {
-		return float64(s.inFlight)
-	}
-	return b.load(s) / b.bears(s)
-}
-
 // bears is how many legs a server is given: where its load is seen, as many as leave a usual lookup seenShare of
 // its due time, else this proxy's limit there.
 func (b *Balancer) bears(s *server) float64 {
@@ -741,7 +677,7 @@
 	for _, t := range n.Sights {
 		s, at := b.marked(t.Mark), now-t.Age-hop
 		switch {
-		case s == nil || t.Age+hop > sightFor || t.Tariff >= len(b.rows):
+		case s == nil || t.Age+hop > sightFor || t.Tariff > len(b.rows):
 		case t.Tariff < 0:
 			if at > s.toldAt {
 				s.told, s.toldAt = t.Value, at
@@ -749,6 +685,9 @@
 		case at > s.sights[t.Tariff].at+hop: // danger: what comes round would count again
 			s.sights[t.Tariff] = sight{t, at}
 			s.payoff(b, t.Tariff, t.Value, hearsay)
+			if t.Tariff == len(b.rows) {
+				b.move(s, limitFull, 1)
+			}
 		}
 	}
 	return b.pump()
--- a/balance/state.go
+++ b/balance/state.go
@@ -16,7 +16,6 @@
 	now             float64
 	servers         []*server // by Backend.Index, nil where there is none
 	rows            []row     // one a tariff
-	purses          []purse   // one a customer
 	held            []*Lookup // waiting with nothing out, by value, then by age
 	cands           []cand    // scratch
 	shares          []float64 // scratch
@@ -72,9 +71,6 @@
 
 func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.d.ColdFor }
 
-// purse is what a customer's share still allows, in lookups.
-type purse struct{ left, at float64 }
-
 // server is one backend as this proxy knows it.
 type server struct {
 	Backend
@@ -84,7 +80,7 @@
 	pace           float64    // smoothed time of its answers over the usual for their work
 	legs           int        // out, overdue ones too
 	used           float64    // when a leg ended last; 0: nothing is open
-	sights         []sight    // the last of each tariff
+	sights         []sight    // the last of each tariff, and of no room
 	told, toldAt   float64    // legs of all proxies there, as it told last, and when
 	since          int        // own legs sent there since
 	limit          float64    // legs it bears from this proxy; below one, only some of the time
@@ -139,6 +135,19 @@
 // opinion is by how much the payoff of servers alike differs from what is else known of them.
 type opinion struct{ pay, sure, heard, lasts, cores, held, busy, told float64 }
 
+// report takes in a report of one of a model's servers: what it holds over the share of its cores in use is how many
+// cores there are, where least waits.
+func (o *opinion) report(r Report) {
+	if r.Busy < 0 {
+		return
+	}
+	o.held += meanPart * (r.Held - o.held)
+	o.busy += meanPart * (r.Busy - o.busy)
+	if o.told++; o.told > 1/meanPart && o.busy > meanPart && (o.cores == 0 || o.held/o.busy < o.cores) {
+		o.cores = max(o.held/o.busy, 1)
+	}
+}
+
 // cores are those of its model, as far as reports tell; else one is taken for granted.
 func (s *server) cores() float64 { return max(s.opinions[1].cores, 1) }
 
@@ -150,7 +159,7 @@
 
 // of is the opinions that bear on a tariff at a server.
 func (s *server) of(tariff int) []*opinion {
-	if len(s.opinions) == 3 || tariff < 0 {
+	if 3+tariff >= len(s.opinions) {
 		return s.opinions[:3]
 	}
 	return []*opinion{s.opinions[0], s.opinions[1], s.opinions[2], s.opinions[3+tariff]}
@@ -166,8 +175,8 @@
 }
 
 type cand struct {
-	s     *server
-	score float64
+	s                         *server
+	score, load, crowd, bears float64 // crowd: what the redraw bound is held to, the load or its part of what is borne
 }
 
 type leg struct {
@@ -260,6 +269,33 @@
 	return b.shares[len(b.shares)/4]
 }
 
+// place keeps the list of servers as told.
+func (b *Balancer) place(full bool, list []Backend) {
+	if full {
+		for _, s := range b.servers {
+			if s != nil {
+				s.State = Gone // unless the list still has it, below
+			}
+		}
+	}
+	for _, e := range list {
+		for len(b.servers) <= e.Index {
+			b.servers = append(b.servers, nil)
+		}
+		s := b.servers[e.Index]
+		if s == nil || s.UpSince != e.UpSince && e.State == Ready { // danger: a restart is a cold backend
+			s = b.unheard(e.Model)
+			b.servers[e.Index] = s
+		}
+		s.Backend = e
+	}
+	for i, s := range b.servers {
+		if s != nil && s.State == Gone {
+			b.servers[i] = nil // legs still out keep their own hold on it
+		}
+	}
+}
+
 // unheard is a server that nothing is known of but its model.
 func (b *Balancer) unheard(model int) *server {
 	limit := firstLimit
@@ -267,7 +303,7 @@
 		limit = firstTold
 	}
 	s := &server{limit: limit / float64(b.d.Proxies), pace: 1, flowed: b.now, tariffs: make([]breaker, len(b.rows)),
-		sights:   make([]sight, len(b.rows)),
+		sights:   make([]sight, len(b.rows)+1),
 		opinions: []*opinion{b.fleet, b.model(model), {lasts: forget}}}
 	for range b.rows {
 		if b.d.Peers {
