--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,22 +26,22 @@
 	forget          = 10.0  // s; unheard this long, a payoff has gone most of the way back to the mean
 	forgetModel     = 60.0  // s; what a model can do stays, but another tariff mix may ask other things of it
 	haste           = 0.4   // payoff an answer loses by using its whole due time up
-	farther         = 0.12  // payoff lost on the way to another location, where clients have proxies of their own
+	farther         = 0.12  // payoff lost on the way to another location, in a bank apart
 	latePayoff      = 0.3   // payoff of a late answer: better than none, worse than any in time
 	busyShare       = 0.9   // of the room there is: with less in flight the limits do not bind
 	spareShare      = 0.5   // of the room: with less in flight a leg beside another keeps nobody out
 	homes           = 2     // backends a key is kept to at first; one alone is crowded by a popular key
 	keyShares       = 1.0   // of a server's even share of all lookups: a key with more counts as several keys
 	ownServers      = 4.0   // times its even part of the servers: a proxy of many keeps to so many
-	mostUneven      = 20.0  // times the even part, or an even part over it: a proxy's traffic is taken for no more or less
+	mostUneven      = 20.0  // times the even part of the traffic, or the even part over it
 	hearsay         = 10.0  // times the chance in a payoff, where a peer tells it
 	idleFor         = 2.0   // s; a connection unused for longer costs a backend more than opening it anew
-	sightFor        = 3.0   // s; what was seen longer ago is not told, and without any load told for so long none is seen
+	sightFor        = 3.0   // s; what was seen, or told of loads, longer ago is left out
 	hop             = 0.02  // s that a note is taken to be on its way
 	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
-	firstTold       = 20.0  // the same where peers tell of what they see there: a bank finds its limit sooner than it fills it
+	firstTold       = 16.0  // the same where peers tell what they see there, and loads are not told
 	leastLimit      = 1.0   // legs of all proxies together: a backend is never wholly shut by its limit
 	limitGain       = 1.2   // legs a second at a server, over the proxies and one; more chokes, less starves
 	limitCut        = 0.9   // factor on a slow answer
@@ -67,7 +67,7 @@
 	spareLegs       = 10.0  // usual legs past a small room, saved up: a part of all arrivals comes in clumps
 	spareRoom       = 4.0   // legs; a room of so many smooths half of that by itself
 	freshFor        = 0.08  // s; a told load this old says little more than the mean
-	crowdCost       = 8.0   // in the draw, of a full server over an empty one; a usual leg's payoff there is worth 2.2
+	crowdCost       = 8.0   // in the draw, of a full server over an empty one; more than its payoff tells
 	seenShare       = 0.55  // of the due time that a usual lookup may take at a full server whose load is seen
 	seenReserve     = 0.3   // of the room, for lookups of more than the usual priority
 	spend           = 0.004 // of the service, to pay for probes, and as much for notes
@@ -151,13 +151,8 @@
 	g := &l.legs[i]
 	g.out, g.neverRan, g.noRoute = false, o.NeverRan(), o == NoRoute
 	l.out--
-	g.s.legs--
 	b.unload(g, true)
-	g.s.tariffs[l.Tariff].inFlight--
-	if g.sent > g.s.toldAt {
-		g.s.since--
-	}
-	g.s.used = now
+	g.s.gave(l.Tariff, g.sent, now)
 	if !(g.started && o == Honoured) { // its time to the end is the client's
 		b.learn(l, g, o, latency)
 	}
@@ -257,12 +252,9 @@
 	if b.loads() {
 		l.legs[len(l.legs)-1].crowd = (b.load(s) + 1) / s.cores()
 	}
-	s.since++
+	s.took(l.Tariff)
 	l.out++
 	b.out++
-	s.inFlight++
-	s.legs++
-	s.tariffs[l.Tariff].inFlight++
 	if len(b.held) > 0 { // only then does every place go to one of them
 		b.pace += paceSmoothing * (b.now - b.lastSend - b.pace)
 	}
@@ -387,9 +379,8 @@
 	if len(l.legs) >= b.d.MaxLegs || b.now >= l.HardStop-answerEarly {
 		return nil, false
 	}
-	b.cands = b.cands[:0]
+	b.cands, b.room = b.cands[:0], 0
 	full, admitted, out := false, 0, 0.0
-	b.room = 0
 	for _, s := range b.servers {
 		if s == nil || s.State != Ready || !b.admitted(&s.breaker) {
 			continue
@@ -419,18 +410,16 @@
 		c.score = score + b.noise(l, s)
 		b.cands = append(b.cands, c)
 	}
-	b.load0 = out
+	b.fill = min(out/max(b.room, 1e-9), 1)
+	bound, draws := b.fill, len(b.cands)
 	if !b.loads() {
 		out = float64(b.out)
+		bound = crowdMultiple * out / float64(max(admitted, 1))
 	}
 	if out >= b.space(l.priority) { // danger: a room below one leg binds over time, not at once
 		return nil, full
 	}
 	b.servable = float64(max(admitted, 1))
-	bound, draws := crowdMultiple*out/b.servable, len(b.cands)
-	if b.loads() {
-		bound = out / b.room
-	}
 	if b.warm(l) && b.now < l.taken+homeTime*l.row.Due { // danger: a key on every server is warm on none
 		draws = min(draws, homes)
 	}
@@ -583,8 +572,9 @@
 	s.sights[tariff] = sight{Sight{Tariff: tariff, Value: p}, b.now}
 }
 
-// payoff tells what a leg at a server was worth; chance is that in it. What surprises goes to the server, its model and the fleet
-// by how little is known of each: a proxy of many hears too seldom from one server, often enough of its like.
+// payoff tells what a leg at a server was worth; chance is that in it. What surprises goes to the server, its
+// model and the fleet by how little is known of each: a proxy of many hears too seldom from one server, often
+// enough of its like; in a bank that tells, to the tariff there too.
 func (s *server) payoff(b *Balancer, tariff int, p, chance float64) {
 	miss, total := p-b.payNow(s, tariff), chance
 	for _, o := range s.of(tariff) {
@@ -616,7 +606,7 @@
 }
 
 // Probed tells what asking a backend for its load found. A probe that fails is no failed lookup.
-func (b *Balancer) Probed(now float64, backend int, ok bool, latency float64, r Report) *Orders {
+func (b *Balancer) Probed(now float64, backend int, ok bool, r Report) *Orders {
 	b.begin(now)
 	if backend < len(b.servers) && b.servers[backend] != nil && ok && r.Held >= 0 {
 		s := b.servers[backend]
@@ -656,8 +646,8 @@
 	return trust*s.told + (1-trust)*b.fill*b.bears(s) + float64(s.since)
 }
 
-// bears is how many legs a server is given: where its load is seen, as many as leave a usual lookup seenShare of
-// its due time, else this proxy's limit there.
+// bears is how many legs a server is given: where loads are told, as many as leave a usual lookup seenShare
+// of its due time, else this proxy's limit there.
 func (b *Balancer) bears(s *server) float64 {
 	if !b.loads() {
 		return s.limit * b.uneven()
@@ -665,8 +655,8 @@
 	return s.cores() * max(seenShare*b.ease/s.pace, 1)
 }
 
-// Heard takes in what a peer tells: hearsay, which ages, weighs less than what was seen, and counts once. It bears
-// on payoffs and loads alone; rows, limits and cold budgets rest on what this proxy saw.
+// Heard takes in what a peer tells: hearsay, which ages, weighs less than what was seen, and counts once. It
+// bears on payoffs, loads and, where there is no room, limits; no rule and no pause rests on it.
 func (b *Balancer) Heard(now float64, from int, n Note) *Orders {
 	b.begin(now)
 	if !b.d.Peers || from == b.d.Self || from < 0 || from >= b.d.Proxies {
@@ -677,11 +667,9 @@
 	for _, t := range n.Sights {
 		s, at := b.marked(t.Mark), now-t.Age-hop
 		switch {
-		case s == nil || t.Age+hop > sightFor || t.Tariff > len(b.rows):
+		case s == nil || t.Age+hop > sightFor || t.Tariff > len(b.rows) || t.Tariff < 0 && at <= s.toldAt:
 		case t.Tariff < 0:
-			if at > s.toldAt {
-				s.told, s.toldAt = t.Value, at
-			}
+			s.told, s.toldAt = t.Value, at
 		case at > s.sights[t.Tariff].at+hop: // danger: what comes round would count again
 			s.sights[t.Tariff] = sight{t, at}
 			s.payoff(b, t.Tariff, t.Value, hearsay)
@@ -699,8 +687,6 @@
 		return
 	}
 	b.tells = 0
-	b.orders.Tell, b.orders.Peer = b.told(), int(b.chance.Float()*float64(b.d.Proxies-1))
-	if b.orders.Peer >= b.d.Self {
-		b.orders.Peer++
-	}
+	b.orders.Tell = b.told()
+	b.orders.Peer = (b.d.Self + 1 + int(b.chance.Float()*float64(b.d.Proxies-1))) % b.d.Proxies
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -36,7 +36,6 @@
 	askAt           float64 // when to ask the list again; +Inf: no need
 	pumpAt          float64
 	seenAt          float64 // when a backend last told its load; 0: never
-	load0           float64 // legs at all admitted servers, as of the last pick
 	fill, ease      float64 // of the room in use; due time over the usual time of a lookup alone, the least of the tariffs
 	asks, tells     float64 // probes and notes saved up
 	peerRate, notes float64 // lookups a second of peers, smoothed; notes heard
@@ -214,7 +213,6 @@
 func (b *Balancer) begin(now float64) *Balancer {
 	if b.loads() {
 		b.credit = 0
-		b.fill = min(b.load0/max(b.room, 1e-9), 1)
 		b.ease = math.Inf(1)
 		for i := range b.rows {
 			b.ease = min(b.ease, b.rows[i].Due/b.rows[i].alone.Quantile(0.5, b.rows[i].Due/4))
@@ -235,6 +233,23 @@
 	l.isHeld = false
 }
 
+// took and gave keep what is out at a server, beside what unload does.
+func (s *server) took(tariff int) {
+	s.inFlight++
+	s.legs++
+	s.since++
+	s.tariffs[tariff].inFlight++
+}
+
+func (s *server) gave(tariff int, sent, now float64) {
+	s.legs--
+	s.tariffs[tariff].inFlight--
+	if sent > s.toldAt {
+		s.since--
+	}
+	s.used = now
+}
+
 // unload takes a leg from what is in flight, once: when it ends, or from when it is overdue. Danger: where a server's
 // limit is too small to hold back a leg, only the sum of what is out does, and overdue ones must count in it.
 func (b *Balancer) unload(g *leg, when bool) {
--- a/proxy/probe.go
+++ b/proxy/probe.go
@@ -22,7 +22,7 @@
 	if p.now() > p.stopSend[index] {
 		return
 	}
-	sent, to := p.now(), p.names.Name(index)
+	to := p.names.Name(index)
 	p.counts.Probes++
 	ex := &backends.Exchange{Head: []byte(probeHead), Plain: true, Until: time.Now().Add(probeFor)}
 	ex.Report = func(r backends.Result) {
@@ -35,7 +35,7 @@
 			report = reported(r.Fields)
 		}
 		p.decide(in, func(now float64) *balance.Orders {
-			return in.b.Probed(now, index, r.Outcome == balance.Honoured, p.stamp(r.At)-sent, report)
+			return in.b.Probed(now, index, r.Outcome == balance.Honoured, report)
 		})
 	}
 	if !p.pool.Send(index, ex) {
