--- a/balance/types.go
+++ b/balance/types.go
@@ -112,8 +112,7 @@
 	Mark    uint64 // hash of its name, alike at every proxy
 	Zone    int
 	Pod     int
-	Model   int     // its machine's, a small number
-	Heft    float64 // its registered size, roughly; 0: not told
+	Model   int // its machine's, a small number
 	State   State
 	UpSince float64 // when it last started; 0: long ago
 }
