--- a/balance/balance.go
+++ b/balance/balance.go
@@ -48,8 +48,8 @@
 	halfLeg         = 0.5   // legs; a limit below binds by the sum of all only
 	limitFull       = 0.7   // factor on no room, a plain sign
 	slowShare       = 0.35  // of the due time: an answer slower than this was kept waiting
-	slowLeast       = 2.2   // of that median: a leg under it did not wait, whatever its part of the due time
 	slowMedians     = 2.5   // of the tariff's median when little waited: later, it waited or was unlucky
+	slowLeast       = 2.2   // of it too: a leg under that did not wait, whatever its part of the due time
 	baseRise        = 0.002 // smoothing of that median upwards: it follows a slower fleet, not a crowd
 	patienceFactor  = 1.5   // of the tariff's high quantile: a leg older than this is overdue
 	againPart       = 0.2   // of the priority, for a client's further try: most of its due time is gone
@@ -69,7 +69,7 @@
 	freshFor        = 0.08  // s; a told load this old says little more than the mean
 	crowdCost       = 8.0   // in the draw, of a full server over an empty one; more than its payoff tells
 	seenShare       = 0.55  // of the due time that a usual lookup may take at a full server whose load is seen
-	seenReserve     = 0.3   // of the room, for lookups of more than the usual priority
+	seenReserve     = 0.3   // of the room whose load is seen, for lookups of more than the usual priority
 	spend           = 0.004 // of the service, to pay for probes, and as much for notes
 	mostAsked       = 2.0   // probes a lookup, however cheap
 	meanPart        = 0.02  // smoothing of fleet-wide means: about fifty results
@@ -626,7 +626,7 @@
 
 // ask orders probes, as many for a lookup as the price allows.
 func (b *Balancer) ask() {
-	b.asks += min(spend/max(b.d.ProbePrice, 1e-9), mostAsked)
+	b.asks = min(b.asks+spend/max(b.d.ProbePrice, 1e-9), mostAsked) // danger: saved up without a list, a flood
 	for ; b.d.Probes && b.asks >= 1 && len(b.servers) > 0; b.asks-- {
 		if s := b.servers[int(b.chance.Float()*float64(len(b.servers)))]; s != nil && s.State == Ready {
 			b.orders.Probe = append(b.orders.Probe, s.Index)
--- a/balance/bank_test.go
+++ b/balance/bank_test.go
@@ -246,6 +246,12 @@
 	k := open(t, probing(), 0)
 	_, o := k.Take(0, Arrival{HardStop: 1})
 	assert.Empty(t, o.Probe, "nothing is listed")
+	for range 100 {
+		k.Take(0, Arrival{HardStop: 1})
+	}
+	k.Listed(0, true, false, backends(2))
+	_, o = k.Take(0, Arrival{HardStop: 1})
+	assert.LessOrEqual(t, len(o.Probe), int(mostAsked), "no probes saved up while there was no list")
 	k = open(t, probing(), 2)
 	k.Listed(0, false, false, []Backend{{Index: 0, Mark: 1, State: Draining}})
 	for range 50 {
