--- a/balance/balance.go
+++ b/balance/balance.go
@@ -665,7 +665,7 @@
 	b.notes++
 	b.peerRate += max(1/b.notes, meanPart) * (n.Rate - b.peerRate)
 	for _, t := range n.Sights {
-		s, at := b.marked(t.Mark), now-t.Age-hop
+		s, at := b.marked(t.Mark, now-t.Age-hop), now-t.Age-hop
 		switch {
 		case s == nil || t.Age+hop > sightFor || t.Tariff > len(b.rows) || t.Tariff < 0 && at <= s.toldAt:
 		case t.Tariff < 0:
--- a/balance/bank_test.go
+++ b/balance/bank_test.go
@@ -72,6 +72,33 @@
 	}
 }
 
+func TestNothingIsHeardOfABackendBeforeItsRestart(t *testing.T) {
+	k := open(t, apart(), 3)
+	k.Listed(99, false, false, []Backend{{Index: 0, Mark: 1, UpSince: 99}})
+	k.clock = 100
+	for _, c := range []struct {
+		age   float64
+		worse bool
+	}{{1.5, false}, {0.5, true}} {
+		k.Heard(k.clock, 2, note(Sight{Mark: 1, Age: c.age, Value: 0}))
+		assert.Equal(t, c.worse, k.payNow(k.servers[0], 0) < k.payNow(k.servers[1], 0))
+	}
+}
+
+// A number of proxies that is far from the true one, and peers that tell absurd rates, bend a proxy's part within bounds.
+func TestPartsAreBounded(t *testing.T) {
+	for _, rate := range []float64{0, 1e-9, 4, 4095} {
+		k := open(t, apart(), 3)
+		for range 100 {
+			k.clock += 0.1
+			k.Heard(k.clock, 2, Note{Rate: rate})
+			k.take(Arrival{})
+		}
+		assert.LessOrEqual(t, k.uneven(), mostUneven)
+		assert.GreaterOrEqual(t, k.uneven(), 1/mostUneven)
+	}
+}
+
 func TestWhatComesRoundCountsOnce(t *testing.T) {
 	k := open(t, apart(), 3)
 	k.clock = 100
--- a/balance/state.go
+++ b/balance/state.go
@@ -121,10 +121,11 @@
 	return &b.note
 }
 
-// marked is the server with this mark, if any.
-func (b *Balancer) marked(mark uint32) *server {
+// marked is the server with this mark, if it was up at that time already. Danger: what was seen of a backend before it
+// restarted under its name says nothing of it now.
+func (b *Balancer) marked(mark uint32, at float64) *server {
 	for _, s := range b.servers {
-		if s != nil && uint32(s.Mark) == mark {
+		if s != nil && uint32(s.Mark) == mark && s.UpSince <= at {
 			return s
 		}
 	}
