Read over: the draw takes the greatest of what is left, pools tell no notes, state derived

Cause and change, each found on reading the move once more: - Since a draw sorted all candidates though it mostly needs one or two. A SIGHUP with other peers was silent: now logged. The link was closed after Serve had returned: now before, so its address is free. `unheard` counted notes that could not be sent. - Derived or cut: legs at a server, a special case for one tariff's opinions, a model's cores among opinions, a second check of the deployment in launch, BeyondShare, textproto for one field.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -4,7 +4,6 @@
 package balance
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
@@ -77,7 +76,7 @@
 
 // New refuses a deployment it cannot decide on.
 func New(d Deployment, now float64) (*Balancer, error) {
-	if err := d.Check(); err != nil {
+	if err := d.check(); err != nil {
 		return nil, err
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
@@ -188,7 +187,7 @@
 		g.counted = true                  // danger: a hanging backend would be known only a hard stop later
 		b.unload(g, g.s.limit >= halfLeg) // danger: a tariff that hangs there leaves the others no room
 		b.results(l, g.s, false)
-		g.s.seen(b, l.Tariff, 0)
+		g.s.payoff(b, l.Tariff, 0, b.now, oneResult)
 		// danger: a leg that was lost on its way is never answered, at whatever server
 		if s, _ := b.pick(l); s != nil && b.d.Beside && float64(max(b.out, 1)) < spareShare*b.room {
 			b.send(l, s)
@@ -214,7 +213,7 @@
 	}
 	b.tidyAt = 0
 	for _, s := range b.servers {
-		if s == nil || s.legs > 0 || s.used == 0 {
+		if s == nil || s.legs() > 0 || s.used == 0 {
 			continue
 		}
 		if b.tidyAt = b.now + pumpEvery; b.now >= s.used+idleFor {
@@ -250,7 +249,7 @@
 func (b *Balancer) send(l *Lookup, s *server) {
 	l.legs = append(l.legs, leg{s: s, pod: s.Pod, zone: s.Zone, sent: b.now, out: true})
 	if b.loads() {
-		l.legs[len(l.legs)-1].crowd = (b.load(s) + 1) / s.cores()
+		l.legs[len(l.legs)-1].crowd = (b.load(s) + 1) / s.like.cores()
 	}
 	s.took(l.Tariff)
 	l.out++
@@ -423,9 +422,13 @@
 	if b.warm(l) && b.now < l.taken+homeTime*l.row.Due { // danger: a key on every server is warm on none
 		draws = min(draws, homes)
 	}
-	slices.SortFunc(b.cands, func(x, y cand) int { return cmp.Compare(y.score, x.score) })
 	var last cand
 	for n := 0; n < draws; n++ {
+		for i := n + 1; i < len(b.cands); i++ { // danger: a whole sort took as long as all else of a draw among 60
+			if b.cands[i].score > b.cands[n].score {
+				b.cands[i], b.cands[n] = b.cands[n], b.cands[i]
+			}
+		}
 		c := b.cands[n]
 		if b.cold(c.s) {
 			if float64(c.s.inFlight) <= bound && b.coldRoom(l, c.s) {
@@ -466,7 +469,7 @@
 	case CalledOff, NeverSent, Unfit: // these count neither way
 	case NoRoom: // a busy backend is not a broken one: its row stays
 		b.move(s, limitFull, 1)
-		s.seen(b, len(b.rows), 0)
+		s.payoff(b, len(b.rows), 0, b.now, oneResult)
 	case Honoured:
 		b.results(l, s, true)
 		alone := latency / max(g.crowd, 1) / max(l.heavy, 0.5) // what it had taken at an idle server
@@ -480,9 +483,9 @@
 			l.row.base += meanPart * (m - l.row.base) // danger: a mere minimum keeps the luckiest start
 		}
 		if latency <= due {
-			s.seen(b, l.Tariff, 1-haste*latency/due)
+			s.payoff(b, l.Tariff, 1-haste*latency/due, b.now, oneResult)
 		} else {
-			s.seen(b, l.Tariff, latePayoff)
+			s.payoff(b, l.Tariff, latePayoff, b.now, oneResult)
 		}
 		if b.loads() || float64(b.out+1) < busyShare*b.space(b.usual) { // with the leg that just ended
 			return // danger: a limit that moves while it does not bind is wrong when it does
@@ -498,7 +501,7 @@
 	default:
 		if !g.counted {
 			b.results(l, s, false)
-			s.seen(b, l.Tariff, 0)
+			s.payoff(b, l.Tariff, 0, b.now, oneResult)
 		}
 	}
 }
@@ -566,22 +569,17 @@
 	}
 }
 
-// seen is payoff for what this proxy saw itself, which peers may be told.
-func (s *server) seen(b *Balancer, tariff int, p float64) {
-	s.payoff(b, tariff, p, oneResult)
-	s.sights[tariff] = sight{Sight{Tariff: tariff, Value: p}, b.now}
-}
-
-// payoff tells what a leg at a server was worth; chance is that in it. What surprises goes to the server, its
-// model and the fleet by how little is known of each: a proxy of many hears too seldom from one server, often
-// enough of its like; in a bank that tells, to the tariff there too.
-func (s *server) payoff(b *Balancer, tariff int, p, chance float64) {
+// payoff tells what a leg at a server was worth at a time; chance is that in it. What surprises goes to the
+// server, its model and the fleet by how little is known of each: a proxy of many hears too seldom from one
+// server, often enough of its like; in a bank that tells, to the tariff there too.
+func (s *server) payoff(b *Balancer, tariff int, p, at, chance float64) {
+	s.sights[tariff] = sight{Sight{Tariff: tariff, Value: p}, at}
 	miss, total := p-b.payNow(s, tariff), chance
-	for _, o := range s.of(tariff) {
+	for _, o := range s.views[tariff] {
 		o.pay, o.sure, o.heard = o.at(b.now), o.sure*o.fade(b.now), b.now
 		total += 1 - o.sure
 	}
-	for _, o := range s.of(tariff) {
+	for _, o := range s.views[tariff] {
 		part := (1 - o.sure) / total
 		o.pay += part * miss
 		o.sure += part * (1 - o.sure)
@@ -611,7 +609,7 @@
 	if backend < len(b.servers) && b.servers[backend] != nil && ok && r.Held >= 0 {
 		s := b.servers[backend]
 		s.told, s.toldAt, s.since, b.seenAt = r.Held, now, 0, now
-		s.opinions[1].report(r)
+		s.like.report(r)
 	}
 	return b.pump()
 }
@@ -652,7 +650,7 @@
 	if !b.loads() {
 		return s.limit * b.uneven()
 	}
-	return s.cores() * max(seenShare*b.ease/s.pace, 1)
+	return s.like.cores() * max(seenShare*b.ease/s.pace, 1)
 }
 
 // Heard takes in what a peer tells: hearsay, which ages, weighs less than what was seen, and counts once. It
@@ -671,8 +669,7 @@
 		case t.Tariff < 0:
 			s.told, s.toldAt = t.Value, at
 		case at > s.sights[t.Tariff].at+hop: // danger: what comes round would count again
-			s.sights[t.Tariff] = sight{t, at}
-			s.payoff(b, t.Tariff, t.Value, hearsay)
+			s.payoff(b, t.Tariff, t.Value, at, hearsay)
 			if t.Tariff == len(b.rows) {
 				b.move(s, limitFull, 1)
 			}
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -55,6 +55,11 @@
 	return l, append([]Step(nil), o.Steps...)
 }
 
+// draw is where a tariff's lookup would go now, and whether it would go somewhere if there were room.
+func (k *bank) draw(tariff int) (*server, bool) {
+	return k.pick(&Lookup{b: k.Balancer, row: &k.rows[tariff], heavy: 1, Arrival: Arrival{HardStop: 99, Tariff: tariff}})
+}
+
 // hear lets a server's legs end in these ways, a letter each: h honoured, l late, f fault, n no room, c called off.
 func (k *bank) hear(s *server, letters string) {
 	for _, c := range letters {
--- a/balance/state.go
+++ b/balance/state.go
@@ -28,7 +28,7 @@
 	lookups         float64 // taken
 	gap, lastTake   float64 // s between lookups taken; the last one
 	fleet           *opinion
-	models          []*opinion
+	models          []*model
 	failShare       float64 // share of all results that were failures, smoothed
 	pace, lastSend  float64 // s between sends while lookups are held; the last one
 	credit          float64 // legs times seconds below the room, saved up
@@ -73,17 +73,18 @@
 // server is one backend as this proxy knows it.
 type server struct {
 	Backend
-	breaker                   // for lookups of all tariffs
-	tariffs        []breaker  // for those of one
-	opinions       []*opinion // of the fleet, its model and itself; then, in a bank that tells, one of each tariff there
-	pace           float64    // smoothed time of its answers over the usual for their work
-	legs           int        // out, overdue ones too
-	used           float64    // when a leg ended last; 0: nothing is open
-	sights         []sight    // the last of each tariff, and of no room
-	told, toldAt   float64    // legs of all proxies there, as it told last, and when
-	since          int        // own legs sent there since
-	limit          float64    // legs it bears from this proxy; below one, only some of the time
-	bucket, flowed float64    // cold budget saved up, s of work; when it last flowed
+	breaker                     // for lookups of all tariffs
+	tariffs        []breaker    // for those of one
+	like           *model       // its machine's
+	opinions       []*opinion   // of the fleet, its model and itself
+	views          [][]*opinion // by tariff, the last of no room: these and, in a bank that tells, that of the tariff there
+	pace           float64      // smoothed time of its answers over the usual for their work
+	used           float64      // when a leg ended last; 0: nothing is open
+	sights         []sight      // the last of each tariff, and of no room
+	told, toldAt   float64      // legs of all proxies there, as it told last, and when
+	since          int          // own legs sent there since
+	limit          float64      // legs it bears from this proxy; below one, only some of the time
+	bucket, flowed float64      // cold budget saved up, s of work; when it last flowed
 }
 
 // breaker is one row of the source's.
@@ -133,23 +134,36 @@
 }
 
 // opinion is by how much the payoff of servers alike differs from what is else known of them.
-type opinion struct{ pay, sure, heard, lasts, cores, held, busy, told float64 }
+type opinion struct{ pay, sure, heard, lasts float64 }
 
-// report takes in a report of one of a model's servers: what it holds over the share of its cores in use is how many
-// cores there are, where least waits.
-func (o *opinion) report(r Report) {
+// model is what servers on machines alike have in common: an opinion, and what their reports tell.
+type model struct {
+	opinion
+	held, busy, told float64 // legs a server, share of its cores in use, both smoothed; reports
+	least            float64 // of the first over the second, which is how many cores there are, where least waits; 0: not told
+}
+
+func (m *model) report(r Report) {
 	if r.Busy < 0 {
 		return
 	}
-	o.held += meanPart * (r.Held - o.held)
-	o.busy += meanPart * (r.Busy - o.busy)
-	if o.told++; o.told > 1/meanPart && o.busy > meanPart && (o.cores == 0 || o.held/o.busy < o.cores) {
-		o.cores = max(o.held/o.busy, 1)
+	m.held += meanPart * (r.Held - m.held)
+	m.busy += meanPart * (r.Busy - m.busy)
+	if m.told++; m.told > 1/meanPart && m.busy > meanPart && (m.least == 0 || m.held/m.busy < m.least) {
+		m.least = m.held / m.busy
 	}
 }
 
-// cores are those of its model, as far as reports tell; else one is taken for granted.
-func (s *server) cores() float64 { return max(s.opinions[1].cores, 1) }
+// cores are a server's, as far as reports tell; else one is taken for granted.
+func (m *model) cores() float64 { return max(m.least, 1) }
+
+// legs are those out at a server, overdue ones too.
+func (s *server) legs() (n int) {
+	for i := range s.tariffs {
+		n += s.tariffs[i].inFlight
+	}
+	return n
+}
 
 // fade is the part of it that is not forgotten by now.
 func (o *opinion) fade(now float64) float64 { return math.Exp((o.heard - now) / o.lasts) }
@@ -157,18 +171,10 @@
 // at is what is left of its payoff.
 func (o *opinion) at(now float64) float64 { return o.pay * o.fade(now) }
 
-// of is the opinions that bear on a tariff at a server.
-func (s *server) of(tariff int) []*opinion {
-	if 3+tariff >= len(s.opinions) {
-		return s.opinions[:3]
-	}
-	return []*opinion{s.opinions[0], s.opinions[1], s.opinions[2], s.opinions[3+tariff]}
-}
-
 // payNow is a server's payoff; what was long unheard is forgotten, so it goes back to that of its like.
 func (b *Balancer) payNow(s *server, tariff int) float64 {
 	p := 1.0
-	for _, o := range s.of(tariff) {
+	for _, o := range s.views[tariff] {
 		p += o.at(b.now)
 	}
 	return p
@@ -237,13 +243,11 @@
 // took and gave keep what is out at a server, beside what unload does.
 func (s *server) took(tariff int) {
 	s.inFlight++
-	s.legs++
 	s.since++
 	s.tariffs[tariff].inFlight++
 }
 
 func (s *server) gave(tariff int, sent, now float64) {
-	s.legs--
 	s.tariffs[tariff].inFlight--
 	if sent > s.toldAt {
 		s.since--
@@ -313,30 +317,28 @@
 }
 
 // unheard is a server that nothing is known of but its model.
-func (b *Balancer) unheard(model int) *server {
+func (b *Balancer) unheard(kind int) *server {
 	limit := firstLimit
 	if b.d.Peers && !b.d.Probes {
 		limit = firstTold
 	}
+	for len(b.models) <= kind {
+		b.models = append(b.models, &model{opinion: opinion{lasts: forgetModel}})
+	}
+	like := b.models[kind]
 	s := &server{limit: limit / float64(b.d.Proxies), pace: 1, flowed: b.now, tariffs: make([]breaker, len(b.rows)),
-		sights:   make([]sight, len(b.rows)+1),
-		opinions: []*opinion{b.fleet, b.model(model), {lasts: forget}}}
+		sights: make([]sight, len(b.rows)+1), like: like, opinions: []*opinion{b.fleet, &like.opinion, {lasts: forget}}}
 	for range b.rows {
+		view := s.opinions
 		if b.d.Peers {
-			s.opinions = append(s.opinions, &opinion{lasts: forget})
+			view = append(view[:3:3], &opinion{lasts: forget})
 		}
+		s.views = append(s.views, view)
 	}
+	s.views = append(s.views, s.opinions)
 	return s
 }
 
-// model is the opinion that servers of a model share.
-func (b *Balancer) model(i int) *opinion {
-	for len(b.models) <= i {
-		b.models = append(b.models, &opinion{lasts: forgetModel})
-	}
-	return b.models[i]
-}
-
 // Admits tells whether any listed server is admitted: as ever, or only for a trial, after a pause's cooldown.
 func (b *Balancer) Admits(now float64) (any, trial bool) {
 	b.begin(now)
--- a/balance/types.go
+++ b/balance/types.go
@@ -66,7 +66,6 @@
 	Tariffs      []Tariff
 	Customers    []Customer
 	ValueByWork  bool    // a lookup's value is its tariff's for each unit of its work
-	BeyondShare  float64 // value of a lookup past its customer's share, as a fraction
 	MaxLegs      int     // legs a lookup may have
 	CallOff      bool    // legs may be called off
 	Beside       bool    // a lookup's legs may be out beside one another
@@ -94,7 +93,7 @@
 // Customer is a tenant with a share of the service.
 type Customer struct {
 	Name  string
-	Quota float64 // lookups a second, over all proxies, within its share; 0: no limit
+	Quota float64 // lookups a second, over all proxies, within its share; told on, not weighed; 0: no limit
 }
 
 // State is what the list says of a backend.
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -58,7 +58,6 @@
 		ProbePrice:   e.num("Tariffs.Probe"),
 		Proxies:      int(e.num("ReplicasOfMe")),
 		ValueByWork:  values["ValuePer"] == "work",
-		BeyondShare:  e.num("BeyondShareValue"),
 		MaxLegs:      int(e.num("Ceilings.MaxLegs")),
 		CallOff:      e.bool("Ceilings.Cancel"),
 		Beside:       e.bool("Ceilings.ParallelTries"),
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -133,10 +133,7 @@
 // proxy of its own (mesh), proxies may do both.
 func shape(f figures.Figures, values map[string]string, bank Bank) error {
 	var wrong string
-	if err := f.Deployment.Check(); err != nil {
-		return err
-	}
-	_, _, listens := net.SplitHostPort(bank.Listen)
+	_, listens := netip.ParseAddrPort(bank.Listen) // danger: a name passes for an address here and is refused when it is opened
 	switch {
 	case f.Peers && !f.Apart:
 		wrong = "Ceilings.PeerMessages: true, but KindOfService is not mesh"
@@ -148,6 +145,8 @@
 		wrong = "FamilyInfo.WarmKeys: true, but KindOfService is mesh"
 	case f.Apart && f.Deployment.Zone < 0:
 		wrong = fmt.Sprintf("Zone: not among Zones: %q", values["Zone"])
+	case f.Peers && (f.Self < 0 || f.Self >= f.Proxies):
+		wrong = fmt.Sprintf("SlotNo: %d: no number of a proxy of %d", f.Self, f.Proxies)
 	case f.Streams < 1:
 		wrong = "Ceilings.StreamsPerConn: under 1"
 	case f.Streams > 1:
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -21,7 +21,7 @@
 
 // Link is this proxy's end of it.
 type Link struct {
-	Sent, Heard, Dropped atomic.Int64 // notes
+	Sent, Heard, Dropped atomic.Int64 // notes; the last came and were not taken in
 
 	self  int
 	conn  *net.UDPConn
@@ -60,11 +60,9 @@
 		return
 	}
 	data := append(binary.BigEndian.AppendUint16(nil, uint16(l.self)), notes.Encode(n)...)
-	if _, err := l.conn.WriteToUDPAddrPort(data, at); err != nil { // a peer that is gone, or a full buffer: as if lost on its way
-		l.Dropped.Add(1)
-		return
+	if _, err := l.conn.WriteToUDPAddrPort(data, at); err == nil { // else a full buffer, or a peer that is gone: as if lost on its way
+		l.Sent.Add(1)
 	}
-	l.Sent.Add(1)
 }
 
 // Close ends it; nothing is heard after that.
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -62,9 +62,11 @@
 		"unfit": c.Outcomes[balance.Unfit], "cut": c.Outcomes[balance.Cut], "called_off": c.Outcomes[balance.CalledOff],
 		"never_sent": c.Outcomes[balance.NeverSent], "connections": pool.Total(), "opened": pool.Opened,
 		"retired": pool.Retired, "lost_idle": pool.Lost, "no_connection": pool.Full}
+	if p.launch.Probes {
+		fields["probes"] = c.Probes
+	}
 	if p.link != nil {
-		fields["probes"], fields["told"], fields["heard"] = c.Probes, p.link.Sent.Load(), p.link.Heard.Load()
-		fields["unheard"] = p.link.Dropped.Load()
+		fields["told"], fields["heard"], fields["unheard"] = p.link.Sent.Load(), p.link.Heard.Load(), p.link.Dropped.Load()
 	}
 	fields["clients"], fields["crowded"] = p.door.counted()
 	line, broken := p.log.WithFields(fields), invariant.Broken()
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -136,6 +136,7 @@
 	o := &ordinary{setup: s, pools: map[string]*branch{}, tariffs: map[string]int{}, limits: map[string]int{}}
 	d := p.launch.Deployment
 	d.Tariffs, d.Customers = nil, nil
+	d.Peers = false // danger: a note numbers the platform's tariffs; a pool's would be taken for those
 	for i, t := range s.Tariffs {
 		o.tariffs[t.Name] = i
 		for _, kind := range kindsOf {
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -33,9 +33,6 @@
 		case <-p.quit:
 			p.watched.end()
 			p.sought.end()
-			if p.link != nil {
-				go p.link.Close() // danger: what hears its last note may wait for this goroutine
-			}
 			p.pool.Shut()
 			p.counted()()
 			close(p.ended)
--- a/proxy/probe.go
+++ b/proxy/probe.go
@@ -1,9 +1,7 @@
 package proxy
 
 import (
-	"bufio"
-	"bytes"
-	"net/textproto"
+	"strings"
 	"time"
 
 	"lockloom/balance"
@@ -23,31 +21,27 @@
 		return
 	}
 	to := p.names.Name(index)
-	p.counts.Probes++
 	ex := &backends.Exchange{Head: []byte(probeHead), Plain: true, Until: time.Now().Add(probeFor)}
 	ex.Report = func(r backends.Result) {
 		p.held.Add(-r.Held)
 		if p.names.Name(index) != to { // danger: the number may be another backend's by now
 			return
 		}
-		report := figures.Report("")
-		if r.Outcome == balance.Honoured {
-			report = reported(r.Fields)
-		}
 		p.decide(in, func(now float64) *balance.Orders {
-			return in.b.Probed(now, index, r.Outcome == balance.Honoured, report)
+			return in.b.Probed(now, index, r.Outcome == balance.Honoured, reported(r.Fields))
 		})
 	}
-	if !p.pool.Send(index, ex) {
-		p.counts.Probes--
+	if p.pool.Send(index, ex) {
+		p.counts.Probes++
 	}
 }
 
 // reported is the report among the fields of an answer; one without tells nothing.
 func reported(fields []byte) balance.Report {
-	head, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(append(bytes.Clone(fields), "\r\n"...)))).ReadMIMEHeader()
-	if err != nil {
-		return figures.Report("")
+	for line := range strings.Lines(string(fields)) {
+		if name, value, _ := strings.Cut(line, ":"); strings.EqualFold(name, reportField) {
+			return figures.Report(value)
+		}
 	}
-	return figures.Report(head.Get(reportField))
+	return figures.Report("")
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -172,7 +172,7 @@
 // Serve serves the listener's connections until the context ends; then it answers all it has taken and what
 // still comes for a short time, and returns.
 func (p *Proxy) Serve(ctx context.Context, ln net.Listener) error {
-	if p.launch.Peers && p.link == nil {
+	if p.launch.Peers {
 		link, err := peers.Open(p.launch.Bank.Listen, p.launch.Self, p.launch.Bank.Peers, p.heardOf)
 		if err != nil {
 			ln.Close()
@@ -228,6 +228,9 @@
 	p.work.Wait()
 	close(p.quit)
 	<-p.ended
+	if p.link != nil {
+		p.link.Close()
+	}
 	return err
 }
 
@@ -245,8 +248,8 @@
 		log := p.log.WithField("discovery", l.Discovery)
 		old, now := p.launch.Figures, l.Figures
 		old.Seed, now.Seed = 0, 0
-		if l.Limits != p.launch.Limits || !reflect.DeepEqual(old, now) {
-			log.Warn("limits or settings differ: they count from the next start")
+		if l.Limits != p.launch.Limits || !reflect.DeepEqual(old, now) || !reflect.DeepEqual(l.Bank, p.launch.Bank) {
+			log.Warn("limits, peers or settings differ: they count from the next start")
 		}
 		log.Info("told anew")
 		p.follow(l.Discovery)
