--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -35,6 +35,7 @@
 	Up      func()     // each time discovery answers; what it tells follows
 	Told    func(List) // each list, in order
 	Log     logrus.FieldLogger
+	Chance  func() float64 // spreads the pauses, from 0 to 1; nil: a source of its own
 }
 
 // Run watches until the context ends, connecting anew after a growing pause spread by chance. Danger: a bank that loses
@@ -43,7 +44,10 @@
 func (w *Watch) Run(ctx context.Context) {
 	first := max(pauseFirst, time.Duration(w.Bank)*eachPause)
 	most := max(pauseMost, 2*first)
-	pause := first
+	pause, chance := first, w.Chance
+	if chance == nil {
+		chance = rand.Float64
+	}
 	for ctx.Err() == nil {
 		before := w.Version
 		err := w.follow(ctx, func() { pause = first })
@@ -53,7 +57,7 @@
 		w.Log.WithError(err).WithFields(logrus.Fields{"from": before, "version": w.Version}).Warn("watch lost")
 		select {
 		case <-ctx.Done():
-		case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(pause))):
+		case <-time.After(time.Duration((0.5 + chance()) * float64(pause))):
 		}
 		pause = min(2*pause, most)
 	}
