A leg turned away uses up room; probes only where reports tell cores in use

Where limits are under one leg only the sum of what is out over time binds, and a leg that is gone at once takes none, so a room of half a leg let through hundreds a second. Change: learn takes the usual time less the time out from the credit on NoRoom; figures asks for probes only where held and busy are both told.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -468,6 +468,7 @@
 	switch o {
 	case CalledOff, NeverSent, Unfit: // these count neither way
 	case NoRoom: // a busy backend is not a broken one: its row stays
+		b.credit -= max(l.row.median()-(b.now-g.sent), 0) // danger: turned away at once, legs would use up no room
 		b.move(s, limitFull, 1)
 		s.payoff(b, len(b.rows), 0, b.now, oneResult)
 	case Honoured:
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -46,13 +46,12 @@
 		DrainGrace: e.num("Rules.StopSendingWithinMs") / 1000,
 	}
 	f.Deployment = balance.Deployment{
-		Seed:  seed,
-		Self:  int(e.num("SlotNo")),
-		Zone:  slices.Index(f.Zones, values["Zone"]),
-		Apart: values["KindOfService"] == "mesh",
-		Peers: e.bool("Ceilings.PeerMessages"),
-		Probes: e.bool("Ceilings.Probes") && values["Feedback.Via"] == "on_probe" &&
-			slices.Contains(strings.Split(values["Feedback.Fields"], ","), fieldHeld), // danger: a probe costs, and nothing else that is told helps
+		Seed:         seed,
+		Self:         int(e.num("SlotNo")),
+		Zone:         slices.Index(f.Zones, values["Zone"]),
+		Apart:        values["KindOfService"] == "mesh",
+		Peers:        e.bool("Ceilings.PeerMessages"),
+		Probes:       e.bool("Ceilings.Probes") && values["Feedback.Via"] == "on_probe" && tells(values["Feedback.Fields"]),
 		ConnPrice:    e.num("Tariffs.Connection"),
 		PeerPrice:    e.num("Tariffs.Peer"),
 		ProbePrice:   e.num("Tariffs.Probe"),
@@ -97,6 +96,13 @@
 	return f, e.err
 }
 
+// tells says whether reports of these fields are worth their probes. Danger: a load says how full a backend is only beside the
+// share of its cores in use; without it two cores count as one, and half of what the backends bear is turned away.
+func tells(fields string) bool {
+	list := strings.Split(fields, ",")
+	return slices.Contains(list, fieldHeld) && slices.Contains(list, fieldBusy)
+}
+
 // Report reads a load report, name:value with commas between. Fields that are not known, and those that are no
 // numbers, tell nothing.
 func Report(text string) balance.Report {
