Limits where peers tell: by the list's size at first, by their sum after, growing faster

With 18 to 500 proxies a limit under half a leg moved by a tenth of each sign, and its growth is divided by the proxies: limits stayed where they began, and where they settled was far too low. Change: a limit starts at three legs a core by the list's weight; what a limit under half a leg doesn't take of a sign goes to all in equal parts; growth 8 for 1.2, full answers .95 for .7, slow only from 2.2 of the usual, all where peers tell; a leg called off when overdue counts in its tariff's times. Where they do not, nothing changes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -40,12 +40,14 @@
 	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
-	firstTold       = 16.0  // the same where peers tell what they see there, and loads are not told
+	firstTold       = 3.0   // the same for each core where peers tell what they see there, and loads are not told
 	leastLimit      = 1.0   // legs of all proxies together: a backend is never wholly shut by its limit
 	limitGain       = 1.2   // legs a second at a server, over the proxies and one; more chokes, less starves
+	toldGain        = 8.0   // the same where peers tell of no room, which holds limits down in its place
 	limitCut        = 0.9   // factor on a slow answer
 	halfLeg         = 0.5   // legs; a limit below binds by the sum of all only
 	limitFull       = 0.7   // factor on no room, a plain sign
+	toldFull        = 0.95  // the same where peers tell of it, so that many count what one saw
 	slowShare       = 0.35  // of the due time: an answer slower than this was kept waiting
 	slowMedians     = 2.5   // of the tariff's median when little waited: later, it waited or was unlucky
 	slowLeast       = 2.2   // of it too: a leg under that did not wait, whatever its part of the due time
@@ -81,7 +83,10 @@
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, askPause: askFirst,
-		fleet: &opinion{lasts: forget}, askAt: math.Inf(1), lastSend: now, lastTake: now}
+		gain: limitGain, full: limitFull, fleet: &opinion{lasts: forget}, askAt: math.Inf(1), lastSend: now, lastTake: now}
+	if d.Peers {
+		b.gain, b.full = toldGain, toldFull
+	}
 	for _, t := range d.Tariffs {
 		if t.Due == 0 { // no due time set: half of what the client waits
 			t.Due = t.HardStop / 2
@@ -466,10 +471,14 @@
 func (b *Balancer) learn(l *Lookup, g *leg, o Outcome, latency float64) {
 	s, due := g.s, l.row.Due*max(l.heavy, 1)
 	switch o {
-	case CalledOff, NeverSent, Unfit: // these count neither way
+	case CalledOff: // danger: were only answers to count, the slowest tariff would look as quick as its luckiest
+		if g.counted {
+			l.row.times.Add((b.now - g.sent) / max(l.heavy, 0.5))
+		}
+	case NeverSent, Unfit: // these count neither way
 	case NoRoom: // a busy backend is not a broken one: its row stays
 		b.credit -= max(l.row.median()-(b.now-g.sent), 0) // danger: turned away at once, legs would use up no room
-		b.move(s, limitFull, 1)
+		b.move(s, b.full, 1)
 		s.payoff(b, len(b.rows), 0, b.now, oneResult)
 	case Honoured:
 		b.results(l, s, true)
@@ -491,10 +500,10 @@
 		if b.loads() || float64(b.out+1) < busyShare*b.space(b.usual) { // with the leg that just ended
 			return // danger: a limit that moves while it does not bind is wrong when it does
 		}
-		grow, usual := 1+limitGain*latency/float64(1+b.d.Proxies)/s.limit, l.row.base*max(l.heavy, 1)
+		grow, usual := 1+b.gain*latency/float64(1+b.d.Proxies)/s.limit, l.row.base*max(l.heavy, 1)
 		if latency > due {
 			b.move(s, limitCut, limitCut)
-		} else if latency > min(slowShare*due, slowMedians*usual) && (!b.d.Apart || latency > slowLeast*usual) {
+		} else if latency > min(slowShare*due, slowMedians*usual) && (!b.d.Peers || latency > slowLeast*usual) {
 			b.move(s, limitCut, grow)
 		} else if float64(s.inFlight)+2 > s.limit {
 			b.move(s, grow, grow)
@@ -511,11 +520,15 @@
 // One too small to hold back a leg moves with the others only: it binds by their sum.
 func (b *Balancer) move(s *server, factor, others float64) {
 	alone := 1 - math.Pow(1-s.opinions[2].sure, 2)
+	own := alone * min(s.limit/halfLeg, 1)
 	shared := math.Pow(others, 1-alone)
+	if b.d.Peers {
+		shared *= math.Pow(factor, (alone-own)/b.servable)
+	}
 	for _, o := range b.servers {
 		f := shared
 		if o == s {
-			f *= math.Pow(factor, alone*min(s.limit/halfLeg, 1))
+			f *= math.Pow(factor, own)
 		}
 		if o != nil {
 			o.limit = max(leastLimit/float64(b.d.Proxies), o.limit*f)
@@ -672,7 +685,7 @@
 		case at > s.sights[t.Tariff].at+hop: // danger: what comes round would count again
 			s.payoff(b, t.Tariff, t.Value, at, hearsay)
 			if t.Tariff == len(b.rows) {
-				b.move(s, limitFull, 1)
+				b.move(s, b.full, 1)
 			}
 		}
 	}
--- a/balance/bank_test.go
+++ b/balance/bank_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -113,7 +114,7 @@
 		assert.LessOrEqual(t, k.uneven(), mostUneven)
 		assert.GreaterOrEqual(t, k.uneven(), 1/mostUneven)
 		k.chance, k.gap, k.servable = 1, 0.1, 3
-		s, sent := k.unheard(0), 0
+		s, sent := k.unheard(0, 0), 0
 		for s.UpSince = k.now; k.now < s.UpSince+10; k.now += 0.02 {
 			if k.coldRoom(&Lookup{row: &row{Tariff: k.rows[0].Tariff, base: 0.05}}, s) {
 				sent++
@@ -145,6 +146,36 @@
 	k.serve(func(_ *Lookup, o *Orders) { assert.Nil(t, o.Tell, "alone in its bank") })
 }
 
+// A server not heard starts with legs by its size where peers tell what they see there; a full answer or a long wait then
+// moves what a proxy of many may have out in all, not the one limit that holds nothing back.
+func TestLimitsWherePeersTell(t *testing.T) {
+	d := apart()
+	d.Proxies = 40
+	k := open(t, d, 0)
+	k.Listed(0, true, false, []Backend{{Index: 0, Mark: 1, Size: 2}, {Index: 1, Mark: 2, Size: 6}, {Index: 2, Mark: 3}})
+	for i, legs := range []float64{2 * firstTold, 6 * firstTold, firstLimit} {
+		assert.InDelta(t, legs/40, k.servers[i].limit, 1e-9)
+	}
+	k = open(t, d, 10)
+	sum := func() (all float64) {
+		for _, s := range k.servers {
+			all += s.limit
+		}
+		return all
+	}
+	k.servable = 10
+	for _, s := range k.servers {
+		k.hear(s, strings.Repeat("h", 40)) // all known well
+	}
+	for _, s := range k.servers {
+		s.limit = 0.2
+	}
+	k.hear(k.servers[0], "nnnnnnnnnn")
+	assert.InDelta(t, 2-0.2*(1-math.Pow(toldFull, 10)), sum(), 0.02, "as much as if it had been that one limit")
+	assert.InDelta(t, k.servers[1].limit, k.servers[9].limit, 1e-9)
+	assert.Less(t, k.servers[1].limit, 0.198)
+}
+
 func TestBusyProxyKeepsToMoreServers(t *testing.T) {
 	d := apart()
 	d.Proxies = 40
--- a/balance/state.go
+++ b/balance/state.go
@@ -21,6 +21,7 @@
 	shares          []float64 // scratch
 	orders          Orders
 	out             int     // legs in flight
+	gain, full      float64 // limits' growth, and their factor on no room
 	room            float64 // legs all admitted servers bear, as of the last pick
 	servable        float64 // servers admitted as of the last pick
 	keys            measure.Shares
@@ -304,7 +305,7 @@
 		}
 		s := b.servers[e.Index]
 		if s == nil || s.UpSince != e.UpSince && e.State == Ready { // danger: a restart is a cold backend
-			s = b.unheard(e.Model)
+			s = b.unheard(e.Model, e.Size)
 			b.servers[e.Index] = s
 		}
 		s.Backend = e
@@ -316,11 +317,11 @@
 	}
 }
 
-// unheard is a server that nothing is known of but its model.
-func (b *Balancer) unheard(kind int) *server {
+// unheard is a server that nothing is known of but its model and size.
+func (b *Balancer) unheard(kind int, size float64) *server {
 	limit := firstLimit
 	if b.d.Peers && !b.d.Probes {
-		limit = firstTold
+		limit = max(firstLimit, firstTold*size)
 	}
 	for len(b.models) <= kind {
 		b.models = append(b.models, &model{opinion: opinion{lasts: forgetModel}})
--- a/balance/types.go
+++ b/balance/types.go
@@ -113,6 +113,7 @@
 	Pod     int
 	Model   int // its machine's, a small number
 	State   State
+	Size    float64 // roughly its cores, as the list tells; 0: not told
 	UpSince float64 // when it last started; 0: long ago
 }
 
--- a/cmd/benchlink/host_test.go
+++ b/cmd/benchlink/host_test.go
@@ -62,7 +62,7 @@
 // malformed changes nothing.
 func TestNotesAndProbes(t *testing.T) {
 	settings := strings.Replace(launch, "ReplicasOfMe=1", "ReplicasOfMe=2 SlotNo=1 KindOfService=mesh Ceilings.PeerMessages=true "+
-		"Ceilings.Probes=true Feedback.Via=on_probe Feedback.Fields=outstanding,novel Tariffs.Peer=0.004 Tariffs.Probe=0.004 Tariffs.Connection=0.03", 1)
+		"Ceilings.Probes=true Feedback.Via=on_probe Feedback.Fields=outstanding,novel,utilization Tariffs.Peer=0.004 Tariffs.Probe=0.004 Tariffs.Connection=0.03", 1)
 	out, err := play("sync MomentMs=0 frame=1\ninstance Proxy=1\n" + settings + "order Job=j1 Class=a DeadlineMs=900\ngo\n" +
 		"sync MomentMs=20 frame=2\ninstance Proxy=1\nfinished Job=j1 Leg=0 LatencyMs=14 Status=pass Backend=10.0.0.1:7000 Over=1\n" +
 		"check_result Backend=10.0.0.1:7000 Status=pass LatencyMs=1 Pressure=outstanding:2.5,novel:x\n" +
--- a/internal/benchwire/reader.go
+++ b/internal/benchwire/reader.go
@@ -202,6 +202,7 @@
 			e.ModelName, _ = l.text("Flavor")
 			e.State = word(l, "StageState", states)
 			e.UpSince = l.maybe("UpSinceMs") / 1000
+			e.Size = l.maybe("Heft")
 			e.Pod = int(l.maybe("Pack"))
 			pages[page] = append(pages[page], e)
 		case "view":
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -33,6 +33,7 @@
 		{`{"version":41,"servers":[` + strings.Replace(entry, "s-1", "", 1) + `]}`, "id: missing"},
 		{`{"version":41,"servers":[` + strings.Replace(entry, ":70", "", 1) + `]}`, "addr: "},
 		{`{"version":41,"servers":[` + strings.Replace(entry, "1500", "-1", 1) + `]}`, "started_ms"},
+		{`{"version":41,"servers":[` + strings.Replace(entry, "1.0", "-1", 1) + `]}`, "weight: negative"},
 		{`{"version":41,"servers":[` + entry, "unexpected end"},
 		{`[]`, "cannot unmarshal"},
 	} {
@@ -48,7 +49,7 @@
 		for _, e := range l.Entries {
 			assert.Equal(t, "s-1", e.Name)
 			assert.Equal(t, "127.0.0.1:70", e.Addr)
-			assert.Equal(t, balance.Backend{Pod: 3, State: balance.Ready, UpSince: 1.5}, e.Backend)
+			assert.Equal(t, balance.Backend{Pod: 3, State: balance.Ready, Size: 1, UpSince: 1.5}, e.Backend)
 		}
 	}
 }
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -34,6 +34,7 @@
 			ID, Addr, Zone, Kind, State string
 			Cell                        int
 			StartedMs                   float64 `json:"started_ms"`
+			Weight                      float64
 		}
 	}
 	if err := json.Unmarshal(text, &in); err != nil {
@@ -46,6 +47,7 @@
 	for _, s := range in.Servers {
 		e := Entry{Addr: s.Addr}
 		e.Name, e.ZoneName, e.ModelName, e.Pod, e.UpSince = s.ID, s.Zone, s.Kind, s.Cell, s.StartedMs/1000
+		e.Size = s.Weight
 		var ok bool
 		if e.State, ok = states[s.State]; !ok {
 			return fmt.Errorf("%q: state: unknown: %q", s.ID, s.State)
@@ -59,6 +61,9 @@
 		if !(s.StartedMs >= 0) {
 			return fmt.Errorf("%q: started_ms: negative: %v", s.ID, s.StartedMs)
 		}
+		if !(s.Weight >= 0) {
+			return fmt.Errorf("%q: weight: negative: %v", s.ID, s.Weight)
+		}
 		l.Entries = append(l.Entries, e)
 	}
 	return nil
