Where only a drain binds, what the list has lost serves on while it answers

Cause: at deployments whose settings say Rules.GoneIsAdvice, the list does not prove what is up; the decisions dropped whatever it left out at once, so a list that loses most backends would have stopped a proxy that they all answer. Change: figures read the setting (unknown values are refused by key); a backend called gone or left out, not drained since it started, stays a candidate until 1 s after its last answer, paused by its own row as ever; the proxy keeps its address and number that long. The check at start no longer refuses notes and probes outside a mesh: the deployments that join allow both in a bank that clients share. Harm: one back cold that the list has lost too would get usual work for up to 1 s after its last answer.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,6 +36,7 @@
 	hearsay         = 10.0  // times the chance in a payoff, where a peer tells it
 	idleFor         = 2.0   // s; a connection unused for longer costs a backend more than opening it anew
 	sightFor        = 3.0   // s; what was seen, or told of loads, longer ago is left out
+	goneFor         = 1.0   // s after its last answer, that a backend which the list has lost is still sent to
 	hop             = 0.02  // s that a note is taken to be on its way
 	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
@@ -386,7 +387,7 @@
 	b.cands, b.room = b.cands[:0], 0
 	full, admitted, out := false, 0, 0.0
 	for _, s := range b.servers {
-		if s == nil || s.State != Ready || !b.admitted(&s.breaker) {
+		if s == nil || s.State != Ready && !b.lingers(s) || !b.admitted(&s.breaker) {
 			continue
 		}
 		c := cand{s: s, load: b.load(s), bears: b.bears(s)}
@@ -452,6 +453,12 @@
 	return last.s, full
 }
 
+// lingers says whether a backend that the list no longer names may be sent to, as long as it goes on answering. Danger: one
+// that is up again is cold, and the list that lost it would not tell.
+func (b *Balancer) lingers(s *server) bool {
+	return b.d.GoneAdvises && s.State == Gone && !s.drained && b.now < s.served+goneFor
+}
+
 // admitted is the source's access query.
 func (b *Balancer) admitted(r *breaker) bool {
 	return !r.paused || b.now >= r.accessLast+r.cooldown && r.inFlight == 0
@@ -481,6 +488,7 @@
 		b.move(s, b.full, 1)
 		s.payoff(b, len(b.rows), 0, b.now, oneResult)
 	case Honoured:
+		s.served = b.now
 		b.results(l, s, true)
 		alone := latency / max(g.crowd, 1) / max(l.heavy, 0.5) // what it had taken at an idle server
 		l.row.alone.Add(alone)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -415,6 +415,46 @@
 	assert.Nil(t, k.servers[1])
 }
 
+// Where only a drain binds, a list that loses a backend takes none that goes on answering.
+func TestWhatTheListHasLost(t *testing.T) {
+	gone, draining := Backend{Index: 0, Mark: 1, State: Gone}, Backend{Index: 0, Mark: 1, State: Draining}
+	for _, c := range []struct {
+		name   string
+		advice bool
+		heard  string
+		full   bool
+		lists  [][]Backend
+		after  float64
+		sent   bool
+	}{
+		{"called gone", true, "h", false, [][]Backend{{gone}}, 0, true},
+		{"left out of a full list", true, "h", true, [][]Backend{{}}, 0, true},
+		{"gone by the second, and back", true, "h", false, [][]Backend{{gone}, backends(1), {gone}}, 0, true},
+		{"where gone binds", false, "h", false, [][]Backend{{gone}}, 0, false},
+		{"drained before", true, "h", false, [][]Backend{{draining}, {gone}}, 0, false},
+		{"drained, then left out", true, "h", true, [][]Backend{{draining}, {}}, 0, false},
+		{"only drains", true, "h", false, [][]Backend{{draining}}, 0, false},
+		{"never answered", true, "", false, [][]Backend{{gone}}, 0, false},
+		{"failed since", true, "hffffff", false, [][]Backend{{gone}}, 0, false},
+		{"silent since", true, "h", false, [][]Backend{{gone}}, goneFor, false},
+		{"up again under its name", true, "h", false, [][]Backend{{gone}, {{Index: 0, Mark: 1, State: Gone, UpSince: 49.9}}}, goneFor, false},
+	} {
+		d := deployment()
+		d.GoneAdvises = c.advice
+		k := open(t, d, 1)
+		k.clock = 50
+		k.hear(k.servers[0], c.heard)
+		for _, list := range c.lists {
+			k.Listed(50, c.full, false, list)
+		}
+		k.now += c.after
+		s, _ := k.draw(0)
+		assert.Equal(t, c.sent, s != nil, c.name)
+		k.Listed(k.now, false, false, nil)
+		assert.Equal(t, c.sent || c.heard == "hffffff" || c.name == "only drains", k.Keeps(0), c.name)
+	}
+}
+
 func TestAskingForTheList(t *testing.T) {
 	d := deployment()
 	d.AsksList = true
--- a/balance/state.go
+++ b/balance/state.go
@@ -80,6 +80,8 @@
 	opinions       []*opinion   // of the fleet, its model and itself
 	views          [][]*opinion // by tariff, the last of no room: these and, in a bank that tells, that of the tariff there
 	pace           float64      // smoothed time of its answers over the usual for their work
+	served         float64      // when a leg was honoured last
+	drained        bool         // the list told so since it started
 	used           float64      // when a leg ended last; 0: nothing is open
 	sights         []sight      // the last of each tariff, and of no room
 	told, toldAt   float64      // legs of all proxies there, as it told last, and when
@@ -309,14 +311,18 @@
 			b.servers[e.Index] = s
 		}
 		s.Backend = e
+		s.drained = s.drained || e.State == Draining
 	}
 	for i, s := range b.servers {
-		if s != nil && s.State == Gone {
+		if s != nil && s.State == Gone && !b.lingers(s) {
 			b.servers[i] = nil // legs still out keep their own hold on it
 		}
 	}
 }
 
+// Keeps says whether a backend is still known: as listed, or as one that lingers. One that is not is never named again.
+func (b *Balancer) Keeps(index int) bool { return index < len(b.servers) && b.servers[index] != nil }
+
 // unheard is a server that nothing is known of but its model and size.
 func (b *Balancer) unheard(kind int, size float64) *server {
 	limit := firstLimit
--- a/balance/types.go
+++ b/balance/types.go
@@ -71,6 +71,7 @@
 	Beside       bool    // a lookup's legs may be out beside one another
 	MaxAdvice    float64 // the longest advice when to come back that a client keeps to; 0: none
 	WarmKeys     bool    // a backend that served a key lately serves it again with less work
+	GoneAdvises  bool    // only a drain binds: what the list calls gone, or leaves out, without one may still be sent to
 	AsksList     bool    // the list of backends comes only after asking
 	AskEvery     float64 // unsubscribed for this long, the proxy counts as told
 	ColdShare    float64 // a backend starts at this share of its capacity or more
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -61,6 +61,7 @@
 		CallOff:      e.bool("Ceilings.Cancel"),
 		Beside:       e.bool("Ceilings.ParallelTries"),
 		WarmKeys:     e.bool("FamilyInfo.WarmKeys"),
+		GoneAdvises:  e.bool("Rules.GoneIsAdvice"),
 		AsksList:     values["Discovery"] == "subscribe",
 		AskEvery:     e.num("Rules.AskEveryMs") / 1000,
 		ColdShare:    e.num("Rules.ColdFrom"),
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -135,10 +135,6 @@
 	var wrong string
 	_, listens := netip.ParseAddrPort(bank.Listen) // danger: a name passes for an address here and is refused when it is opened
 	switch {
-	case f.Peers && !f.Apart:
-		wrong = "Ceilings.PeerMessages: true, but KindOfService is not mesh"
-	case f.Probes && !f.Apart:
-		wrong = "Feedback.Via: on_probe, but KindOfService is not mesh"
 	case f.Apart && values["Feedback.Via"] == "inline":
 		wrong = "Feedback.Via: inline, but KindOfService is mesh"
 	case f.Apart && f.WarmKeys:
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"lockloom/balance"
@@ -176,8 +177,10 @@
 		b := p.names.Backend(e.Entry)
 		list[i] = b
 		listed[b.Index] = true
-		p.pool.Place(b.Index, e.Addr, b.UpSince)
-		p.told(b.Index, b.State == balance.Ready)
+		if b.State != balance.Gone || !p.lingers(b.Index) {
+			p.pool.Place(b.Index, e.Addr, b.UpSince)
+		}
+		p.told(b.Index, b.State)
 	}
 	if p.known != nil {
 		p.note(l, list)
@@ -186,17 +189,31 @@
 		in.listed(p, l, first, list)
 	}
 	for _, b := range list {
-		if b.State == balance.Gone && p.names.Name(b.Index) != "" {
-			p.forget(b.Index)
+		if b.State == balance.Gone {
+			p.lost[b.Index] = true
+		} else {
+			delete(p.lost, b.Index)
 		}
 	}
 	for i := 0; l.Full && i < p.names.Backends(); i++ {
 		if !listed[i] && p.names.Name(i) != "" && !p.written[i] {
+			p.lost[i] = true
+		}
+	}
+	for i := range p.lost {
+		if !p.lingers(i) {
+			delete(p.lost, i)
 			p.forget(i)
 		}
 	}
 }
 
+// lingers says whether a backend that the list has lost may still be sent to: only where that says nothing sure, and as long
+// as a pool's decisions keep it.
+func (p *Proxy) lingers(index int) bool {
+	return p.launch.GoneAdvises && slices.ContainsFunc(p.branches, func(in *branch) bool { return in.b.Keeps(index) })
+}
+
 // note keeps what is listed, for pools that come later.
 func (p *Proxy) note(l List, list []balance.Backend) {
 	if l.Full {
@@ -220,13 +237,15 @@
 }
 
 // told notes from when on nothing may be sent to a backend, and closes what is idle to it then.
-func (p *Proxy) told(index int, ready bool) {
+func (p *Proxy) told(index int, state balance.State) {
 	for len(p.stopSend) <= index {
 		p.stopSend = append(p.stopSend, math.Inf(1))
 	}
-	if ready {
+	switch {
+	case state == balance.Ready:
 		p.stopSend[index] = math.Inf(1)
-	} else {
+	case state == balance.Gone && p.launch.GoneAdvises: // danger: a drain told before still binds
+	default:
 		p.stopSend[index] = min(p.stopSend[index], p.now())
 		p.pool.Close(index)
 	}
