A look at held lookups draws for eight in vain at most, and scores none without room

Profile: 91% in pick, most in payoffs' exponentials and the draw's logarithms, for every held keyed lookup at each event. Ruled out: messages and notes (1.4%), limits (0.9%). Change: pick reckons room first and scores only where there is some; pump stops drawing after eight that came to nothing, the rest wait for the next look.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -62,6 +62,7 @@
 	coldMost        = 0.55  // and at most
 	coldSpread      = 3.5   // deviations of what chance sends, to fit above the flow; fewer lookups, wider ones
 	coldDepth       = 0.5   // of a window's flow may come at once: in all 0.6 to 0.83 of the budget in any
+	mostVain        = 8     // draws that came to nothing, of those that wait, at one look at them
 	pumpEvery       = 0.02  // s between looks at held lookups when nothing else happens
 	askFirst        = 0.25  // s; first pause before asking the list again
 	askMost         = 4.0   // s; longest such pause
@@ -349,13 +350,15 @@
 
 // pump sends held lookups where there is room and answers those that can no longer be in time.
 func (b *Balancer) pump() *Orders {
-	stuck := false
+	stuck, vain := false, 0
 	for i := 0; i < len(b.held); {
 		l := b.held[i]
 		var s *server
 		full := true
-		if !stuck || len(l.legs) > 0 {
-			s, full = b.pick(l)
+		if vain < mostVain && (!stuck || len(l.legs) > 0) { // danger: all that wait, drawn at each event, take the core
+			if s, full = b.pick(l); s == nil {
+				vain++
+			}
 			stuck = stuck || s == nil && full &&
 				(float64(b.out) >= b.space(l.priority) || len(l.legs) == 0 && !b.warm(l))
 		}
@@ -385,7 +388,7 @@
 		return nil, false
 	}
 	b.cands, b.room = b.cands[:0], 0
-	full, admitted, out := false, 0, 0.0
+	admitted, out := 0, 0.0
 	for _, s := range b.servers {
 		if s == nil || s.State != Ready && !b.lingers(s) || !b.admitted(&s.breaker) {
 			continue
@@ -397,8 +400,21 @@
 		if !b.admitted(&s.tariffs[l.Tariff]) || !b.may(l, s) {
 			continue
 		}
-		full = true
-		pay := b.payNow(s, l.Tariff)
+		b.cands = append(b.cands, c)
+	}
+	full := len(b.cands) > 0
+	b.fill = min(out/max(b.room, 1e-9), 1)
+	bound, draws := b.fill, len(b.cands)
+	if !b.loads() {
+		out = float64(b.out)
+		bound = crowdMultiple * out / float64(max(admitted, 1))
+	}
+	if out >= b.space(l.priority) { // danger: a room below one leg binds over time, not at once
+		return nil, full // danger: payoffs reckoned for each that waits took most of a second's processor time
+	}
+	for i := range b.cands {
+		c := &b.cands[i]
+		s, pay := c.s, b.payNow(c.s, l.Tariff)
 		if b.d.Apart && s.Zone != b.d.Zone {
 			pay -= farther
 		}
@@ -413,16 +429,6 @@
 			score -= crowdCost * (c.crowd - b.fill)
 		}
 		c.score = score + b.noise(l, s)
-		b.cands = append(b.cands, c)
-	}
-	b.fill = min(out/max(b.room, 1e-9), 1)
-	bound, draws := b.fill, len(b.cands)
-	if !b.loads() {
-		out = float64(b.out)
-		bound = crowdMultiple * out / float64(max(admitted, 1))
-	}
-	if out >= b.space(l.priority) { // danger: a room below one leg binds over time, not at once
-		return nil, full
 	}
 	b.servable = float64(max(admitted, 1))
 	if b.warm(l) && b.now < l.taken+homeTime*l.row.Due { // danger: a key on every server is warm on none
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -600,6 +600,29 @@
 	assert.Zero(t, k.Wake(0.5).Wake)
 }
 
+// Danger: on a crowded day each that waits was drawn for among all servers at each event, half a core at a proxy of many.
+func TestDrawsForThoseThatWaitAreBounded(t *testing.T) {
+	d := deployment()
+	d.WarmKeys, d.Proxies = true, 1
+	k := open(t, d, 20)
+	k.take(Arrival{Key: 9})
+	for _, s := range k.servers {
+		s.inFlight = 99 // none takes a leg, though there is room in all
+	}
+	for range 40 {
+		k.take(Arrival{Key: 9})
+	}
+	assert.Len(t, k.held, 40)
+	scored, before := 0, k.chance
+	for k.pump(); before != k.chance && scored < 40*20; scored++ { // a number drawn for each server
+		before.Float()
+	}
+	assert.Equal(t, mostVain*20, scored)
+	k.room, k.out = 0, 999
+	k.pump()
+	assert.Equal(t, before, k.chance, "without room none is scored")
+}
+
 // Danger: a client that waited more than half of its time and is turned away with nothing sent waited in vain.
 func TestNobodyWaitsInVain(t *testing.T) {
 	for _, c := range []struct {
