A lookup that failed twice where it ran is given up

Change: after two legs that failed where they may have run, of any kind, a lookup is given up at once, dismissed where that is harmless. Guards also against lookups that fail quickly wherever they go, and spares a fleet in trouble work. Harm: where two in three answers are lost, a third leg could have got through; at 29% lost it is 1 lookup in 12.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -53,6 +53,7 @@
 	slowMedians     = 2.5   // of the tariff's median when little waited: later, it waited or was unlucky
 	slowLeast       = 2.2   // of it too: a leg under that did not wait, whatever its part of the due time
 	baseRise        = 0.002 // smoothing of that median upwards: it follows a slower fleet, not a crowd
+	mostLost        = 2     // legs of a lookup that failed where they ran: the lookup may be at fault
 	patienceFactor  = 1.5   // of the tariff's high quantile: a leg older than this is overdue
 	againPart       = 0.2   // of the priority, for a client's further try: most of its due time is gone
 	holdPart        = 0.4   // of the time to the hard stop to wait for a first leg: past half it costs more
@@ -170,6 +171,8 @@
 	case o == Unfit: // danger: asked of one backend after the other it would set each back
 		b.step(Step{Ref: l.Ref, Answer: Forfeited})
 		b.close(l, -1)
+	case l.lost() >= mostLost: // danger: one that brings down what takes it would be handed on from server to server
+		b.giveUp(l)
 	default:
 		b.next(l) // where it may have run, pick sends it only where that is harmless
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -367,6 +367,33 @@
 	assert.True(t, k.servers[0].paused, "well before any hard stop")
 }
 
+// Danger: a lookup that brings down what takes it, handed on, would bring down as many servers as it may have legs.
+func TestLookupThatBringsServersDown(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		kind Kind
+		ends []Outcome // of its legs, each as soon as it is sent
+		legs int
+		ans  Answer
+	}{
+		{"cut twice", Replayable, []Outcome{Cut, Cut, Cut, Cut}, mostLost, Dismissed},
+		{"cut, then failing quickly", Referenced, []Outcome{Cut, Fault, Fault}, 2, Dismissed},
+		{"single-use", SingleUse, []Outcome{Cut, Cut}, 1, Forfeited},
+		{"turned away is not lost", Replayable, []Outcome{NoRoom, NoRoute, NeverSent, Cut, Cut, Cut}, 5, Dismissed},
+	} {
+		d := deployment(Tariff{Name: "plain", Kind: c.kind, Window: 5})
+		d.MaxLegs = 6
+		k := open(t, d, 8)
+		l, steps := k.take(Arrival{})
+		for i := 0; i < len(l.legs) && i < len(c.ends); i++ {
+			k.credit = 9 // there is room for the next
+			steps = append(steps, l.Ended(k.clock, i, c.ends[i], 0.01, false).Steps...)
+		}
+		assert.Len(t, l.legs, c.legs, c.name)
+		assert.Equal(t, []Answer{c.ans}, answers(steps), c.name)
+	}
+}
+
 func TestAnswerBeforeHardStop(t *testing.T) {
 	for _, kind := range []Kind{Replayable, Referenced, SingleUse} {
 		k := open(t, deployment(Tariff{Kind: kind, Scope: ScopePod, Window: 0.2}), 6)
--- a/balance/state.go
+++ b/balance/state.go
@@ -210,6 +210,16 @@
 	place           uint64 // settles the noise of its draw; 0: chance does
 }
 
+// lost is how many legs failed where they may have run.
+func (l *Lookup) lost() (n int) {
+	for i := range l.legs {
+		if g := &l.legs[i]; !g.out && !g.neverRan {
+			n++
+		}
+	}
+	return n
+}
+
 // Done says that nothing more will happen to the lookup or its legs.
 func (l *Lookup) Done() bool { return l.over && l.out == 0 }
 
