--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,7 @@
 	forget          = 10.0  // s; unheard this long, a payoff has gone most of the way back to the mean
 	forgetModel     = 60.0  // s; what a model can do stays, but another tariff mix may ask other things of it
 	haste           = 0.4   // payoff an answer loses by using its whole due time up
-	farther         = 0.12  // payoff lost on the way to another location, in a bank apart
+	farther         = 0.12  // payoff lost on the way to another location, where proxies tell
 	latePayoff      = 0.3   // payoff of a late answer: better than none, worse than any in time
 	busyShare       = 0.9   // of the room there is: with less in flight the limits do not bind
 	spareShare      = 0.5   // of the room: with less in flight a leg beside another keeps nobody out
@@ -418,7 +418,7 @@
 	for i := range b.cands {
 		c := &b.cands[i]
 		s, pay := c.s, b.payNow(c.s, l.Tariff)
-		if b.d.Apart && s.Zone != b.d.Zone {
+		if b.d.Peers && b.d.Zone >= 0 && s.Zone != b.d.Zone {
 			pay -= farther
 		}
 		m := s.opinions[1].at(b.now)
--- a/balance/bank_test.go
+++ b/balance/bank_test.go
@@ -196,14 +196,26 @@
 }
 
 func TestAnotherLocationIsWorse(t *testing.T) {
-	d, here := apart(), 0
-	d.Zone, d.Proxies, d.Self = 1, 1, 0
-	k := open(t, d, 8) // two locations in turn
-	for range 400 {
-		s, _ := k.draw(0)
-		here += s.Zone
+	for _, c := range []struct {
+		name    string
+		bend    func(*Deployment)
+		farther float64
+	}{
+		{"a bank apart", func(*Deployment) {}, farther},
+		{"a pool that tells notes", func(d *Deployment) { d.Apart = false }, farther},
+		{"its own is not told", func(d *Deployment) { d.Apart, d.Zone = false, -1 }, 0},
+		{"the old shape", func(d *Deployment) { d.Apart, d.Peers = false, false }, 0},
+	} {
+		d, here := apart(), 0
+		d.Zone, d.Proxies, d.Self = 1, 1, 0
+		c.bend(&d)
+		k := open(t, d, 8) // two locations in turn
+		for range 400 {
+			s, _ := k.draw(0)
+			here += s.Zone
+		}
+		assert.InDelta(t, 400/(1+math.Exp(-c.farther/temperature)), here, 40, c.name)
 	}
-	assert.InDelta(t, 400/(1+math.Exp(-farther/temperature)), here, 40)
 }
 
 func TestIdleConnectionsAreClosed(t *testing.T) {
