A lookup that can go nowhere is answered at once, however many wait before it

Cause, found in reading: pump stopped drawing after eight in vain for those that had a leg too, so one with no way left (single-use, cut) was held behind them until it could not be in time. Change: only those without a leg are passed over.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -41,7 +41,7 @@
 	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
-	firstTold       = 3.0   // the same for each core where peers tell what they see there, and loads are not told
+	firstTold       = 3.0   // the same for each core where peers tell what they see, and loads are not told
 	leastLimit      = 1.0   // legs of all proxies together: a backend is never wholly shut by its limit
 	limitGain       = 1.2   // legs a second at a server, over the proxies and one; more chokes, less starves
 	toldGain        = 8.0   // the same where peers tell of no room, which holds limits down in its place
@@ -86,7 +86,8 @@
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, askPause: askFirst,
-		gain: limitGain, full: limitFull, fleet: &opinion{lasts: forget}, askAt: math.Inf(1), lastSend: now, lastTake: now}
+		fleet: &opinion{lasts: forget}, askAt: math.Inf(1), lastSend: now, lastTake: now,
+		gain: limitGain, full: limitFull}
 	if d.Peers {
 		b.gain, b.full = toldGain, toldFull
 	}
@@ -171,7 +172,7 @@
 	case o == Unfit: // danger: asked of one backend after the other it would set each back
 		b.step(Step{Ref: l.Ref, Answer: Forfeited})
 		b.close(l, -1)
-	case l.lost() >= mostLost: // danger: one that brings down what takes it would be handed on from server to server
+	case l.lost() >= mostLost: // danger: one that brings down what takes it would be handed on and on
 		b.giveUp(l)
 	default:
 		b.next(l) // where it may have run, pick sends it only where that is harmless
@@ -358,12 +359,12 @@
 		l := b.held[i]
 		var s *server
 		full := true
-		if vain < mostVain && (!stuck || len(l.legs) > 0) { // danger: all that wait, drawn at each event, take the core
-			if s, full = b.pick(l); s == nil {
-				vain++
+		if !stuck || len(l.legs) > 0 { // danger: one that can go nowhere any more must be answered at once
+			if s, full = b.pick(l); s == nil && full {
+				vain++ // danger: all that wait, drawn for at each event, take the core
+				stuck = stuck || vain >= mostVain ||
+					float64(b.out) >= b.space(l.priority) || len(l.legs) == 0 && !b.warm(l)
 			}
-			stuck = stuck || s == nil && full &&
-				(float64(b.out) >= b.space(l.priority) || len(l.legs) == 0 && !b.warm(l))
 		}
 		switch {
 		case s != nil:
@@ -462,8 +463,8 @@
 	return last.s, full
 }
 
-// lingers says whether a backend that the list no longer names may be sent to, as long as it goes on answering. Danger: one
-// that is up again is cold, and the list that lost it would not tell.
+// lingers says whether a backend that the list has lost may be sent to: as long as it goes on answering.
+// Danger: one that is up again is cold, and the list would not tell.
 func (b *Balancer) lingers(s *server) bool {
 	return b.d.GoneAdvises && s.State == Gone && !s.drained && b.now < s.served+goneFor
 }
@@ -487,11 +488,7 @@
 func (b *Balancer) learn(l *Lookup, g *leg, o Outcome, latency float64) {
 	s, due := g.s, l.row.Due*max(l.heavy, 1)
 	switch o {
-	case CalledOff: // danger: were only answers to count, the slowest tariff would look as quick as its luckiest
-		if g.counted {
-			l.row.times.Add((b.now - g.sent) / max(l.heavy, 0.5))
-		}
-	case NeverSent, Unfit: // these count neither way
+	case CalledOff, NeverSent, Unfit: // these count neither way
 	case NoRoom: // a busy backend is not a broken one: its row stays
 		b.credit -= max(l.row.median()-(b.now-g.sent), 0) // danger: turned away at once, legs would use up no room
 		b.move(s, b.full, 1)
