--- a/balance/balance.go
+++ b/balance/balance.go
@@ -488,7 +488,11 @@
 func (b *Balancer) learn(l *Lookup, g *leg, o Outcome, latency float64) {
 	s, due := g.s, l.row.Due*max(l.heavy, 1)
 	switch o {
-	case CalledOff, NeverSent, Unfit: // these count neither way
+	case CalledOff: // danger: were only answers to count, the slowest tariff would look as quick as its luckiest
+		if g.counted {
+			l.row.times.Add((b.now - g.sent) / max(l.heavy, 0.5))
+		}
+	case NeverSent, Unfit: // these count neither way
 	case NoRoom: // a busy backend is not a broken one: its row stays
 		b.credit -= max(l.row.median()-(b.now-g.sent), 0) // danger: turned away at once, legs would use up no room
 		b.move(s, b.full, 1)
