--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -172,12 +172,10 @@
 func (p *Proxy) list(l List, first bool) {
 	p.version = l.Version
 	list := make([]balance.Backend, len(l.Entries))
-	listed := map[int]bool{}
 	for i, e := range l.Entries {
 		b := p.names.Backend(e.Entry)
 		list[i] = b
-		listed[b.Index] = true
-		if b.State != balance.Gone || !p.lingers(b.Index) {
+		if b.State != balance.Gone || !p.kept(b.Index) {
 			p.pool.Place(b.Index, e.Addr, b.UpSince)
 		}
 		p.told(b.Index, b.State)
@@ -188,30 +186,16 @@
 	for _, in := range p.branches {
 		in.listed(p, l, first, list)
 	}
-	for _, b := range list {
-		if b.State == balance.Gone {
-			p.lost[b.Index] = true
-		} else {
-			delete(p.lost, b.Index)
-		}
-	}
-	for i := 0; l.Full && i < p.names.Backends(); i++ {
-		if !listed[i] && p.names.Name(i) != "" && !p.written[i] {
-			p.lost[i] = true
-		}
-	}
-	for i := range p.lost {
-		if !p.lingers(i) {
-			delete(p.lost, i)
+	for i := range p.names.Backends() {
+		if p.names.Name(i) != "" && !p.written[i] && !p.kept(i) {
 			p.forget(i)
 		}
 	}
 }
 
-// lingers says whether a backend that the list has lost may still be sent to: only where that says nothing sure, and as long
-// as a pool's decisions keep it.
-func (p *Proxy) lingers(index int) bool {
-	return p.launch.GoneAdvises && slices.ContainsFunc(p.branches, func(in *branch) bool { return in.b.Keeps(index) })
+// kept says whether a pool's decisions may still name a backend: one that is listed, or that the list has lost and that lingers.
+func (p *Proxy) kept(index int) bool {
+	return slices.ContainsFunc(p.branches, func(in *branch) bool { return in.b.Keeps(index) })
 }
 
 // note keeps what is listed, for pools that come later.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -100,7 +100,6 @@
 	known    map[int]discovery.Entry // what is listed, by index, where an operator file may bring new pools; else nil
 	written  map[int]bool            // backends that an operator wrote out: no list takes them away
 	later    []func()                // what came up while orders were carried out
-	lost     map[int]bool            // backends that the list no longer names
 	stopSend []float64
 	counts   counts
 	version  int64 // of the list
@@ -160,7 +159,7 @@
 	if p.heldMost = int64(heldPart * float64(l.Limits.Memory)); p.heldMost == 0 {
 		p.heldMost = math.MaxInt64
 	}
-	p.open, p.written, p.lost = map[string]bool{}, map[int]bool{}, map[int]bool{}
+	p.open, p.written = map[string]bool{}, map[int]bool{}
 	p.door.all = map[*client]bool{}
 	p.door.room.L = &p.door.mu
 	return p, nil
