--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -109,17 +109,28 @@
 	}
 }
 
-// Danger: a lookup whose first two servers are both down goes to and fro between them until it has no leg left.
-func TestNoWayBackWhereThereIsNoRoute(t *testing.T) {
+// Danger: a lookup whose first two servers are both down goes to and fro between them until it has no leg left, and one that
+// brings down what takes it would bring down as many servers as it may have legs.
+func TestHowFarALookupIsHandedOn(t *testing.T) {
 	for _, c := range []struct {
-		outcome Outcome
+		kind    Kind
+		servers int
+		ends    []Outcome // of its legs, each as soon as it is sent
 		legs    int
-	}{{NoRoute, 2}, {NoRoom, 3}} {
-		k := open(t, deployment(), 2)
-		l, _ := k.take(Arrival{})
-		l.Ended(k.clock, 0, c.outcome, 0, false)
-		l.Ended(k.clock, 1, c.outcome, 0, false)
-		assert.Len(t, l.legs, c.legs)
+		want    []Answer
+	}{{Replayable, 2, []Outcome{NoRoute, NoRoute}, 2, []Answer{Dismissed}}, {Replayable, 2, []Outcome{NoRoom, NoRoom}, 3, nil},
+		{Replayable, 8, []Outcome{Cut, Cut, Cut}, mostLost, []Answer{Dismissed}}, {SingleUse, 8, []Outcome{Cut, Cut}, 1, []Answer{Forfeited}},
+		{Referenced, 8, []Outcome{Cut, Fault, Fault}, mostLost, []Answer{Dismissed}},
+		{Replayable, 8, []Outcome{NoRoom, NoRoute, NeverSent, Cut, Cut, Cut}, 5, []Answer{Dismissed}}} {
+		k := open(t, deployment(Tariff{Kind: c.kind, Window: 5}), c.servers)
+		k.d.MaxLegs = 6
+		l, steps := k.take(Arrival{})
+		for i := 0; i < min(len(l.legs), len(c.ends)); i++ {
+			k.credit = 9 // there is room for the next
+			steps = append(steps, l.Ended(k.clock, i, c.ends[i], 0, false).Steps...)
+		}
+		assert.Len(t, l.legs, c.legs, "%v", c.ends)
+		assert.Equal(t, c.want, answers(steps), "%v", c.ends)
 	}
 }
 
@@ -367,28 +378,6 @@
 	assert.True(t, k.servers[0].paused, "well before any hard stop")
 }
 
-// Danger: a lookup that brings down what takes it, handed on, would bring down as many servers as it may have legs.
-func TestLookupThatBringsServersDown(t *testing.T) {
-	for _, c := range []struct {
-		kind Kind
-		ends []Outcome // of its legs, each as soon as it is sent
-		legs int
-		ans  Answer
-	}{{Replayable, []Outcome{Cut, Cut, Cut}, mostLost, Dismissed}, {Referenced, []Outcome{Cut, Fault, Fault}, mostLost, Dismissed},
-		{SingleUse, []Outcome{Cut, Cut}, 1, Forfeited}, {Replayable, []Outcome{NoRoom, NoRoute, NeverSent, Cut, Cut, Cut}, 5, Dismissed}} {
-		d := deployment(Tariff{Kind: c.kind, Window: 5})
-		d.MaxLegs = 6
-		k := open(t, d, 8)
-		l, steps := k.take(Arrival{})
-		for i := 0; i < min(len(l.legs), len(c.ends)); i++ {
-			k.credit = 9 // there is room for the next
-			steps = append(steps, l.Ended(k.clock, i, c.ends[i], 0.01, false).Steps...)
-		}
-		assert.Len(t, l.legs, c.legs, "%v", c.ends)
-		assert.Equal(t, []Answer{c.ans}, answers(steps), "%v", c.ends)
-	}
-}
-
 func TestAnswerBeforeHardStop(t *testing.T) {
 	for _, kind := range []Kind{Replayable, Referenced, SingleUse} {
 		k := open(t, deployment(Tariff{Kind: kind, Scope: ScopePod, Window: 0.2}), 6)
