Limits never under what a server's cores bear; opening and crossing cost where there is room

Change: where peers tell and the list tells sizes, a limit starts at three legs a core and never falls below; above it grows as where nobody tells (growth 8 is gone). Idle connections are closed in any bank that tells and pays for open ones. In the draw, opening a connection costs 15 times its price and another location 3, both fading to nothing at half of the room. shared moved to balance.go. Guards against any wrong start of limits, tables filling up; harm: a weight that is no count of cores is believed.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,6 +34,9 @@
 	ownServers      = 4.0   // times its even part of the servers: a proxy of many keeps to so many
 	mostUneven      = 20.0  // times the even part of the traffic, or the even part over it
 	hearsay         = 10.0  // times the chance in a payoff, where a peer tells it
+	wayCost         = 3.0   // in the draw, of another location, where there is room
+	openCost        = 15.0  // the same of opening a connection, times its price
+	openMargin      = 0.5   // s before an idle connection is closed
 	idleFor         = 2.0   // s; a connection unused for longer costs a backend more than opening it anew
 	sightFor        = 3.0   // s; what was seen, or told of loads, longer ago is left out
 	goneFor         = 1.0   // s after its last answer, that a backend which the list has lost is still sent to
@@ -41,10 +44,9 @@
 	homeTime        = 0.2   // of the due time; a longer wait costs more than a warm backend saves
 	crowdMultiple   = 2.0   // of the mean in flight, the design's redraw bound
 	firstLimit      = 2.0   // legs of all proxies together at a backend not yet heard: one at work, one waiting
-	firstTold       = 3.0   // the same for each core where peers tell what they see, and loads are not told
+	firstTold       = 3.0   // the same, and the least, for each core the list tells, where peers tell results
 	leastLimit      = 1.0   // legs of all proxies together: a backend is never wholly shut by its limit
 	limitGain       = 1.2   // legs a second at a server, over the proxies and one; more chokes, less starves
-	toldGain        = 8.0   // the same where peers tell of no room, which holds limits down in its place
 	limitCut        = 0.9   // factor on a slow answer
 	halfLeg         = 0.5   // legs; a limit below binds by the sum of all only
 	limitFull       = 0.7   // factor on no room, a plain sign
@@ -87,9 +89,9 @@
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, askPause: askFirst,
 		fleet: &opinion{lasts: forget}, askAt: math.Inf(1), lastSend: now, lastTake: now,
-		gain: limitGain, full: limitFull}
+		full: limitFull}
 	if d.Peers {
-		b.gain, b.full = toldGain, toldFull
+		b.full = toldFull
 	}
 	for _, t := range d.Tariffs {
 		if t.Due == 0 { // no due time set: half of what the client waits
@@ -219,7 +221,7 @@
 
 // tidy closes connections that were idle for too long, where they are paid for.
 func (b *Balancer) tidy() {
-	if !b.d.Apart || b.d.ConnPrice == 0 || b.tidyAt > b.now {
+	if !b.d.Peers || b.d.ConnPrice == 0 || b.tidyAt > b.now {
 		return
 	}
 	b.tidyAt = 0
@@ -416,11 +418,16 @@
 	if out >= b.space(l.priority) { // danger: a room below one leg binds over time, not at once
 		return nil, full // danger: payoffs reckoned for each that waits took most of a second's processor time
 	}
+	spare := max(1-b.fill/spareShare, 0) // danger: where room is short, a cost keeps servers idle
 	for i := range b.cands {
 		c := &b.cands[i]
-		s, pay := c.s, b.payNow(c.s, l.Tariff)
+		s, pay, cost := c.s, b.payNow(c.s, l.Tariff), 0.0
 		if b.d.Peers && b.d.Zone >= 0 && s.Zone != b.d.Zone {
 			pay -= farther
+			cost = wayCost
+		}
+		if !b.open(s) {
+			cost += openCost * b.d.OpenPrice
 		}
 		m := s.opinions[1].at(b.now)
 		score := m/temperature + (pay-m)/keyTemperature
@@ -432,7 +439,7 @@
 			c.crowd /= c.bears
 			score -= crowdCost * (c.crowd - b.fill)
 		}
-		c.score = score + b.noise(l, s)
+		c.score = score - cost*spare + b.noise(l, s)
 	}
 	b.servable = float64(max(admitted, 1))
 	if b.warm(l) && b.now < l.taken+homeTime*l.row.Due { // danger: a key on every server is warm on none
@@ -463,6 +470,9 @@
 	return last.s, full
 }
 
+// open says whether a connection to a server is idle, as far as its legs tell.
+func (b *Balancer) open(s *server) bool { return s.used > 0 && b.now < s.used+b.d.IdleFor-openMargin }
+
 // lingers says whether a backend that the list has lost may be sent to: as long as it goes on answering.
 // Danger: one that is up again is cold, and the list would not tell.
 func (b *Balancer) lingers(s *server) bool {
@@ -518,7 +528,7 @@
 		if b.loads() || float64(b.out+1) < busyShare*b.space(b.usual) { // with the leg that just ended
 			return // danger: a limit that moves while it does not bind is wrong when it does
 		}
-		grow, usual := 1+b.gain*latency/float64(1+b.d.Proxies)/s.limit, l.row.base*max(l.heavy, 1)
+		grow, usual := 1+limitGain*latency/float64(1+b.d.Proxies)/s.limit, l.row.base*max(l.heavy, 1)
 		if latency > due {
 			b.move(s, limitCut, limitCut)
 		} else if latency > min(slowShare*due, slowMedians*usual) && (!b.d.Peers || latency > slowLeast*usual) {
@@ -534,6 +544,17 @@
 	}
 }
 
+// bounds are a server's first limit and the least. Where peers tell and the list its size, they are one: what
+// it bears without waiting. Danger: its own refusals would leave idle one that turns away before it is slow.
+func (b *Balancer) bounds(size float64) (first, least float64) {
+	first, least = firstLimit, leastLimit
+	if b.d.Peers && !b.d.Probes && size > 0 {
+		first = max(firstLimit, firstTold*size)
+		least = first
+	}
+	return first / float64(b.d.Proxies), least / float64(b.d.Proxies)
+}
+
 // move changes a server's limit, and the others' too as far as too little is heard from it to learn it alone.
 // One too small to hold back a leg moves with the others only: it binds by their sum.
 func (b *Balancer) move(s *server, factor, others float64) {
@@ -549,7 +570,7 @@
 			f *= math.Pow(factor, own)
 		}
 		if o != nil {
-			o.limit = max(leastLimit/float64(b.d.Proxies), o.limit*f)
+			o.limit = max(o.least, o.limit*f)
 		}
 	}
 }
@@ -601,6 +622,30 @@
 	}
 }
 
+// shared is the share of failures in a tariff's rows that three servers in four exceed: what only some fail,
+// up to that many, is not shared. A result that is ok is held to no bar and needs none.
+func (b *Balancer) shared(tariff int, ok bool) float64 {
+	if ok {
+		return 0
+	}
+	b.shares = b.shares[:0]
+	for _, s := range b.servers {
+		if s == nil || s.State != Ready {
+			continue
+		}
+		share, r := 0.0, &s.tariffs[tariff]
+		if r.totalCount > 0 && b.now-r.accessLast < roundInterval {
+			share = float64(r.errCount) / float64(r.totalCount)
+		}
+		b.shares = append(b.shares, share)
+	}
+	if len(b.shares) == 0 {
+		return 0
+	}
+	slices.Sort(b.shares)
+	return b.shares[len(b.shares)/4]
+}
+
 // payoff tells what a leg at a server was worth at a time; chance is that in it. What surprises goes to the
 // server, its model and the fleet by how little is known of each: a proxy of many hears too seldom from one
 // server, often enough of its like; in a bank that tells, to the tariff there too.
--- a/balance/state.go
+++ b/balance/state.go
@@ -21,7 +21,7 @@
 	shares          []float64 // scratch
 	orders          Orders
 	out             int     // legs in flight
-	gain, full      float64 // limits' growth, and their factor on no room
+	full            float64 // limits' factor on no room
 	room            float64 // legs all admitted servers bear, as of the last pick
 	servable        float64 // servers admitted as of the last pick
 	keys            measure.Shares
@@ -86,6 +86,7 @@
 	sights         []sight      // the last of each tariff, and of no room
 	told, toldAt   float64      // legs of all proxies there, as it told last, and when
 	since          int          // own legs sent there since
+	least          float64      // the limit's lower bound
 	limit          float64      // legs it bears from this proxy; below one, only some of the time
 	bucket, flowed float64      // cold budget saved up, s of work; when it last flowed
 }
@@ -278,30 +279,6 @@
 	}
 }
 
-// shared is the share of failures in a tariff's rows that three servers in four exceed: what only some servers fail, up
-// to that many, is not shared. It is asked for with every result; one that is ok is held to no bar and needs none.
-func (b *Balancer) shared(tariff int, ok bool) float64 {
-	if ok {
-		return 0
-	}
-	b.shares = b.shares[:0]
-	for _, s := range b.servers {
-		if s == nil || s.State != Ready {
-			continue
-		}
-		share, r := 0.0, &s.tariffs[tariff]
-		if r.totalCount > 0 && b.now-r.accessLast < roundInterval {
-			share = float64(r.errCount) / float64(r.totalCount)
-		}
-		b.shares = append(b.shares, share)
-	}
-	if len(b.shares) == 0 {
-		return 0
-	}
-	slices.Sort(b.shares)
-	return b.shares[len(b.shares)/4]
-}
-
 // place keeps the list of servers as told.
 func (b *Balancer) place(full bool, list []Backend) {
 	if full {
@@ -335,15 +312,12 @@
 
 // unheard is a server that nothing is known of but its model and size.
 func (b *Balancer) unheard(kind int, size float64) *server {
-	limit := firstLimit
-	if b.d.Peers && !b.d.Probes {
-		limit = max(firstLimit, firstTold*size)
-	}
+	limit, least := b.bounds(size)
 	for len(b.models) <= kind {
 		b.models = append(b.models, &model{opinion: opinion{lasts: forgetModel}})
 	}
 	like := b.models[kind]
-	s := &server{limit: limit / float64(b.d.Proxies), pace: 1, flowed: b.now, tariffs: make([]breaker, len(b.rows)),
+	s := &server{limit: limit, least: least, pace: 1, flowed: b.now, tariffs: make([]breaker, len(b.rows)),
 		sights: make([]sight, len(b.rows)+1), like: like, opinions: []*opinion{b.fleet, &like.opinion, {lasts: forget}}}
 	for range b.rows {
 		view := s.opinions
--- a/balance/types.go
+++ b/balance/types.go
@@ -61,6 +61,8 @@
 	Peers        bool    // proxies may send one another notes
 	Probes       bool    // backends may be asked for their load
 	ConnPrice    float64 // of the service, for a hundred connections open to each backend
+	OpenPrice    float64 // and for opening one a lookup
+	IdleFor      float64 // a backend closes a connection idle for this long, or earlier; 0: not told
 	PeerPrice    float64 // of the service, for one full note a lookup
 	ProbePrice   float64 // and for one probe a lookup
 	Tariffs      []Tariff
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -17,7 +17,6 @@
 	Zones      []string // numbered as they are listed
 	Streams    int      // lookups that a connection to a backend carries at once, at most
 	ConnectFor float64  // a connection that is not up by then counts as never coming up; 0: not told
-	IdleFor    float64  // a backend closes a connection idle for this long, or earlier; 0: not told
 	DrainGrace float64  // from being told that a backend drains or is gone to the last send there
 }
 
@@ -42,7 +41,6 @@
 		Zones:      strings.Split(values["Zones"], ","),
 		Streams:    1,
 		ConnectFor: e.num("Ceilings.ConnectTimeoutMs") / 1000,
-		IdleFor:    e.num("Ceilings.ConnIdleMs") / 1000,
 		DrainGrace: e.num("Rules.StopSendingWithinMs") / 1000,
 	}
 	f.Deployment = balance.Deployment{
@@ -53,6 +51,8 @@
 		Peers:        e.bool("Ceilings.PeerMessages"),
 		Probes:       e.bool("Ceilings.Probes") && values["Feedback.Via"] == "on_probe" && tells(values["Feedback.Fields"]),
 		ConnPrice:    e.num("Tariffs.Connection"),
+		OpenPrice:    e.num("Tariffs.Handshake"),
+		IdleFor:      e.num("Ceilings.ConnIdleMs") / 1000,
 		PeerPrice:    e.num("Tariffs.Peer"),
 		ProbePrice:   e.num("Tariffs.Probe"),
 		Proxies:      int(e.num("ReplicasOfMe")),
