--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,6 +27,7 @@
 	haste           = 0.4   // payoff an answer loses by using its whole due time up
 	farther         = 0.12  // payoff lost on the way to another location, where proxies tell
 	latePayoff      = 0.3   // payoff of a late answer: better than none, worse than any in time
+	fullPayoff      = 0.5   // of a leg with a warm key turned away, where peers tell; of others none
 	busyShare       = 0.9   // of the room there is: with less in flight the limits do not bind
 	spareShare      = 0.5   // of the room: with less in flight a leg beside another keeps nobody out
 	homes           = 2     // backends a key is kept to at first; one alone is crowded by a popular key
@@ -506,7 +507,11 @@
 	case NoRoom: // a busy backend is not a broken one: its row stays
 		b.credit -= max(l.row.median()-(b.now-g.sent), 0) // danger: turned away at once, legs would use up no room
 		b.move(s, b.full, 1)
-		s.payoff(b, len(b.rows), 0, b.now, oneResult)
+		worth := 0.0
+		if b.d.Peers && b.warm(l) { // danger: worth nothing, it would move warm keys, whose work then doubles
+			worth = fullPayoff
+		}
+		s.payoff(b, len(b.rows), worth, b.now, oneResult)
 	case Honoured:
 		s.served = b.now
 		b.results(l, s, true)
--- a/balance/bank_test.go
+++ b/balance/bank_test.go
@@ -186,6 +186,24 @@
 	assert.Less(t, others, 0.198)
 }
 
+// Danger: a full server's keys would all move to where nobody knows them, and their work would grow with the crowd.
+func TestNoRoomMovesNoWarmKey(t *testing.T) {
+	for _, c := range []struct {
+		warm, peers bool
+		key         uint64
+		worth       float64
+	}{{true, true, 5, fullPayoff}, {true, true, 0, 0}, {false, true, 5, 0}, {true, false, 5, 0}} {
+		d := apart()
+		d.WarmKeys, d.Peers = c.warm, c.peers
+		k := open(t, d, 2)
+		l := &Lookup{b: k.Balancer, row: &k.rows[0], heavy: 1, Arrival: Arrival{Key: c.key}}
+		for range 200 {
+			k.learn(l, &leg{s: k.servers[0]}, NoRoom, 0)
+		}
+		assert.InDelta(t, c.worth, k.payNow(k.servers[0], 0), 0.05, "%v", c)
+	}
+}
+
 func TestBusyProxyKeepsToMoreServers(t *testing.T) {
 	d := apart()
 	d.Proxies = 40
