--- a/balance/balance.go
+++ b/balance/balance.go
@@ -89,11 +89,7 @@
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, askPause: askFirst,
-		fleet: &opinion{lasts: forget}, askAt: math.Inf(1), lastSend: now, lastTake: now,
-		full: limitFull}
-	if d.Peers {
-		b.full = toldFull
-	}
+		fleet: &opinion{lasts: forget}, askAt: math.Inf(1), lastSend: now, lastTake: now}
 	for _, t := range d.Tariffs {
 		if t.Due == 0 { // no due time set: half of what the client waits
 			t.Due = t.HardStop / 2
@@ -222,7 +218,7 @@
 
 // tidy closes connections that were idle for too long, where they are paid for.
 func (b *Balancer) tidy() {
-	if !b.d.Peers || b.d.ConnPrice == 0 || b.tidyAt > b.now {
+	if !b.d.Apart && !b.d.Peers || b.d.ConnPrice == 0 || b.tidyAt > b.now {
 		return
 	}
 	b.tidyAt = 0
@@ -427,7 +423,7 @@
 			pay -= farther
 			cost = wayCost
 		}
-		if !b.open(s) {
+		if b.d.Peers && !b.open(s) {
 			cost += openCost * b.d.OpenPrice
 		}
 		m := s.opinions[1].at(b.now)
@@ -506,11 +502,14 @@
 	case NeverSent, Unfit: // these count neither way
 	case NoRoom: // a busy backend is not a broken one: its row stays
 		b.credit -= max(l.row.median()-(b.now-g.sent), 0) // danger: turned away at once, legs would use up no room
-		b.move(s, b.full, 1)
-		worth := 0.0
-		if b.d.Peers && b.warm(l) { // danger: worth nothing, it would move warm keys, whose work then doubles
+		cut, worth := limitFull, 0.0
+		if b.d.Peers {
+			cut = toldFull
+		}
+		if b.d.Peers && b.warm(l) { // danger: in a crowd refusals would outweigh all else that payoffs tell
 			worth = fullPayoff
 		}
+		b.move(s, cut, 1)
 		s.payoff(b, len(b.rows), worth, b.now, oneResult)
 	case Honoured:
 		s.served = b.now
@@ -753,7 +752,7 @@
 		case at > s.sights[t.Tariff].at+hop: // danger: what comes round would count again
 			s.payoff(b, t.Tariff, t.Value, at, hearsay)
 			if t.Tariff == len(b.rows) {
-				b.move(s, b.full, 1)
+				b.move(s, toldFull, 1)
 			}
 		}
 	}
--- a/balance/bank_test.go
+++ b/balance/bank_test.go
@@ -61,6 +61,7 @@
 	}
 	told := deployment()
 	told.Self, told.Zone, told.PeerPrice, told.ProbePrice, told.ConnPrice = 1, 1, 0.01, 0.05, 0.03
+	told.OpenPrice, told.IdleFor = 0.12, 10
 	assert.Equal(t, play(deployment()), play(told))
 }
 
@@ -186,8 +187,8 @@
 	assert.Less(t, others, 0.198)
 }
 
-// Danger: a full server's keys would all move to where nobody knows them, and their work would grow with the crowd.
-func TestNoRoomMovesNoWarmKey(t *testing.T) {
+// Danger: in a crowd every server refuses, and payoffs would tell of little else.
+func TestWhatALegTurnedAwayIsWorth(t *testing.T) {
 	for _, c := range []struct {
 		warm, peers bool
 		key         uint64
@@ -224,21 +225,22 @@
 }
 
 func TestAnotherLocationIsWorse(t *testing.T) {
-	const crowd = -wayCost * temperature // danger: with little room left, servers elsewhere would stand idle
+	const paid = farther / temperature
 	for _, c := range []struct {
 		apart, peers bool
-		zone, out    int // zone -1: not told; out: legs at each server, of two that it bears
-		farther      float64
-	}{{true, true, 1, 0, farther}, {false, true, 1, 0, farther}, {false, true, 1, 1, farther + crowd}, {false, true, -1, 0, crowd},
-		{false, false, 1, 0, crowd}} {
+		zone, out    int     // zone -1: not told; out: legs at each server, of two that it bears
+		cost         float64 // in the draw; danger: with little room left, servers elsewhere would stand idle
+	}{{true, true, 1, 0, paid + wayCost}, {false, true, 1, 0, paid + wayCost}, {false, true, 1, 1, paid}, {false, true, -1, 0, 0},
+		{false, false, 1, 0, 0}} {
 		d, here := apart(), 0
 		d.Apart, d.Peers, d.Zone, d.Proxies, d.Self = c.apart, c.peers, c.zone, 1, 0
 		k := open(t, d, 8) // two locations in turn
-		for k.crowd(c.out); k.refs < 400; k.refs++ {
+		k.crowd(c.out)
+		for range 400 {
 			s, _ := k.draw(0)
 			here += s.Zone
 		}
-		assert.InDelta(t, 400/(1+math.Exp(-c.farther/temperature-wayCost)), here, 40, "%v", c)
+		assert.InDelta(t, 400/(1+math.Exp(-c.cost)), here, 40, "%v", c)
 	}
 }
 
@@ -250,7 +252,8 @@
 		k := open(t, d, 8)
 		k.begin(9)
 		k.servers[0].used = 5
-		for k.crowd(out); len(all) < 400; {
+		k.crowd(out)
+		for range 400 {
 			s, _ := k.draw(0)
 			all = append(all, s.Index)
 		}
@@ -272,9 +275,13 @@
 }
 
 func TestIdleConnectionsAreClosed(t *testing.T) {
-	for price, times := range map[float64]int{0: 0, 0.03: 1} { // kept where connections cost nothing
+	for _, c := range []struct {
+		apart, peers bool
+		price        float64
+		times        int
+	}{{true, true, 0.03, 1}, {true, false, 0.03, 1}, {false, true, 0.03, 1}, {false, false, 0.03, 0}, {true, true, 0, 0}} {
 		k, closed := open(t, apart(), 1), 0
-		k.d.ConnPrice, k.d.Apart = price, false // a bank that clients share pays for them too
+		k.d.Apart, k.d.Peers, k.d.ConnPrice = c.apart, c.peers, c.price
 		k.serve(func(*Lookup, *Orders) {})
 		for ended := k.clock; k.clock < ended+2*idleFor; k.clock += 0.05 {
 			if o := k.Balancer.Wake(k.clock); len(o.HangUp) > 0 {
@@ -283,7 +290,7 @@
 				closed++
 			}
 		}
-		assert.Equal(t, times, closed)
+		assert.Equal(t, c.times, closed, "%v", c)
 	}
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -21,7 +21,6 @@
 	shares          []float64 // scratch
 	orders          Orders
 	out             int     // legs in flight
-	full            float64 // limits' factor on no room
 	room            float64 // legs all admitted servers bear, as of the last pick
 	servable        float64 // servers admitted as of the last pick
 	keys            measure.Shares
