An operators' door, bans, drains and a hand-over between two processes of one proxy

Before: the second process of an upgrade ended at once since its address was in use; calls went unanswered; drains were unknown. duty/ is the pure state of orders and of a process's life, internal/operations the door, internal/handover what passes between processes; proxy/life.go carries it out.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -89,7 +89,7 @@
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, askPause: askFirst,
-		fleet: &opinion{lasts: forget}, askAt: math.Inf(1), lastSend: now, lastTake: now}
+		part: 1, fleet: &opinion{lasts: forget}, askAt: math.Inf(1), lastSend: now, lastTake: now}
 	for _, t := range d.Tariffs {
 		if t.Due == 0 { // no due time set: half of what the client waits
 			t.Due = t.HardStop / 2
@@ -676,7 +676,7 @@
 	budget := b.d.FallMultiple * part
 	spread := coldSpread * math.Sqrt(2*work/max(budget*b.d.FallFor, 1e-9)) // of a flow of one whole budget
 	margin := math.Pow((math.Sqrt(spread*spread+4)-spread)/2, 2)           // a flow that makes one with its own
-	rate := max(coldMargin, min(margin, coldMost)) * budget / float64(b.d.Proxies)
+	rate := max(coldMargin, min(margin, coldMost)) * budget / float64(b.d.Proxies) * b.part
 	turn := max(b.d.FallFor*coldDepth, b.gap*b.servable)
 	s.bucket, s.flowed = min(s.bucket+(b.now-s.flowed)*rate, rate*turn), b.now
 	stake := min(s.bucket, work)
--- a/balance/state.go
+++ b/balance/state.go
@@ -41,6 +41,7 @@
 	peerRate, notes float64 // lookups a second of peers, smoothed; notes heard
 	note            Note    // scratch
 	tidyAt          float64 // when to look for connections to close next
+	part            float64 // of the proxy's own, while two of its processes decide
 }
 
 // row holds what differs by tariff.
@@ -306,6 +307,10 @@
 	}
 }
 
+// Part sets this balancer's part, from 0 to 1, of what its proxy may send to cold backends. Danger: two processes of one proxy
+// with a whole budget each would push them over together.
+func (b *Balancer) Part(part float64) { b.part = part }
+
 // Keeps says whether a backend is still known: as listed, or as one that lingers. One that is not is never named again.
 func (b *Balancer) Keeps(index int) bool { return index < len(b.servers) && b.servers[index] != nil }
 
--- /dev/null
+++ b/duty/duty_test.go
@@ -0,0 +1,226 @@
+package duty
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+func TestBanned(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		say     func(o *Orders)
+		started float64 // as the list tells
+		banned  bool
+		counts  float64 // as started then
+	}{
+		{"never named", func(o *Orders) {}, 7, false, 7},
+		{"disabled", func(o *Orders) { o.Disable("a", 10) }, 7, true, 7},
+		{"disabled, restarted meanwhile: told as new once enabled, not before", func(o *Orders) { o.Disable("a", 10) }, 12, true, 10},
+		{"enabled, no start told: as cold as can be", func(o *Orders) { o.Disable("a", 10); o.Enable("a", 20) }, 0, false, 20},
+		{"enabled, an old start told", func(o *Orders) { o.Disable("a", 10); o.Enable("a", 20) }, 7, false, 20},
+		{"enabled, its start told", func(o *Orders) { o.Disable("a", 10); o.Enable("a", 20) }, 12, false, 12},
+		{"disabled twice, enabled once", func(o *Orders) { o.Disable("a", 10); o.Disable("a", 11); o.Enable("a", 20) }, 10.5, false, 10.5},
+		{"enabled twice", func(o *Orders) { o.Disable("a", 10); o.Enable("a", 20); o.Enable("a", 30) }, 0, false, 20},
+		{"enabled without a ban", func(o *Orders) { o.Enable("a", 20) }, 7, false, 7},
+		{"disabled again", func(o *Orders) { o.Disable("a", 10); o.Enable("a", 20); o.Disable("a", 30) }, 0, true, 0},
+		{"another", func(o *Orders) { o.Disable("b", 10) }, 7, false, 7},
+	} {
+		var o Orders
+		c.say(&o)
+		banned, counts := o.Banned("a", c.started)
+		assert.Equal(t, c.banned, banned, c.name)
+		assert.Equal(t, c.counts, counts, c.name)
+	}
+}
+
+func TestForget(t *testing.T) {
+	var o Orders
+	o.Disable("a", 1)
+	o.Forget("a")
+	assert.True(t, o.Backends["a"].On, "a ban outlasts the list")
+	o.Enable("a", 2)
+	o.Forget("a")
+	assert.Empty(t, o.Backends)
+}
+
+func TestDrainTimes(t *testing.T) {
+	l := Life{Serving: true}
+	l.Drains(true, 100)
+	l.Drains(true, 103) // repeated: the time is that of the first
+	for _, c := range []struct {
+		at            float64
+		closes, takes bool
+		idle          float64 // share closed until 0.1 s later
+	}{{100, false, true, 0}, {100.4, false, true, 0}, {100.51, true, true, 0.09}, {101.05, true, true, 0.18}, {101.55, true, true, 1},
+		{101.9, true, false, 1}, {104, true, false, 1}} {
+		assert.False(t, l.Up(), c.at)
+		assert.True(t, l.Ready(), "the process still can")
+		assert.Equal(t, c.closes, l.Closes(c.at), c.at)
+		assert.Equal(t, c.takes, l.Takes(c.at), c.at)
+		assert.InDelta(t, c.idle, l.Idle(c.at, 0.1), 0.01, c.at)
+	}
+	l.Drains(false, 104.5)
+	assert.True(t, l.Up() && l.Takes(104.5) && !l.Closes(104.5))
+	assert.Zero(t, l.Idle(104.5, 0.1))
+}
+
+func TestIDs(t *testing.T) {
+	s := NewIDs(3)
+	for i := range uint64(5) {
+		s.Add(i)
+		s.Add(i)
+		s.Add(0)
+	}
+	assert.Equal(t, []uint64{3, 0, 4}, s.All(), "0 was added again after it was forgotten")
+	assert.True(t, s.Has(4) && !s.Has(1))
+}
+
+// What two processes hold comes to the same whatever way and how often their orders pass; a ban that was said last holds at both.
+func TestMergeSettles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all [3]Orders
+		last := map[string]Order{}
+		var drain Order
+		n := rapid.IntRange(1, 12).Draw(t, "orders")
+		for i := range n {
+			now := float64(10 + i)
+			at := &all[rapid.IntRange(0, 2).Draw(t, "at")]
+			id := fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "id"))
+			switch rapid.IntRange(0, 4).Draw(t, "call") {
+			case 0:
+				at.Disable(id, now)
+				last[id] = at.Backends[id]
+			case 1:
+				at.Enable(id, now)
+				if o, ok := at.Backends[id]; ok && o.At == now {
+					last[id] = o
+				}
+			case 2:
+				at.Drains(true, now)
+			case 3:
+				at.Drains(false, now)
+			case 4:
+				at.Merge(all[rapid.IntRange(0, 2).Draw(t, "from")].Clone())
+			}
+			if at.Drain.At == now {
+				drain = at.Drain
+			}
+		}
+		for range 2 {
+			for _, i := range rapid.Permutation([]int{0, 1, 2}).Draw(t, "order") {
+				for j := range all {
+					all[i].Merge(all[j].Clone())
+				}
+			}
+		}
+		for i := range all {
+			assert.Equal(t, drain, all[i].Drain)
+			for id, o := range last {
+				assert.Equal(t, o, all[i].Backends[id])
+			}
+			assert.False(t, all[i].Merge(all[(i+1)%3]), "nothing is news any more")
+		}
+	})
+}
+
+// model is two processes of one proxy in an upgrade, with messages between them that may be late or lost with a process.
+type model struct {
+	lives  [2]Life
+	alive  [2]bool
+	linked bool
+	queue  [2][]Orders // on the way to each
+	serves bool        // on the way to the old one: the new one takes clients
+}
+
+// In every interleaving of an upgrade, drains and bans: one of the two takes clients whenever one lives that may, a banned backend
+// is banned at whoever serves once messages have come, and nobody is up while drained.
+func TestUpgradeInterleavings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{alive: [2]bool{true, false}}
+		m.lives[0].Serving = true
+		now := 100.0
+		say := func(from int) {
+			if to := 1 - from; m.linked && m.alive[to] {
+				m.queue[to] = append(m.queue[to], m.lives[from].Orders.Clone())
+			}
+		}
+		deliver := func(to int) {
+			if len(m.queue[to]) > 0 {
+				m.lives[to].Merge(m.queue[to][0])
+				m.queue[to] = m.queue[to][1:]
+			}
+		}
+		unlink := func(dead int) {
+			m.alive[dead], m.linked, m.queue = false, false, [2][]Orders{}
+			m.lives[1-dead].Heir, m.lives[1-dead].Before, m.serves = false, false, false
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now++
+			switch step := rapid.IntRange(0, 9).Draw(t, "step"); step {
+			case 0: // the new one starts and asks
+				if !m.alive[1] && m.alive[0] && m.lives[0].Stopped == 0 {
+					m.alive[1], m.linked = true, true
+					m.lives[1] = Life{Before: true}
+					m.lives[1].Merge(m.lives[0].Orders.Clone())
+				}
+			case 1: // it serves
+				if m.alive[1] && m.lives[1].Stopped == 0 {
+					m.lives[1].Serving, m.serves = true, m.linked
+				}
+			case 2:
+				if m.linked && m.serves {
+					m.lives[0].Heir = true
+				}
+			case 3: // the old one is told to go, once the new one has said yes
+				if m.alive[0] && m.alive[1] && m.lives[1].Ready() {
+					m.lives[0].Stopped = now
+				}
+			case 4: // and goes; or either is killed
+				if m.alive[0] && m.alive[1] && m.lives[1].Ready() && m.lives[0].Stopped > 0 {
+					unlink(0)
+				}
+			case 5:
+				if m.alive[0] && m.alive[1] && m.lives[0].Stopped == 0 {
+					unlink(1)
+				}
+			case 6, 7: // a call at whichever door
+				at := rapid.IntRange(0, 1).Draw(t, "door")
+				if !m.alive[at] {
+					at = 1 - at
+				}
+				if rapid.Bool().Draw(t, "backend") {
+					if step == 6 {
+						m.lives[at].Disable("a", now)
+					} else {
+						m.lives[at].Enable("a", now)
+					}
+				} else {
+					m.lives[at].Drains(step == 6, now)
+				}
+				say(at)
+			default:
+				deliver(step - 8)
+			}
+			accepts := false
+			for i := range m.lives {
+				l := &m.lives[i]
+				accepts = accepts || m.alive[i] && (l.Serving || l.Before) && l.Accepts()
+				if m.alive[i] && l.Drain.On {
+					assert.False(t, l.Up(), "drained")
+				}
+			}
+			assert.True(t, accepts, "somebody accepts")
+		}
+		if m.alive[0] && m.alive[1] && m.linked {
+			for len(m.queue[0])+len(m.queue[1]) > 0 {
+				deliver(0)
+				deliver(1)
+			}
+			assert.Equal(t, m.lives[0].Drain, m.lives[1].Drain)
+			assert.Equal(t, m.lives[0].Backends["a"], m.lives[1].Backends["a"])
+		}
+	})
+}
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -123,6 +123,13 @@
 	}
 }
 
+// Share sets how many connections there may be at once; what is idle over that is closed.
+func (p *Pool) Share(most int) {
+	p.Most = max(most, 1)
+	for over := p.total - p.Most; over > 0 && p.spare(); over-- {
+	}
+}
+
 // Total is how many connections there are.
 func (p *Pool) Total() int { return p.total }
 
--- a/internal/command/balancer/serve.go
+++ b/internal/command/balancer/serve.go
@@ -15,6 +15,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/sirupsen/logrus"
 
+	"lockloom/internal/operations"
 	"lockloom/proxy"
 )
 
@@ -50,6 +51,18 @@
 	if err != nil {
 		return err
 	}
+	if l.Operator != "" { // before all else: it answers while the rest is being made ready
+		ln, err := net.Listen("tcp", l.Operator)
+		if err != nil {
+			return fmt.Errorf("operators' door: %w", err)
+		}
+		defer ln.Close()
+		go (&operations.Door{Do: p.Do, Log: log}).Serve(ln)
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Limits.Cores))))
+	debug.SetGCPercent(gcPercent)
+	p.Shared = func(part float64) { debug.SetMemoryLimit(int64(part * memoryPart * float64(l.Limits.Memory))) }
+	p.Shared(1)
 	if file != "" {
 		s, err := setup(file, errs)
 		if err != nil {
@@ -57,7 +70,7 @@
 		}
 		var more []net.Listener
 		for _, l := range s.Listeners {
-			ln, err := net.Listen("tcp", l.Address)
+			ln, err := p.Listen(l.Address)
 			if err != nil {
 				return fmt.Errorf("%s: listener: %w", file, err)
 			}
@@ -68,10 +81,7 @@
 			return fmt.Errorf("%s: %w", file, err)
 		}
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Limits.Cores))))
-	debug.SetMemoryLimit(int64(memoryPart * float64(l.Limits.Memory)))
-	debug.SetGCPercent(gcPercent)
-	ln, err := net.Listen("tcp", l.Listen)
+	ln, err := p.Listen(l.Listen)
 	if err != nil {
 		return err
 	}
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -23,6 +23,36 @@
 	Addr string
 }
 
+// row is an entry in discovery's form.
+type row struct {
+	ID        string  `json:"id"`
+	Addr      string  `json:"addr"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"kind"`
+	Cell      int     `json:"cell"`
+	State     string  `json:"state"`
+	StartedMs float64 `json:"started_ms"`
+	Weight    float64 `json:"weight"`
+}
+
+// MarshalJSON writes discovery's form.
+func (l List) MarshalJSON() ([]byte, error) {
+	out := struct {
+		Version int64 `json:"version"`
+		Full    bool  `json:"full"`
+		Servers []row `json:"servers"`
+	}{l.Version, l.Full, make([]row, len(l.Entries))}
+	for i, e := range l.Entries {
+		out.Servers[i] = row{e.Name, e.Addr, e.ZoneName, e.ModelName, e.Pod, "", e.UpSince * 1000, e.Size}
+		for name, state := range states {
+			if state == e.State {
+				out.Servers[i].State = name
+			}
+		}
+	}
+	return json.Marshal(out)
+}
+
 var states = map[string]balance.State{"active": balance.Ready, "leaving": balance.Draining, "left": balance.Gone}
 
 // UnmarshalJSON reads discovery's form and refuses what cannot be followed.
@@ -30,12 +60,7 @@
 	var in struct {
 		Version *int64
 		Full    bool
-		Servers []struct {
-			ID, Addr, Zone, Kind, State string
-			Cell                        int
-			StartedMs                   float64 `json:"started_ms"`
-			Weight                      float64
-		}
+		Servers []row
 	}
 	if err := json.Unmarshal(text, &in); err != nil {
 		return err
--- a/internal/heads/write.go
+++ b/internal/heads/write.go
@@ -6,7 +6,7 @@
 )
 
 // reasons are the words after a status that this project sends; they mean nothing to a program.
-var reasons = map[int]string{100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found",
+var reasons = map[int]string{100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
 	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 417: "Expectation Failed",
 	431: "Request Header Fields Too Large", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable"}
 
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -21,6 +21,8 @@
 	Name      string
 	Listen    string // where clients connect
 	Discovery string
+	Operator  string // where operators call; empty: nowhere
+	Dir       string // where a next process of this proxy finds this one; empty: nowhere
 	figures.Figures
 	Known  discovery.List // perhaps old
 	Limits Limits
@@ -46,6 +48,8 @@
 	varListen    = "ROUTER_LISTEN"
 	varDiscovery = "ROUTER_DISCOVERY"
 	varFile      = "ROUTER_CONFIG"
+	varOperator  = "ROUTER_OPERATOR" // may be left out, as may the next
+	varDir       = "TMPDIR"
 )
 
 // Read reads the variables, by get, and the file that they name. An error names what is missing or unusable.
@@ -68,7 +72,13 @@
 	if err != nil {
 		return Launch{}, fmt.Errorf("%s: %s: %w", varFile, get(varFile), err)
 	}
-	l.Name, l.Listen = get(varName), get(varListen)
+	l.Name, l.Listen, l.Dir = get(varName), get(varListen), get(varDir)
+	if at := get(varOperator); at != "" {
+		if err := address(at); err != nil {
+			return Launch{}, fmt.Errorf("%s: %w", varOperator, err)
+		}
+		l.Operator = at
+	}
 	if l.Discovery == "" {
 		l.Discovery = get(varDiscovery)
 	}
@@ -86,6 +96,7 @@
 	var in struct {
 		Seed      string
 		Discovery string
+		Operator  string
 		Limits    struct {
 			Cores    float64
 			MemoryMB float64 `json:"memory_mb"`
@@ -115,6 +126,11 @@
 			return Launch{}, fmt.Errorf("discovery: %w", err)
 		}
 	}
+	if in.Operator != "" {
+		if err := address(in.Operator); err != nil {
+			return Launch{}, fmt.Errorf("operator: %w", err)
+		}
+	}
 	values := map[string]string{}
 	flatten(values, "", in.Settings)
 	f, err := figures.Read(values, seed)
@@ -124,7 +140,7 @@
 	if err := shape(f, values, in.Peers); err != nil {
 		return Launch{}, fmt.Errorf("settings: %w", err)
 	}
-	return Launch{Bank: in.Peers, Discovery: in.Discovery, Figures: f, Known: *in.Known,
+	return Launch{Bank: in.Peers, Discovery: in.Discovery, Operator: in.Operator, Figures: f, Known: *in.Known,
 		Limits: Limits{in.Limits.Cores, int64(in.Limits.MemoryMB * (1 << 20)), in.Limits.Sockets}}, nil
 }
 
--- a/proxy/branch.go
+++ b/proxy/branch.go
@@ -38,7 +38,7 @@
 		if !first {
 			return
 		}
-		p.decide(in, func(now float64) *balance.Orders { return in.b.Listed(now, true, true, in.first) })
+		p.decide(in, func(now float64) *balance.Orders { return in.b.Listed(now, true, true, p.ruledOut(in.first)) })
 		return
 	}
 	own := list
@@ -62,7 +62,7 @@
 	var l List
 	var list []balance.Backend
 	for _, index := range slices.Sorted(maps.Keys(p.known)) {
-		e := p.known[index]
+		e, _ := p.ruled(p.known[index])
 		l.Entries = append(l.Entries, e)
 		list = append(list, p.names.Backend(e.Entry))
 	}
--- a/proxy/door.go
+++ b/proxy/door.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"lockloom/duty"
 	"lockloom/internal/backends"
 )
 
@@ -12,8 +14,9 @@
 type door struct {
 	mu         sync.Mutex
 	room       sync.Cond
-	most, over int // connections served; further ones that are dismissed at once
-	keep, kept int // idle between requests: most, and now
+	most, over int    // connections served; further ones that are dismissed at once
+	keep, kept int    // idle between requests: most, and now
+	whole      [3]int // most, over and keep where no other process of this proxy has a part
 	all        map[*client]bool
 	idle       []*client
 	crowded    int // connections taken over the bound
@@ -139,6 +142,33 @@
 	}
 }
 
+// share gives the door its part of the connections.
+func (d *door) share(part float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	of := func(n int) int { return max(int(part*float64(n)), 1) }
+	d.most, d.over, d.keep = of(d.whole[0]), of(d.whole[1]), of(d.whole[2])
+	d.room.Broadcast()
+}
+
+// empty closes a share of the idle connections, those idle for longest first; at the end new ones too that say nothing. Danger:
+// all at once they would cross many requests that are on their way, and the clients would come back all at once.
+func (d *door) empty(share float64, end bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := int(math.Ceil(share * float64(len(d.idle))))
+	for i := 0; i < len(d.idle) && n > 0; {
+		c := d.idle[i]
+		if c.begun || backends.Pending(c.nc) || c.fresh && (!end || time.Since(c.since) < seconds(duty.Fresh)) {
+			i++
+			continue
+		}
+		c.end()
+		d.unrest(c)
+		n--
+	}
+}
+
 // drain waits until no connection is left, but no longer than this.
 func (d *door) drain(most time.Duration) {
 	end := time.Now().Add(most)
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -117,17 +117,15 @@
 			continue
 		}
 		p.branches = append(p.branches, in)
+		in.b.Part(p.part())
 		if len(w.Servers) > 0 {
 			in.written = true
 			p.writeOut(in, w.Servers)
 		}
-		if p.known != nil { // serving already
+		if p.listed {
 			in.begin(p)
 		}
 	}
-	if p.known == nil {
-		p.known = map[int]discovery.Entry{}
-	}
 	p.ordinary.Store(o)
 }
 
@@ -207,6 +205,7 @@
 		p.told(b.Index, balance.Ready)
 		p.written[b.Index] = true
 		list = append(list, b)
+		p.life.listed(in.name + "/" + addr)
 	}
 	in.first = list
 }
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -19,6 +19,7 @@
 	wake := time.NewTimer(0)
 	defer wake.Stop()
 	p.every(sweepEvery, p.pool.Sweep)
+	p.every(sweepEvery, p.rush)
 	p.every(reportEvery, func() { go p.counted()() }) // danger: who reads the log may be slow; the owner waits for nobody
 	if p.ordinary.Load() != nil {
 		p.every(sweepEvery, p.standbys)
@@ -30,6 +31,8 @@
 		select {
 		case f := <-p.events:
 			p.guard(f)
+		case <-p.life.news:
+			p.guard(p.obey)
 		case <-wake.C:
 		case <-p.quit:
 			p.watched.end()
@@ -170,19 +173,26 @@
 
 // list takes in a list of backends.
 func (p *Proxy) list(l List, first bool) {
-	p.version = l.Version
+	p.version, p.listed = l.Version, true
+	raw := l.Entries
+	l.Entries = slices.Clone(raw)
 	list := make([]balance.Backend, len(l.Entries))
 	for i, e := range l.Entries {
+		p.life.listed(e.Name)
+		e, banned := p.ruled(e)
 		b := p.names.Backend(e.Entry)
-		list[i] = b
+		l.Entries[i], list[i] = e, b
 		if b.State != balance.Gone || !p.kept(b.Index) {
 			p.pool.Place(b.Index, e.Addr, b.UpSince)
 		}
-		p.told(b.Index, b.State)
-	}
-	if p.known != nil {
-		p.note(l, list)
+		if banned > 0 { // danger: the order may be older than the owner's hearing of it
+			p.told(b.Index, balance.Draining)
+			p.stopSend[b.Index] = min(p.stopSend[b.Index], banned)
+		} else {
+			p.told(b.Index, b.State)
+		}
 	}
+	p.note(l.Full, raw)
 	for _, in := range p.branches {
 		in.listed(p, l, first, list)
 	}
@@ -198,16 +208,17 @@
 	return slices.ContainsFunc(p.branches, func(in *branch) bool { return in.b.Keeps(index) })
 }
 
-// note keeps what is listed, for pools that come later.
-func (p *Proxy) note(l List, list []balance.Backend) {
-	if l.Full {
+// note keeps what is listed, as discovery said: for pools that come later, bans that end and the process that comes next.
+func (p *Proxy) note(full bool, entries []discovery.Entry) {
+	if full {
 		clear(p.known)
 	}
-	for i, b := range list {
-		if b.State == balance.Gone {
-			delete(p.known, b.Index)
+	for _, e := range entries {
+		index, _ := p.names.Find(e.Name)
+		if e.State == balance.Gone {
+			delete(p.known, index)
 		} else {
-			p.known[b.Index] = l.Entries[i]
+			p.known[index] = e
 		}
 	}
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lockloom/balance"
+	"lockloom/duty"
 	"lockloom/internal/backends"
 	"lockloom/internal/discovery"
 	"lockloom/internal/figures"
@@ -80,6 +81,10 @@
 	// Dial opens the connections to discovery and backends; whoever embeds a proxy may set it before Serve.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
+	// Shared is told this process's part, from 0 to 1, of what the proxy may use, when another process of it comes or goes; it
+	// may be nil. It may be set before Listen.
+	Shared func(part float64)
+
 	launch  Launch
 	log     logrus.FieldLogger
 	began   time.Time
@@ -92,12 +97,15 @@
 	branches []*branch         // it, and the operator's pools
 	names    *figures.Register // of tariffs and customers, which never change, clients' goroutines read too
 	pool     *backends.Pool
+	poolMost int // connections to backends, where no other process of this proxy has a part
 	timers   timers
 	slots    []*lookup // by Arrival.Ref
 	free     []int
 	open     map[string]bool // ids of the lookups in slots
 	ordinary atomic.Pointer[ordinary]
-	known    map[int]discovery.Entry // what is listed, by index, where an operator file may bring new pools; else nil
+	known    map[int]discovery.Entry // what is listed, by index, as discovery says
+	listed   bool                    // a list was taken in
+	orders   duty.Orders             // those that were obeyed
 	written  map[int]bool            // backends that an operator wrote out: no list takes them away
 	later    []func()                // what came up while orders were carried out
 	stopSend []float64
@@ -111,24 +119,23 @@
 	ended  chan struct{} // closed when it has
 	heard  chan struct{} // closed, by first, when discovery has told a list
 	first  func()
-	ready  atomic.Bool
-	stops  atomic.Bool               // ordered to stop: it is not up any more
-	closes atomic.Bool               // each connection ends with its answer
+	life   *life
 	last   atomic.Pointer[time.Time] // once ordered to stop: the hard stop of all lookups
 	door   door
 	work   sync.WaitGroup // client connections
 
 	link *peers.Link // to the bank's other proxies; nil: they are told nothing
 
-	held     atomic.Int64 // bytes kept: to be sent to backends, and of large answers
-	heldMost int64
+	held      atomic.Int64 // bytes kept: to be sent to backends, and of large answers
+	heldMost  atomic.Int64
+	heldWhole float64 // bytes, where no other process of this proxy has a part
 }
 
 // New makes a proxy that is not serving yet.
 func New(l Launch, log logrus.FieldLogger) (*Proxy, error) {
 	p := &Proxy{launch: l, log: log.WithField("proxy", l.Name), began: time.Now(), names: l.Register(),
 		events: make(chan func(), eventsKept), quit: make(chan struct{}),
-		ended: make(chan struct{}), heard: make(chan struct{}), Dial: dial}
+		ended: make(chan struct{}), heard: make(chan struct{}), Dial: dial, life: newLife(), known: map[int]discovery.Entry{}}
 	b, err := balance.New(l.Deployment, p.now())
 	if err != nil {
 		return nil, err
@@ -148,7 +155,8 @@
 	p.door.most = clients - p.door.over
 	p.door.keep = max(int(keptPart*float64(p.door.most)), 1)
 	p.pool = backends.New(func(ctx context.Context, addr string) (net.Conn, error) { return p.Dial(ctx, addr) }, p.post)
-	p.pool.Most, p.pool.Hold = most-clients, p.hold
+	p.poolMost = most - clients
+	p.pool.Most, p.pool.Hold = p.poolMost, p.hold
 	p.pool.Connect, p.pool.Idle = connectFor, idleUntold
 	if l.ConnectFor > 0 {
 		p.pool.Connect = seconds(l.ConnectFor)
@@ -156,9 +164,11 @@
 	if l.IdleFor > 0 {
 		p.pool.Idle = max(seconds(l.IdleFor)-idleMargin, seconds(l.IdleFor/2)) // danger: in a large bank most new connections replace lapsed ones
 	}
-	if p.heldMost = int64(heldPart * float64(l.Limits.Memory)); p.heldMost == 0 {
-		p.heldMost = math.MaxInt64
+	p.door.whole = [3]int{p.door.most, p.door.over, p.door.keep}
+	if p.heldWhole = heldPart * float64(l.Limits.Memory); p.heldWhole == 0 {
+		p.heldWhole = math.MaxInt64 / 2
 	}
+	p.heldMost.Store(int64(p.heldWhole))
 	p.open, p.written = map[string]bool{}, map[int]bool{}
 	p.door.all = map[*client]bool{}
 	p.door.room.L = &p.door.mu
@@ -180,15 +190,19 @@
 		}
 		p.link = link
 	}
+	p.obey()
 	p.list(p.launch.Known, true)
 	p.follow(p.launch.Discovery)
+	p.shares()
 	go p.own()
 	go func() {
-		select {
-		case <-p.heard:
-		case <-time.After(firstList):
+		if p.life.state == nil || !p.life.state.Listed {
+			select {
+			case <-p.heard:
+			case <-time.After(firstList):
+			}
 		}
-		p.post(func() { p.ready.Store(true) })
+		p.post(func() { p.serves() })
 	}()
 	accepted := make(chan error, 1)
 	go func() { accepted <- p.accept(ln, false) }()
@@ -211,8 +225,9 @@
 		killed := time.Now().Add(p.longest + killAfter)
 		last := killed.Add(-lastAnswer)
 		p.last.Store(&last)
-		p.stops.Store(true)
-		time.Sleep(closeAfter)
+		if !p.stop(killed.Add(-lastServe)) { // danger: the front deals out connections for a while yet
+			time.Sleep(closeAfter)
+		}
 		p.door.wake()
 		for _, ln := range append(more, ln) {
 			ln.Close()
@@ -222,10 +237,10 @@
 		p.door.drain(time.Until(killed.Add(-lastServe))) // danger: clients sent away early may find no other proxy
 		defer time.AfterFunc(time.Until(killed.Add(-lastCut)), p.door.cut).Stop()
 	}
-	p.stops.Store(true)
-	p.closes.Store(true)
+	p.end()
 	p.door.shut()
 	p.work.Wait()
+	p.life.leave()
 	close(p.quit)
 	<-p.ended
 	if p.link != nil {
@@ -258,7 +273,7 @@
 
 // hold asks for room to keep so many bytes; whoever got it gives it back.
 func (p *Proxy) hold(bytes int64) bool {
-	if p.held.Add(bytes) <= p.heldMost {
+	if p.held.Add(bytes) <= p.heldMost.Load() {
 		return true
 	}
 	p.held.Add(-bytes)
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lockloom/balance"
+	"lockloom/duty"
 	"lockloom/internal/backends"
 	"lockloom/internal/figures"
 	"lockloom/internal/heads"
@@ -36,12 +37,16 @@
 // accept takes connections until the listener ends.
 func (p *Proxy) accept(ln net.Listener, open bool) error {
 	for {
-		p.door.wait(p.stops.Load)
+		p.door.wait(p.stopping)
 		nc, err := ln.Accept()
 		if err != nil {
-			if p.stops.Load() && errors.Is(err, net.ErrClosed) {
+			if p.stopping() && errors.Is(err, net.ErrClosed) {
 				return nil
 			}
+			if errors.Is(err, os.ErrDeadlineExceeded) { // another process of this proxy accepts now
+				time.Sleep(paceTurns)
+				continue
+			}
 			var temporary net.Error
 			if errors.As(err, &temporary) && !errors.Is(err, net.ErrClosed) {
 				p.log.WithError(err).Error("accept")
@@ -117,7 +122,7 @@
 		if room {
 			defer c.p.held.Add(-size)
 		}
-		over := !room || c.over
+		over := !room || c.over || !c.p.takes()
 		c.p.post(func() { c.p.admit(l, a, over) })
 		if answer, err = c.await(l, came); err != nil {
 			c.p.post(func() { c.p.left(l) })
@@ -130,7 +135,7 @@
 	}
 	defer c.p.held.Add(-answer.held)
 	answer.bare, answer.old = answer.bare || head && c.open, old
-	closing = closing || c.over || c.p.closes.Load() || c.p.door.full() || answer.flow != nil && old && answer.length < 0
+	closing = closing || c.over || c.p.closes() || c.p.door.full() || answer.flow != nil && old && answer.length < 0
 	err = c.relay(answer, closing)
 	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && err == nil && l != nil && l.upload != nil {
 		half.CloseWrite()
@@ -352,7 +357,7 @@
 
 // up answers whether the proxy takes lookups.
 func (p *Proxy) up() reply {
-	if p.ready.Load() && !p.stops.Load() {
+	if peek(p.life, (*duty.Life).Up) {
 		return reply{status: 200, body: []byte("up\n")}
 	}
 	return reply{status: 503, body: []byte("not up\n")}
