--- a/internal/command/balancer/balancer.go
+++ b/internal/command/balancer/balancer.go
@@ -14,7 +14,8 @@
 // Run runs one command and returns what the program ends with.
 func Run(args []string, out, errs io.Writer) int {
 	return command.Run(context.Background(), &ffcli.Command{Name: "lockloom",
-		Subcommands: []*ffcli.Command{serving(errs), asking(out), checking(out, errs), explaining(out, errs), command.Versions("lockloom", out)}}, args, out, errs)
+		Subcommands: append([]*ffcli.Command{serving(errs), asking(out), checking(out, errs), explaining(out, errs), command.Versions("lockloom", out)},
+			calling(out)...)}, args, out, errs)
 }
 
 // bare is a command without words.
--- /dev/null
+++ b/internal/command/balancer/call.go
@@ -0,0 +1,88 @@
+package balancer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"lockloom/internal/command"
+	"lockloom/internal/heads"
+	"lockloom/internal/operations"
+)
+
+const callFor = 2 * time.Second // for the operators' door to answer
+
+// calling are the commands for staff, one for each call of the operators' door.
+func calling(out io.Writer) (all []*ffcli.Command) {
+	for _, c := range []struct {
+		act  operations.Act
+		help string
+	}{
+		{operations.Ready, "ask whether the proxy's process takes clients"},
+		{operations.Drain, "empty the proxy: it says at /up that it is not up, and sends its clients away"},
+		{operations.Resume, "end a drain"},
+		{operations.Disable, "send nothing more to the backend ID, until it is enabled"},
+		{operations.Enable, "send to the backend ID again"},
+	} {
+		usage, words := c.act.String()+" [ADDR]", 0
+		if c.act == operations.Disable || c.act == operations.Enable {
+			usage, words = c.act.String()+" ID [ADDR]", 1
+		}
+		all = append(all, command.New(c.act.String(), usage, c.help, flags(c.act.String()),
+			func(_ context.Context, args []string) error {
+				addr := os.Getenv("ROUTER_OPERATOR")
+				if len(args) == words+1 {
+					addr = args[words]
+				}
+				switch {
+				case len(args) < words:
+					return command.Wrong("the backend's id is missing")
+				case len(args) > words+1:
+					return command.Wrong("it takes no further words")
+				case addr == "":
+					return command.Wrong("the address of the operators' door is missing, and ROUTER_OPERATOR is not set")
+				}
+				call := operations.Call{Act: c.act}
+				if words > 0 {
+					call.ID = args[0]
+				}
+				return ring(addr, call, out)
+			}))
+	}
+	return all
+}
+
+// ring makes a call at a door; no is an error.
+func ring(addr string, call operations.Call, out io.Writer) error {
+	conn, err := net.DialTimeout("tcp", addr, callFor)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(callFor))
+	if _, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\n\r\n", call.Method(), call.Path(), addr); err != nil {
+		return err
+	}
+	r := heads.NewReader(conn)
+	h, err := r.Response()
+	if err != nil {
+		return err
+	}
+	status := h.Status
+	body, err := r.Body(h.Length, h.Chunked)
+	if err != nil {
+		return err
+	}
+	text := strings.TrimSpace(string(body))
+	if status < 200 || status > 299 {
+		return fmt.Errorf("%s says no: %d: %s", addr, status, text)
+	}
+	fmt.Fprintf(out, "%s: %s\n", addr, text)
+	return nil
+}
