--- a/balance/state.go
+++ b/balance/state.go
@@ -269,6 +269,19 @@
 	s.used = now
 }
 
+// Whole tells that a request whose body flows to its leg has come to its end: the leg counts from now. Danger: a backend begins
+// with the last byte, and a client that sends slowly is no fault of its.
+func (l *Lookup) Whole(now float64) *Orders {
+	b := l.b.begin(now)
+	for i := range l.legs {
+		if g := &l.legs[i]; g.out && !l.over {
+			g.sent = now
+			b.step(Step{Ref: l.Ref, Wake: now + b.patience(l)})
+		}
+	}
+	return &b.orders
+}
+
 // unload takes a leg from what is in flight, once: when it ends, or from when it is overdue. Danger: where a server's
 // limit is too small to hold back a leg, only the sum of what is out does, and overdue ones must count in it.
 func (b *Balancer) unload(g *leg, when bool) {
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -16,22 +16,28 @@
 )
 
 const (
-	writeOn   = 10 * time.Millisecond // for the rest of a request that is answered already
-	flowIdle  = 30 * time.Second      // of an answer that flows without a byte
-	largeMost = 1 << 20               // bytes of an answer, where there is room for it; heads.Most without
+	writeOn   = 10 * time.Millisecond  // for the rest of a request that is answered already
+	flowIdle  = 30 * time.Second       // of an answer that flows without a byte, or of a body that is not taken
+	flowFirst = 120 * time.Millisecond // from a large answer's head to its beginning to flow, if a byte of it has come
+	flowBegin = 16 << 10               // bytes of an answer told to be large that have come when it begins to flow
+	flowBytes = 16 << 10               // between reading and writing
+	flowMost  = 64 << 20               // bytes that an answer may tell; more is taken for noise
+	largeMost = 1 << 20                // bytes of an answer, where there is room for it; heads.Most without
 )
 
 // Exchange is one request to a backend.
 type Exchange struct {
-	Head, Tail, Body []byte       // written one after the other
-	Until            time.Time    // no answer by then: it timed out
-	Before           time.Time    // not sent where no connection is up by then; zero: no such bound
-	Report           func(Result) // called once, on the owner's goroutine
-	Plain            bool         // what a server answers goes on as it is, but for its own failures
-	Bare             bool         // only a head is asked for
-	Upload           *Upload      // the rest of a body that is not kept; nil: Body is all
-	Begun            func(Result) // a large plain answer has begun and flows; called at most once, before Report, on the owner's goroutine
-	off, begun       bool         // called off; being written; under conn.mu
+	Head, Tail, Body []byte        // written one after the other
+	Until            time.Time     // no answer by then: it timed out
+	Before           time.Time     // not sent where no connection is up by then; zero: no such bound
+	Report           func(Result)  // called once, on the owner's goroutine
+	Plain            bool          // what a server answers goes on as it is, but for its own failures
+	Bare             bool          // only a head is asked for
+	Upload           *Upload       // the rest of a body that is not kept; nil: Body is all
+	Wait             time.Duration // of an exchange with an Upload: from its last byte, in the place of Until
+	Begun            func(Result)  // a large answer has begun and flows; called at most once, before Report, on the owner's goroutine
+	off, begun       bool          // called off; being written; under conn.mu
+	flows            bool          // its answer has begun to flow; likewise
 	wrote            chan struct{}
 	whole            bool // its last byte is written; read after wrote is closed
 	some             bool // a byte may have gone out; likewise
@@ -42,13 +48,13 @@
 type Result struct {
 	Outcome balance.Outcome
 	At      time.Time
-	Err     error  // of an answer that did not come whole
-	Status  int    // of an answer; 0: none came
-	Length  int    // of its body, or of the one that it would have; -1: not told
-	Fields  []byte // of an honoured answer, and of any plain one: the lines that go on
-	Body    []byte
+	Err     error          // of an answer that did not come whole
+	Status  int            // of an answer; 0: none came
+	Length  int            // of its body, or of the one that it would have; -1: not told
+	Fields  []byte         // of an honoured answer, and of any plain one: the lines that go on
+	Body    []byte         // of one that has begun: its first bytes
 	Held    int64          // bytes of room held for it
-	Flow    *io.PipeReader // of one that has begun: its body. Who does not read it to its end closes it
+	Flow    *io.PipeReader // of one that has begun: the rest of its body. Who does not read it to its end closes it
 }
 
 // conn is one connection to a backend. One goroutine opens it and writes, one reads; the owner hands it
@@ -147,7 +153,9 @@
 		var n int64
 		n, err = heads.WriteSome(c.nc, ex.Head, ex.Tail, ex.Body)
 		if ex.some = n > 0; err == nil && ex.Upload != nil {
-			err = ex.Upload.to(c.nc, ex.Until)
+			if err = ex.Upload.to(c.nc); err == nil && ex.Wait > 0 {
+				c.due(ex, time.Now().Add(ex.Wait))
+			}
 		}
 	}
 	ex.whole = err == nil
@@ -157,6 +165,15 @@
 	}
 }
 
+// due sets when an exchange that is still in work is to have its answer, unless that flows already.
+func (c *conn) due(ex *Exchange, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ex == ex && !ex.flows {
+		c.nc.SetReadDeadline(at)
+	}
+}
+
 var errUnasked = errors.New("closed, or an answer to nothing")
 
 // Pending tells whether bytes or the end wait to be read, as far as a connection can tell. The reader that waits for
@@ -239,7 +256,8 @@
 		if h.Status == 200 || ex.Plain { // copied, since reading the body moves the head
 			res.Fields = heads.AppendOnward(nil, h, "Endpoint-Load-Metrics", "X-Never-Ran")
 		}
-		if flows := h.Length < 0 || h.Length > heads.Most; ex.Plain && flows && h.Status < 500 && ex.Begun != nil {
+		if flows := h.Length < 0 || h.Length > heads.Most; flows && (h.Status == 200 || ex.Plain && h.Status < 500) && ex.Begun != nil &&
+			(h.Length <= flowMost || ex.Plain) {
 			return c.flow(r, ex, h, res)
 		}
 		if want := h.Length; want < 0 || want > heads.Most {
@@ -257,10 +275,7 @@
 	if err != nil {
 		c.nc.Close()
 		ex.written()
-		res.Outcome, res.Err = broken(err, ex.whole, c.isOff(ex)), err
-		if ex.Plain && !ex.whole && ex.some { // danger: a server that is not the platform's may begin before a request's last byte
-			res.Outcome = balance.Cut
-		}
+		res.Outcome, res.Err = c.broke(ex, err), err
 		return res, false
 	}
 	switch {
@@ -280,28 +295,85 @@
 	return res, !h.Close && ex.whole && !r.Buffered()
 }
 
-// flow hands a large answer on as it comes. The client's pace is the server's: what is not taken is not read.
+// flow hands a large answer on as it comes. The client's pace is the server's: what is not taken is not read. Until it begins it is
+// kept: if it ends or breaks by then it is a small answer, or one that another leg may still give.
 func (c *conn) flow(r *heads.Reader, ex *Exchange, h *heads.Head, res Result) (Result, bool) {
 	length, chunked, closes := h.Length, h.Chunked, h.Close // reading on moves the head
-	out, in := io.Pipe()
-	res.Flow = out
-	c.nc.SetReadDeadline(time.Time{}) // danger: a large answer takes longer than any hard stop; once begun it counts as given
-	begun := res
-	c.pool.post(func() { ex.Begun(begun) })
-	_, err := io.Copy(in, patient{c.nc, r.Flow(length, chunked)})
-	in.CloseWithError(err) // io.EOF where there is none
-	res.At, res.Flow = time.Now(), nil
-	ex.written()
+	enough := heads.Most + 1
+	if length > heads.Most {
+		enough = flowBegin
+	}
+	var mu sync.Mutex
+	var first []byte
+	var in *io.PipeWriter
+	over := false
+	begin := func() { // with the lock
+		var out *io.PipeReader
+		out, in = io.Pipe()
+		c.mu.Lock()
+		ex.flows = true
+		c.nc.SetReadDeadline(time.Now().Add(flowIdle)) // danger: a large answer takes longer than any hard stop; once begun it counts as given
+		c.mu.Unlock()
+		begun := res
+		begun.Body, begun.Flow = first, out
+		first = nil
+		c.pool.post(func() { ex.Begun(begun) }) // with the lock: it comes before the report
+	}
+	timer := time.AfterFunc(flowFirst, func() { // danger: a server that gives a large answer slowly keeps its client waiting
+		mu.Lock()
+		defer mu.Unlock()
+		if len(first) > 0 && in == nil && !over {
+			begin()
+		}
+	})
+	defer timer.Stop()
+	from, buf := r.Flow(length, chunked), make([]byte, flowBytes)
+	var err error
+	for err == nil {
+		var n int
+		n, err = from.Read(buf)
+		mu.Lock()
+		if in == nil {
+			if first = append(first, buf[:n]...); err == nil && len(first) >= enough {
+				begin()
+			}
+			over = err != nil
+			mu.Unlock()
+			continue
+		}
+		mu.Unlock()
+		if n > 0 {
+			if _, e := in.Write(buf[:n]); e != nil {
+				err = e
+			}
+		}
+		c.nc.SetReadDeadline(time.Now().Add(flowIdle)) // what a slow client takes its time for does not count
+	}
+	res.At = time.Now()
+	if in != nil {
+		in.CloseWithError(err) // io.EOF where there is none
+	}
 	switch {
-	case err == nil:
+	case err == io.EOF:
+		ex.written()
+		if in == nil {
+			res.Body, res.Length = first, len(first)
+		}
 		res.Outcome = balance.Honoured
 		return res, !closes && ex.whole && !r.Buffered()
+	case in == nil:
+		c.nc.Close()
+		ex.written()
+		res.Status, res.Fields = 0, nil
+		res.Outcome, res.Err = c.broke(ex, err), err
+		return res, false
 	case c.isOff(ex) || errors.Is(err, io.ErrClosedPipe) || errors.Is(err, ErrLeft):
 		res.Outcome = balance.CalledOff // its client has gone
 	default:
 		res.Outcome, res.Err = balance.Cut, err
 	}
 	c.nc.Close()
+	ex.written()
 	return res, false
 }
 
@@ -330,18 +402,29 @@
 var ErrStopped = errors.New("the body is not wanted any more")
 
 // to writes it to a server, at the pace of both.
-func (u *Upload) to(nc net.Conn, until time.Time) error {
+func (u *Upload) to(nc net.Conn) error {
 	u.begun.Store(true)
-	nc.SetWriteDeadline(until)
-	if !u.Chunked {
-		_, err := io.Copy(nc, u.out)
-		return err
+	var to io.Writer = nc
+	if u.Chunked {
+		to = heads.Chunked{Conn: nc}
 	}
-	chunks := heads.Chunked{Conn: nc}
-	if _, err := io.CopyBuffer(chunks, u.out, make([]byte, 32<<10)); err != nil {
-		return err
+	for buf := make([]byte, flowBytes); ; {
+		n, err := u.out.Read(buf)
+		if n > 0 {
+			nc.SetWriteDeadline(time.Now().Add(flowIdle)) // a slow client's time does not count
+			if _, err := to.Write(buf[:n]); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == io.EOF && u.Chunked:
+			return heads.Chunked{Conn: nc}.Close()
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return err
+		}
 	}
-	return chunks.Close()
 }
 
 // written waits until a request's writing has ended. Danger: a body that flows may wait for its client for ever, who waits for
@@ -356,15 +439,12 @@
 // ErrLeft closes the flow of an answer whose client has gone.
 var ErrLeft = errors.New("the client has gone")
 
-// patient reads from a server that must send something every so often.
-type patient struct {
-	nc net.Conn
-	r  io.Reader
-}
-
-func (p patient) Read(b []byte) (int, error) {
-	p.nc.SetReadDeadline(time.Now().Add(flowIdle))
-	return p.r.Read(b)
+// broke is the outcome of an exchange whose writing has ended and whose answer did not come whole.
+func (c *conn) broke(ex *Exchange, err error) balance.Outcome {
+	if ex.Plain && !ex.whole && ex.some { // danger: a server that is not the platform's may begin before a request's last byte
+		return balance.Cut
+	}
+	return broken(err, ex.whole, c.isOff(ex))
 }
 
 // broken is the outcome of an exchange without a whole answer.
--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -425,7 +425,7 @@
 		return c.r.ended(err)
 	}
 	line, _, _ = bytes.Cut(line, []byte{';'})
-	if c.left, err = strconv.ParseUint(string(textproto.TrimBytes(line)), 16, 24); err != nil {
+	if c.left, err = strconv.ParseUint(string(textproto.TrimBytes(line)), 16, 32); err != nil {
 		return bad(400, "malformed chunk")
 	}
 	if c.inside = c.left > 0; c.inside {
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"time"
+
 	"lockloom/balance"
 	"lockloom/internal/backends"
 	"lockloom/internal/invariant"
@@ -22,7 +24,9 @@
 	released   bool
 	plain      bool             // by the ordinary door: a server's answer goes on as it is
 	upload     *backends.Upload // of a body that is not kept; nil: body is all
-	length     int              // told of it; -1: not
+	from       *paced           // where it comes from
+	wait       float64          // s that its client waits from its last byte on
+	wholeAt    float64          // when that came; 0: not yet
 	failed     *reply           // what a server said of its own failure, the last one; for a plain lookup
 	bare       bool             // it asks for a head only
 	rule       *limits.Rule     // nil: the platform's, which the deployment tells
@@ -72,6 +76,22 @@
 	})
 }
 
+// whole notes when a request that flows has come to its last byte: its times count from then.
+func (p *Proxy) whole(l *lookup, at time.Time) {
+	if l.answered {
+		return
+	}
+	l.wholeAt = p.stamp(at)
+	l.hardStop = l.wholeAt + l.wait
+	if last := p.last.Load(); last != nil {
+		l.hardStop = min(l.hardStop, p.stamp(*last))
+	}
+	p.timers.add(timer{at: l.hardStop - backstop, call: func() { p.expired(l) }})
+	if l.handle != nil && !l.released {
+		p.tell(l, l.handle.Whole)
+	}
+}
+
 // expired answers a lookup that the decisions have not. Danger: one without an answer breaks rule 1.
 func (p *Proxy) expired(l *lookup) {
 	if !invariant.Holds(l.answered, "every lookup is answered before its hard stop") {
--- /dev/null
+++ b/proxy/bodies_test.go
@@ -0,0 +1,208 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"lockloom/internal/heads"
+)
+
+// chunked is a lookup whose body comes in these chunks.
+func chunked(chunks string) string {
+	return strings.Replace(sms, "Content-Length: 3\r\n\r\nabc", "Transfer-Encoding: chunked\r\n\r\n"+chunks, 1)
+}
+
+// trickle writes so many bytes a second, in pieces that cut anywhere.
+func trickle(c net.Conn, text string, pace int) {
+	for len(text) > 0 {
+		n := min(len(text), pace/7)
+		if _, err := io.WriteString(c, text[:n]); err != nil {
+			return
+		}
+		text = text[n:]
+		time.Sleep(time.Second / 7)
+	}
+}
+
+// Danger: a client may take 2 s for a head and send a body at 64 kB/s; its time counts from the last byte. What flows blames no
+// backend, and is not sent twice.
+func TestSlowRequests(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 20_000) // 320 kB: 5 s
+	told := strings.Replace(sms, "Content-Length: 3\r\n\r\nabc", fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))+body, 1)
+	small := strings.Replace(sms, "Content-Length: 3\r\n\r\nabc", fmt.Sprintf("Content-Length: %d\r\n\r\n", 60_000)+body[:60_000], 1)
+	var pieces strings.Builder
+	for at := 0; at < len(body); at += 10_000 {
+		fmt.Fprintf(&pieces, "%X;name=value\r\n%s\r\n", 10_000, body[at:at+10_000])
+	}
+	pieces.WriteString("0\r\nX-After: all\r\n\r\n")
+	for _, c := range []struct {
+		name, in string
+		taken    int
+		slowHead bool
+	}{{"told", told, len(body), false}, {"in chunks", chunked(pieces.String()), len(body), false}, {"kept", small, 60_000, true},
+		{"a slow head alone", sms, 3, true}, {"a few chunks", chunked("1;x\r\na\r\n2\r\nbc\r\n0\r\n\r\n"), 3, true}} {
+		for _, first := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				y := made(t, map[string][]string{"b1": {ok}}, nil)
+				y.flows = true
+				y.begin()
+				conn := y.client()
+				if !first { // on a connection that was used
+					go io.WriteString(conn, look)
+					_, _, _, err := answer(conn)
+					assert.NoError(t, err)
+					time.Sleep(time.Second)
+				}
+				y.got, y.taken = nil, 0
+				go func() {
+					head, rest, _ := strings.Cut(c.in, "\r\n\r\n")
+					if c.slowHead {
+						for i := range 10 {
+							io.WriteString(conn, head[len(head)*i/10:len(head)*(i+1)/10])
+							time.Sleep(190 * time.Millisecond)
+						}
+					} else {
+						io.WriteString(conn, head)
+					}
+					trickle(conn, "\r\n\r\n"+rest, 64_000)
+				}()
+				status, _, text, err := answer(conn)
+				assert.NoError(t, err, c.name)
+				assert.Equal(t, 200, status, "%s %s", c.name, text)
+				assert.Len(t, y.got, 1)
+				assert.Equal(t, int64(c.taken), y.taken, c.name)
+				assert.Zero(t, y.main.b.Beliefs(y.now())[0].Errors, "no backend is blamed for a slow client")
+				conn.Close()
+				y.end()
+			})
+		}
+	}
+}
+
+// Danger: who stops in a body holds a connection, here and at a backend, for as long as it likes.
+func TestUnfinishedBodies(t *testing.T) {
+	for _, in := range []string{
+		strings.Replace(sms, "Content-Length: 3", "Content-Length: 300000", 1),
+		chunked("100000\r\nabc"),
+		strings.Replace(sms, "Content-Length: 3", "Content-Length: 300", 1),
+		chunked("5\r\nabc"),
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			y := made(t, map[string][]string{"b1": {ok}}, nil)
+			y.flows = true
+			y.begin()
+			came, conn := time.Now(), y.client()
+			go io.WriteString(conn, in)
+			status, _, _, err := answer(conn)
+			assert.NoError(t, err)
+			assert.Equal(t, 408, status)
+			assert.Less(t, time.Since(came), 3*time.Second)
+			conn.Close()
+			y.end()
+		})
+	}
+}
+
+// Danger: an answer may be larger than all the memory there is, and slow on both sides. Its first bytes are passed on as it begins.
+func TestLargeAnswers(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 20_000)
+	var pieces strings.Builder
+	for at := 0; at < len(body); at += 10_000 {
+		fmt.Fprintf(&pieces, "%x\r\n%s\r\n", 10_000, body[at:at+10_000])
+	}
+	for _, c := range []struct {
+		name, head, rest string
+		closes           bool
+	}{
+		{"told", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body)), body, false},
+		{"in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", pieces.String() + "0\r\n\r\n", false},
+		{"to its end", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", body, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			y := made(t, map[string][]string{"b1": {ok}}, func(l *Launch) { l.Limits.Memory = 1 << 20 })
+			y.flood = func(end net.Conn) {
+				io.WriteString(end, c.head)
+				trickle(end, c.rest, 64_000)
+				if c.closes {
+					end.Close()
+				}
+			}
+			y.begin()
+			conn, came := y.client(), time.Now()
+			go io.WriteString(conn, look)
+			r := heads.NewReader(conn)
+			h, err := r.Response()
+			assert.NoError(t, err)
+			assert.Equal(t, 200, h.Status)
+			assert.Less(t, time.Since(came), 500*time.Millisecond, "it begins long before it ends")
+			got, err := io.ReadAll(r.Flow(h.Length, h.Chunked))
+			assert.NoError(t, err, c.name)
+			assert.True(t, body == string(got), c.name)
+			assert.Greater(t, time.Since(came), 3*time.Second, "past the hard stop")
+			conn.Close()
+			y.end()
+		})
+	}
+}
+
+// What breaks before it was passed on may be another leg's; what breaks later is shown as broken.
+func TestBrokenLargeAnswers(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"
+	for _, c := range []struct {
+		sent  int
+		whole bool
+	}{{1000, true}, {50_000, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			y := made(t, map[string][]string{"b1": {ok}, "b2": {ok}}, nil)
+			broke := false
+			y.flood = func(end net.Conn) {
+				if broke {
+					io.WriteString(end, ok)
+					return
+				}
+				broke = true
+				io.WriteString(end, head+strings.Repeat("x", c.sent))
+				end.Close()
+			}
+			y.begin()
+			conn := y.client()
+			go io.WriteString(conn, look)
+			r := heads.NewReader(conn)
+			h, err := r.Response()
+			assert.NoError(t, err)
+			got, err := io.ReadAll(r.Flow(h.Length, h.Chunked))
+			if c.whole {
+				assert.NoError(t, err)
+				assert.Equal(t, "body", string(got))
+			} else {
+				assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+				assert.Len(t, got, c.sent)
+			}
+			conn.Close()
+			y.end()
+		})
+	}
+}
+
+// Whatever a head says of its target, the backend gets path and query as they were.
+func TestAbsoluteForm(t *testing.T) {
+	for in, want := range map[string]string{"http://x:1/look?user=7": "/look?user=7", "HTTP://x/look": "/look", "/look?u=http://x/": "/look?u=http://x/",
+		"http://x": "/", "http://x?a=/b": "/?a=/b"} {
+		assert.Equal(t, want, string(origin([]byte(in))))
+	}
+	synctest.Test(t, func(t *testing.T) {
+		y := serve(t, map[string][]string{"b1": {ok}}, nil)
+		status, _, _, err := y.ask(strings.Replace(look, "/look?user=7", "http://x/look?user=7", 1))
+		assert.NoError(t, err)
+		assert.Equal(t, 200, status)
+		assert.Contains(t, y.got[0], "GET /look?user=7 ")
+		y.end()
+	})
+}
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -35,7 +35,7 @@
 	}
 	over := l.answered
 	p.tell(l, func(now float64) *balance.Orders {
-		return l.handle.Ended(now, g.number, r.Outcome, p.stamp(r.At)-g.sent, over)
+		return l.handle.Ended(now, g.number, r.Outcome, max(p.stamp(r.At)-max(g.sent, l.wholeAt), 0), over)
 	})
 }
 
@@ -48,7 +48,7 @@
 	}
 	l.answered = true
 	p.counts.Honoured++
-	l.answer <- reply{status: r.Status, fields: r.Fields, bare: l.bare, length: r.Length, flow: r.Flow}
+	l.answer <- reply{status: r.Status, fields: r.Fields, body: r.Body, bare: l.bare, length: r.Length, flow: r.Flow}
 	p.tell(l, func(now float64) *balance.Orders { return l.handle.Started(now, g.number) })
 }
 
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -52,7 +52,17 @@
 	}
 	head = append(head, "\r\n"...)
 	c.nc.SetWriteDeadline(time.Now().Add(clientSlow))
-	if err := heads.Write(c.nc, head, a.body); err != nil || a.flow == nil {
+	chunked := a.flow != nil && a.length < 0 && !a.old
+	if a.flow != nil && a.bare {
+		a.body = nil
+	}
+	var err error
+	if chunked && len(a.body) > 0 {
+		err = heads.Write(c.nc, head, heads.ChunkHead(len(a.body)), a.body, []byte("\r\n"))
+	} else {
+		err = heads.Write(c.nc, head, a.body)
+	}
+	if err != nil || a.flow == nil {
 		if a.flow != nil {
 			a.flow.CloseWithError(backends.ErrLeft)
 		}
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -23,7 +23,8 @@
 	}
 	if s.Wake > 0 {
 		p.timers.add(timer{at: s.Wake, call: func() {
-			if !l.released {
+			// Danger: a client that sends a large body slowly would have its leg taken for overdue, and the server blamed.
+			if !l.released && !(l.upload != nil && l.upload.Begun() && l.wholeAt == 0) {
 				p.tell(l, l.handle.Wake)
 			}
 		}})
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -41,8 +41,12 @@
 	l.legs = append(l.legs, g)
 	p.counts.Legs++
 	g.ex = backends.Exchange{Head: l.head, Body: l.body, Until: p.at(until), Before: before,
+		Wait: seconds(l.wait) - bodyEnd,
 		Plain: l.plain, Bare: l.bare, Upload: l.upload,
 		Begun: func(r backends.Result) { p.started(l, g, r) }, Report: func(r backends.Result) { p.book(l, g, r) }}
+	if l.upload != nil { // its first bytes are in the upload
+		g.ex.Body, until = nil, now+l.wait
+	}
 	g.ex.Tail = append(heads.AppendField(nil, "X-Expires-In", heads.AppendSeconds(nil, max(until-now, 0.001))), "\r\n"...)
 	if g.begun = may && p.pool.Send(backend, &g.ex); !g.begun {
 		p.later = append(p.later, func() {
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -56,7 +56,7 @@
 			return err
 		}
 		c := &client{p: p, open: open, nc: nc, r: heads.NewReader(nc), met: time.Now()}
-		c.r.Any = open
+		c.r.Any = true
 		c.over = p.door.enter(c)
 		p.work.Add(1)
 		go c.serve()
@@ -84,8 +84,8 @@
 // comes next is being waited for.
 func (c *client) one(came chan error, first bool) bool {
 	arrived := time.Now()
-	whole := arrived.Add(c.p.longest) // later it could not be answered in time
-	if last := c.met.Add(firstWhole); first && last.Before(whole) {
+	whole := arrived.Add(headFor)
+	if last := c.met.Add(firstHead); first && last.Before(whole) {
 		whole = last
 	}
 	c.nc.SetReadDeadline(whole)
@@ -126,7 +126,7 @@
 		c.p.post(func() { c.p.admit(l, a, over) })
 		if answer, err = c.await(l, came); err != nil {
 			c.p.post(func() { c.p.left(l) })
-			return false
+			return c.turnAway(err)
 		}
 		if l.upload != nil { // it may not have been read to its end, and what is left of it would be taken for a request
 			l.upload.Stop()
@@ -153,25 +153,47 @@
 
 // feed hands a body on as it comes, at the server's pace. A lookup that is answered stops it.
 func (c *client) feed(l *lookup) error {
-	from := slowly{c.nc, c.r.Flow(l.length, l.upload.Chunked)}
-	_, err := io.Copy(l.upload.In, from)
+	var err error
+	if len(l.body) > 0 { // what was kept of it until it was found too large
+		_, err = l.upload.In.Write(l.body)
+	}
+	if err == nil {
+		_, err = io.CopyBuffer(struct{ io.Writer }{l.upload.In}, l.from, make([]byte, flowBytes))
+	}
+	if err == nil {
+		at := time.Now()
+		c.p.post(func() { c.p.whole(l, at) }) // before the server can have its last byte
+	}
 	l.upload.In.CloseWithError(err)
 	if errors.Is(err, backends.ErrStopped) { // read on a little, so that the client can read its answer
-		io.CopyN(io.Discard, from, uploadRest)
+		io.CopyN(io.Discard, l.from, uploadRest)
 	}
 	return err
 }
 
-// slowly reads from a client that must send something every so often.
-type slowly struct {
-	nc net.Conn
-	r  io.Reader
+// paced reads a body from a client that must keep a pace, however it is cut into pieces. Only the time in which the client is
+// waited for counts: a server may take it slowly.
+type paced struct {
+	nc     net.Conn
+	r      io.Reader
+	got    int
+	most   int           // bytes; 0: any
+	waited time.Duration // for them
 }
 
-func (s slowly) Read(b []byte) (int, error) {
-	s.nc.SetReadDeadline(time.Now().Add(flowSlow))
-	n, err := s.r.Read(b)
-	s.nc.SetReadDeadline(time.Time{})
+func (b *paced) Read(to []byte) (int, error) {
+	left := min(bodyGrace+time.Duration(b.got)*time.Second/bodyPace-b.waited, bodySilent)
+	if left <= 0 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	began := time.Now()
+	b.nc.SetReadDeadline(began.Add(left))
+	n, err := b.r.Read(to)
+	b.nc.SetReadDeadline(time.Time{})
+	b.waited += time.Since(began)
+	if b.got += n; b.most > 0 && b.got > b.most {
+		return n, &heads.Error{Status: 413, Text: "body too large"}
+	}
 	return n, err
 }
 
@@ -218,6 +240,9 @@
 	var a balance.Arrival
 	var told *reply
 	var err error
+	if !c.open {
+		h.Target = origin(h.Target)
+	}
 	path, query, _ := bytes.Cut(h.Target, []byte{'?'})
 	if c.open {
 		if l, a, told, err = c.routed(h, arrived); err != nil {
@@ -240,27 +265,72 @@
 		c.nc.SetWriteDeadline(time.Now().Add(clientSlow))
 		c.nc.Write(append(heads.AppendStatus(nil, 100), "\r\n"...))
 	}
-	if c.open && (h.Length > heads.Most || h.Chunked) {
-		if l == nil { // a route's own answer: the body is not wanted, and the connection ends
-			h.Close = true
-			return l, a, told, nil
+	if h.Length > bodyMost && !c.open {
+		return nil, a, nil, &heads.Error{Status: 413, Text: "body too large"}
+	}
+	flows := h.Length > heads.Most || h.Chunked && c.open
+	if flows && l == nil { // a route's own answer, or a question of readiness: the body is not wanted, and the connection ends
+		h.Close = true
+		return l, a, told, nil
+	}
+	length, chunked := h.Length, h.Chunked
+	from := &paced{nc: c.nc, r: c.r.Flow(length, chunked)}
+	if !c.open {
+		from.most = bodyMost
+	}
+	var body []byte
+	if !flows {
+		var err error
+		body, err = io.ReadAll(io.LimitReader(from, heads.Most+1))
+		if err != nil {
+			return l, a, told, err
 		}
-		l.upload = backends.NewUpload(h.Chunked)
-		l.length = h.Length
-		if h.Chunked {
+		flows = len(body) > heads.Most // chunks that have not ended: what has come of them goes first
+	}
+	if l == nil {
+		return l, a, told, nil
+	}
+	l.body = body
+	switch {
+	case flows:
+		l.upload, l.from = backends.NewUpload(chunked), from
+		l.wait = a.HardStop - l.arrived
+		a.HardStop = l.arrived + bodyFor.Seconds() // until it has come whole
+		if chunked {
 			l.head = heads.AppendField(l.head, "Transfer-Encoding", "chunked")
 		} else {
-			l.head = heads.AppendLength(l.head, h.Length)
+			l.head = heads.AppendLength(l.head, length)
 		}
-		return l, a, told, nil
+	case !get || len(body) > 0:
+		l.head = heads.AppendLength(l.head, len(body))
+		fallthrough
+	default:
+		late := time.Since(arrived).Seconds() // its time counts from its last byte
+		l.arrived += late
+		a.HardStop += late
 	}
-	body, err := c.r.Body(h.Length, h.Chunked)
-	if l != nil {
-		if l.body = body; !get || len(body) > 0 {
-			l.head = heads.AppendLength(l.head, len(body))
-		}
+	if last := c.p.last.Load(); last != nil && !flows {
+		a.HardStop = min(a.HardStop, c.p.stamp(*last))
+	}
+	l.hardStop = a.HardStop
+	return l, a, told, nil
+}
+
+// origin is a target without scheme and host, which a client may write too.
+func origin(target []byte) []byte {
+	const scheme = "http://"
+	if len(target) < len(scheme) || !bytes.EqualFold(target[:len(scheme)], []byte(scheme)) {
+		return target
+	}
+	rest := target[len(scheme):]
+	i := bytes.IndexAny(rest, "/?")
+	switch {
+	case i < 0:
+		return []byte{'/'}
+	case rest[i] == '?':
+		return append([]byte{'/'}, rest[i:]...)
 	}
-	return l, a, told, err
+	return rest[i:]
 }
 
 // ownFields say whose lookup it is and how it may be sent again.
