--- a/balance/balance.go
+++ b/balance/balance.go
@@ -268,6 +268,7 @@
 		b.pace += paceSmoothing * (b.now - b.lastSend - b.pace)
 	}
 	b.lastSend = b.now
+	b.unload(&l.legs[len(l.legs)-1], l.Flows) // danger: clients that send slowly would fill a limit with legs at rest
 	b.step(Step{Ref: l.Ref, Send: true, Backend: s.Index, Until: l.HardStop,
 		Wake: min(b.now+b.patience(l), l.HardStop-answerEarly)})
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -269,13 +269,18 @@
 	s.used = now
 }
 
-// Whole tells that a request whose body flows to its leg has come to its end: the leg counts from now. Danger: a backend begins
+// Whole tells that a request whose body flows to its leg has come to its end: the leg counts from now, and in the room. Danger: a backend begins
 // with the last byte, and a client that sends slowly is no fault of its.
 func (l *Lookup) Whole(now float64) *Orders {
 	b := l.b.begin(now)
 	for i := range l.legs {
 		if g := &l.legs[i]; g.out && !l.over {
 			g.sent = now
+			if g.unloaded {
+				g.unloaded = false
+				b.out++
+				g.s.inFlight++
+			}
 			b.step(Step{Ref: l.Ref, Wake: now + b.patience(l)})
 		}
 	}
--- a/balance/types.go
+++ b/balance/types.go
@@ -129,6 +129,7 @@
 	HardStop float64 // the clock time at which the client gives up
 	Work     float64 // expected work, roughly, in seconds; 0: not told
 	Again    bool    // the client is known to be trying again
+	Flows    bool    // its body is on its way yet: its leg is at work from Whole on
 }
 
 // Step is one thing to do for a lookup. Fields at rest mean nothing to do.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -59,9 +59,10 @@
 	firstBegun  = 2100 * time.Millisecond // from a connection's start to its first request's first byte
 	firstHead   = 2700 * time.Millisecond // and to its head's end: who says nothing, or trickles, is told or closed within 3 s
 	headFor     = 2500 * time.Millisecond // for any head: some clients take 2 s
-	bodyGrace   = 1200 * time.Millisecond // that a body may be behind its pace
+	bodyGrace   = 2300 * time.Millisecond // that a body may be behind its pace, in all and at once: some clients pause for 2 s
+	bodyLeast   = 1200 * time.Millisecond // the same where a connection's first head was slow
+	firstBody   = 2900 * time.Millisecond // from a connection's start to the end of the grace of its first body
 	bodyPace    = 24_000                  // bytes a second that a body comes at, at least, while it is waited for
-	bodySilent  = 2 * time.Second         // the longest wait for a byte of it
 	bodyMost    = 40 << 20                // bytes of a body by the platform's door
 	bodyFor     = 15 * time.Minute        // that a flowing body may take, all told
 	bodyEnd     = 15 * time.Millisecond   // from when the leg of a flowing request is given up to its hard stop
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -41,7 +41,7 @@
 	l.legs = append(l.legs, g)
 	p.counts.Legs++
 	g.ex = backends.Exchange{Head: l.head, Body: l.body, Until: p.at(until), Before: before,
-		Wait: seconds(l.wait) - bodyEnd,
+		Wait:  seconds(l.wait) - bodyEnd,
 		Plain: l.plain, Bare: l.bare, Upload: l.upload,
 		Begun: func(r backends.Result) { p.started(l, g, r) }, Report: func(r backends.Result) { p.book(l, g, r) }}
 	if l.upload != nil { // its first bytes are in the upload
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -95,7 +96,7 @@
 	}
 	closing := h.Close
 	head, old := string(h.Method) == "HEAD", h.Old
-	l, a, told, err := c.read(h, arrived)
+	l, a, told, err := c.read(h, arrived, first)
 	if err != nil {
 		return c.turnAway(err)
 	}
@@ -176,21 +177,25 @@
 type paced struct {
 	nc     net.Conn
 	r      io.Reader
+	grace  time.Duration
 	got    int
 	most   int           // bytes; 0: any
 	waited time.Duration // for them
 }
 
 func (b *paced) Read(to []byte) (int, error) {
-	left := min(bodyGrace+time.Duration(b.got)*time.Second/bodyPace-b.waited, bodySilent)
+	left := min(b.grace+time.Duration(b.got)*time.Second/bodyPace-b.waited, bodyGrace)
 	if left <= 0 {
-		return 0, os.ErrDeadlineExceeded
+		return 0, fmt.Errorf("%d bytes of the body in %v of waiting: %w", b.got, b.waited, os.ErrDeadlineExceeded)
 	}
 	began := time.Now()
 	b.nc.SetReadDeadline(began.Add(left))
 	n, err := b.r.Read(to)
 	b.nc.SetReadDeadline(time.Time{})
 	b.waited += time.Since(began)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = fmt.Errorf("%d bytes of the body in %v of waiting: %w", b.got+n, b.waited, err)
+	}
 	if b.got += n; b.most > 0 && b.got > b.most {
 		return n, &heads.Error{Status: 413, Text: "body too large"}
 	}
@@ -235,7 +240,7 @@
 }
 
 // read reads the rest of a request and what it says of its lookup; there is none in a question of readiness.
-func (c *client) read(h *heads.Head, arrived time.Time) (*lookup, balance.Arrival, *reply, error) {
+func (c *client) read(h *heads.Head, arrived time.Time, first bool) (*lookup, balance.Arrival, *reply, error) {
 	var l *lookup
 	var a balance.Arrival
 	var told *reply
@@ -274,7 +279,10 @@
 		return l, a, told, nil
 	}
 	length, chunked := h.Length, h.Chunked
-	from := &paced{nc: c.nc, r: c.r.Flow(length, chunked)}
+	from := &paced{nc: c.nc, r: c.r.Flow(length, chunked), grace: bodyGrace}
+	if first {
+		from.grace = min(max(time.Until(c.met.Add(firstBody)), bodyLeast), bodyGrace)
+	}
 	if !c.open {
 		from.most = bodyMost
 	}
@@ -294,7 +302,7 @@
 	switch {
 	case flows:
 		l.upload, l.from = backends.NewUpload(chunked), from
-		l.wait = a.HardStop - l.arrived
+		l.wait, a.Flows = a.HardStop-l.arrived, true
 		a.HardStop = l.arrived + bodyFor.Seconds() // until it has come whole
 		if chunked {
 			l.head = heads.AppendField(l.head, "Transfer-Encoding", "chunked")
@@ -405,7 +413,7 @@
 	case errors.As(err, &wrong):
 		status = wrong.Status
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		status, text = 408, "request not whole in time"
+		status, text = 408, "request not whole in time: "+text
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		status, text = 400, "request not whole"
 	default: // the connection is gone
