--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -18,7 +18,7 @@
 const (
 	writeOn   = 10 * time.Millisecond  // for the rest of a request that is answered already
 	flowIdle  = 30 * time.Second       // of an answer that flows without a byte, or of a body that is not taken
-	flowFirst = 120 * time.Millisecond // from a large answer's head to its beginning to flow, if a byte of it has come
+	flowFirst = 8 * time.Millisecond // from a large answer's head to its beginning to flow, if a byte of it has come
 	flowBegin = 16 << 10               // bytes of an answer told to be large that have come when it begins to flow
 	flowBytes = 16 << 10               // between reading and writing
 	flowMost  = 64 << 20               // bytes that an answer may tell; more is taken for noise
