--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -738,3 +738,54 @@
 		assert.ErrorContains(t, err, c.name)
 	}
 }
+
+// Danger: a client that sends slowly would fill the limits of all with legs at rest, and its server would look slow.
+func TestFlowingBody(t *testing.T) {
+	k := open(t, deployment(), 2)
+	var flowing []*Lookup
+	for range 20 { // many times the room
+		l, steps := k.take(Arrival{HardStop: 900, Flows: true})
+		assert.Equal(t, 1, sends(steps), "they wait for their clients, not for room")
+		flowing = append(flowing, l)
+	}
+	assert.Zero(t, k.out)
+	_, steps := k.take(Arrival{})
+	assert.Equal(t, 1, sends(steps), "and take none from others")
+	k.clock = 30
+	l := flowing[0]
+	o := l.Whole(k.clock)
+	assert.Equal(t, 2, k.out, "from its last byte on it is at work")
+	assert.Greater(t, o.Steps[0].Wake, k.clock)
+	before := k.payNow(l.legs[0].s, 0)
+	assert.Empty(t, l.Wake(k.clock+0.01).Steps, "not overdue: it counts from then")
+	l.Ended(k.clock+0.05, 0, Honoured, 0.05, true)
+	assert.Equal(t, 1, k.out)
+	assert.GreaterOrEqual(t, k.payNow(l.legs[0].s, 0), before-0.1)
+	flowing[1].Ended(k.clock+0.05, 0, NoRoute, 0, false) // its client left it unfinished
+	assert.Equal(t, 1, k.out, "what took no room gives none back")
+}
+
+// Danger: two processes of one proxy, each with the proxy's whole part of a cold budget, push a cold backend over together.
+func TestPartOfTheColdBudget(t *testing.T) {
+	sent := func(part float64) (n int) {
+		d := deployment()
+		d.ColdFor, d.ColdShare = 1000, 0.1
+		k := open(t, d, 0)
+		k.Listed(0, true, false, []Backend{{Index: 0, Mark: 1, UpSince: 0.001}})
+		k.Part(part)
+		for range 4000 {
+			k.clock += 0.01
+			l, _ := k.take(Arrival{})
+			if len(l.legs) > 0 {
+				n++
+				l.Ended(k.clock, 0, Honoured, 0.05, true)
+			} else {
+				l.Left(k.clock)
+			}
+		}
+		return n
+	}
+	whole, half := sent(1), sent(0.5)
+	assert.Greater(t, half, 0)
+	assert.InDelta(t, 0.5, float64(half)/float64(whole), 0.12, "%d of %d", half, whole)
+}
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -16,13 +16,13 @@
 )
 
 const (
-	writeOn   = 10 * time.Millisecond  // for the rest of a request that is answered already
-	flowIdle  = 30 * time.Second       // of an answer that flows without a byte, or of a body that is not taken
-	flowFirst = 8 * time.Millisecond // from a large answer's head to its beginning to flow, if a byte of it has come
-	flowBegin = 16 << 10               // bytes of an answer told to be large that have come when it begins to flow
-	flowBytes = 16 << 10               // between reading and writing
-	flowMost  = 64 << 20               // bytes that an answer may tell; more is taken for noise
-	largeMost = 1 << 20                // bytes of an answer, where there is room for it; heads.Most without
+	writeOn   = 10 * time.Millisecond // for the rest of a request that is answered already
+	flowIdle  = 30 * time.Second      // of an answer that flows without a byte, or of a body that is not taken
+	flowFirst = 8 * time.Millisecond  // from a large answer's head to its beginning to flow, if a byte of it has come
+	flowBegin = 16 << 10              // bytes of an answer told to be large that have come when it begins to flow
+	flowBytes = 16 << 10              // between reading and writing
+	flowMost  = 64 << 20              // bytes that an answer may tell; more is taken for noise
+	largeMost = 1 << 20               // bytes of an answer, where there is room for it; heads.Most without
 )
 
 // Exchange is one request to a backend.
@@ -145,7 +145,7 @@
 // as the answer to this request, and one written to a connection that the backend has closed may seem to have run.
 func (c *conn) write(ex *Exchange) {
 	c.mu.Lock()
-	ex.begun = !c.dead && !Pending(c.nc)
+	ex.begun = !c.dead && !Pending(c.nc) && !c.to.shut()
 	c.mu.Unlock()
 	err := errUnasked
 	if ex.begun {
@@ -174,7 +174,7 @@
 	}
 }
 
-var errUnasked = errors.New("closed, or an answer to nothing")
+var errUnasked = errors.New("closed, or an answer to nothing, or its backend drains")
 
 // Pending tells whether bytes or the end wait to be read, as far as a connection can tell. The reader that waits for
 // them may not have run yet.
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -36,7 +36,8 @@
 	started float64
 	era     int // a connection of an earlier one is not used again
 	idle    []*conn
-	open    int // connections, idle or not
+	open    int          // connections, idle or not
+	until   atomic.Int64 // nothing is written to it from then on, in Unix nanoseconds; 0: no such bound
 }
 
 // New makes a pool whose connections are opened by dial and report through post.
@@ -66,6 +67,22 @@
 	b.idle = b.idle[:0]
 }
 
+// Until sets from when on nothing is written to a backend; zero: no such bound. Danger: a leg that was ordered in time may be on
+// a connection that is being opened for longer than a drain's grace.
+func (p *Pool) Until(index int, at time.Time) {
+	if at.IsZero() {
+		p.backends[index].until.Store(0)
+	} else {
+		p.backends[index].until.Store(at.UnixNano())
+	}
+}
+
+// shut says whether nothing may be written to it any more.
+func (b *backend) shut() bool {
+	until := b.until.Load()
+	return until != 0 && time.Now().UnixNano() > until
+}
+
 // Drop forgets a backend, whose index may be given to another. What is in use ends with its exchange.
 func (p *Pool) Drop(index int) {
 	p.Close(index)
--- a/proxy/life.go
+++ b/proxy/life.go
@@ -185,7 +185,7 @@
 		b.State, b.UpSince = e.State, e.UpSince
 		p.told(b.Index, b.State)
 		if banned > 0 {
-			p.stopSend[b.Index] = min(p.stopSend[b.Index], banned)
+			p.stopFrom(b.Index, banned)
 		}
 	}
 	return out
--- /dev/null
+++ b/proxy/life_test.go
@@ -0,0 +1,170 @@
+package proxy
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"lockloom/internal/operations"
+)
+
+func (y *yard) call(act operations.Act, id string) int {
+	status, _ := y.Do(operations.Call{Act: act, ID: id})
+	synctest.Wait()
+	return status
+}
+
+// where counts the requests that each backend got since the last look.
+func (y *yard) where() map[string]int {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	n := map[string]int{}
+	for _, g := range y.got {
+		n[g[:2]]++
+	}
+	y.got = nil
+	return n
+}
+
+func (y *yard) asks(n int) {
+	for i := range n {
+		y.ask(strings.Replace(look, "t1", "a"+string(rune('a'+i%26))+string(rune('a'+i/26)), 1))
+	}
+}
+
+// A ban holds whatever the list says, and ends with one call back.
+func TestBan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := serve(t, map[string][]string{"b1": {ok}, "b2": {ok}, "any": {ok}}, nil)
+		y.asks(20)
+		assert.Greater(t, y.where()["b1"], 0)
+		assert.Equal(t, 404, y.call(operations.Disable, "b3"), "never listed")
+		assert.Equal(t, 200, y.call(operations.Disable, "b1"))
+		assert.Equal(t, 200, y.call(operations.Disable, "b1"))
+		for _, told := range []string{change(2, "b1", "active", 0), change(3, "b1", "leaving", 0), change(4, "b1", "left", 0),
+			change(5, "b1", "active", 1790000000000), `{"version":6,"full":true,"servers":[{"id":"b1","addr":"b1:1","state":"active"},{"id":"b2","addr":"b2:1","state":"active"}]}`} {
+			y.tell(told)
+			y.asks(20)
+			assert.Equal(t, map[string]int{"b2": 20}, y.where(), told)
+		}
+		assert.Equal(t, 200, y.call(operations.Enable, "b1"))
+		assert.InDelta(t, y.now(), y.beliefOf("b1"), 0.001, "the list tells no start: it counts as started just now")
+		time.Sleep(2 * time.Second) // it is warm
+		y.asks(40)
+		assert.Greater(t, y.where()["b1"], 5)
+		y.end()
+	})
+}
+
+// beliefOf is when a backend counts as started.
+func (y *yard) beliefOf(id string) float64 {
+	index, _ := y.names.Find(id)
+	e, _ := y.ruled(y.known[index])
+	return e.UpSince
+}
+
+// Danger: a leg ordered before the ban, on a connection that is slow to come up, is written after its grace.
+func TestBanWhileConnecting(t *testing.T) {
+	for _, c := range []struct {
+		grace float64
+		got   int
+	}{{0.3, 1}, {0.02, 0}} {
+		synctest.Test(t, func(t *testing.T) {
+			y := made(t, map[string][]string{"b1": {ok}}, func(l *Launch) { l.DrainGrace = c.grace })
+			y.slow = 60 * time.Millisecond
+			y.begin()
+			conn := y.client()
+			go io.WriteString(conn, look)
+			synctest.Wait()
+			assert.Equal(t, 200, y.call(operations.Disable, "b1"))
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+			assert.Equal(t, c.got, y.where()["b1"], "grace %v", c.grace)
+			conn.Close()
+			y.end()
+		})
+	}
+}
+
+// A drained proxy says no at once, serves until the front has noticed, then lets go of all: what the rule asks for at 4 s holds.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := serve(t, map[string][]string{"b1": {ok}}, nil)
+		time.Sleep(firstList)
+		synctest.Wait()
+		up := func() int { status, _, _, _ := y.ask("GET /up HTTP/1.1\r\n\r\n"); return status }
+		assert.Equal(t, 200, up())
+		kept := y.client()
+		go io.WriteString(kept, look)
+		answer(kept)
+		assert.Equal(t, 200, y.call(operations.Drain, ""))
+		drained := time.Now()
+		assert.Equal(t, 503, up())
+		assert.Equal(t, 200, y.call(operations.Ready, ""))
+		for _, c := range []struct {
+			after  time.Duration
+			status int
+			closes bool
+		}{{200 * time.Millisecond, 200, false}, {700 * time.Millisecond, 200, true}, {1700 * time.Millisecond, 200, true},
+			{1900 * time.Millisecond, 503, true}, {3900 * time.Millisecond, 503, true}} {
+			time.Sleep(c.after - time.Since(drained))
+			if c.after > 2*time.Second {
+				kept.SetReadDeadline(time.Now().Add(time.Millisecond))
+				_, err := kept.Read(make([]byte, 1))
+				assert.Equal(t, io.EOF, err, "idle ones are closed")
+			}
+			status, h, _, err := y.ask(look)
+			assert.NoError(t, err)
+			assert.Equal(t, c.status, status, c.after)
+			assert.Equal(t, c.closes, h.Close, c.after)
+		}
+		silent := y.client()
+		time.Sleep(time.Second)
+		_, err := silent.Write([]byte("x"))
+		assert.Error(t, err, "one that comes and says nothing goes too")
+		count, _ := y.door.counted()
+		assert.Zero(t, count)
+		assert.Equal(t, 200, y.call(operations.Resume, ""))
+		assert.Equal(t, 200, up())
+		conn := y.client()
+		go io.WriteString(conn, look)
+		status, h, _, _ := answer(conn)
+		assert.True(t, status == 200 && !h.Close)
+		y.call(operations.Drain, "")
+		y.call(operations.Resume, "")
+		time.Sleep(5 * time.Second)
+		go io.WriteString(conn, look)
+		status, _, _, err = answer(conn)
+		assert.NoError(t, err, "drained and resumed quickly: nothing was closed")
+		assert.Equal(t, 200, status)
+		conn.Close()
+		y.call(operations.Drain, "")
+		y.end() // SIGTERM in a drain
+	})
+}
+
+// Danger: the door must answer whatever the owner has to do.
+func TestDoorDoesNotWaitForTheOwner(t *testing.T) {
+	y := made(t, map[string][]string{"b1": {ok}}, nil)
+	y.life.listed("b1")
+	for range eventsKept {
+		y.events <- func() {}
+	}
+	for _, act := range []operations.Act{operations.Disable, operations.Drain, operations.Enable, operations.Resume} {
+		answered := make(chan int, 1)
+		go func() {
+			status, _ := y.Do(operations.Call{Act: act, ID: "b1"})
+			answered <- status
+		}()
+		select {
+		case status := <-answered:
+			assert.Equal(t, 200, status)
+		case <-time.After(time.Second):
+			t.Fatal(act, " waits")
+		}
+	}
+}
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -187,7 +187,7 @@
 		}
 		if banned > 0 { // danger: the order may be older than the owner's hearing of it
 			p.told(b.Index, balance.Draining)
-			p.stopSend[b.Index] = min(p.stopSend[b.Index], banned)
+			p.stopFrom(b.Index, banned)
 		} else {
 			p.told(b.Index, b.State)
 		}
@@ -239,13 +239,20 @@
 	switch {
 	case state == balance.Ready:
 		p.stopSend[index] = math.Inf(1)
+		p.pool.Until(index, time.Time{})
 	case state == balance.Gone && p.launch.GoneAdvises: // danger: a drain told before still binds
 	default:
-		p.stopSend[index] = min(p.stopSend[index], p.now())
+		p.stopFrom(index, p.now())
 		p.pool.Close(index)
 	}
 }
 
+// stopFrom notes that a backend drains, or is gone, since this time at the latest.
+func (p *Proxy) stopFrom(index int, since float64) {
+	p.stopSend[index] = min(p.stopSend[index], since)
+	p.pool.Until(index, p.at(p.stopSend[index]+p.launch.DrainGrace))
+}
+
 // every has a call made every so often. The next is set before this one is made, so that a panic does not end it.
 func (p *Proxy) every(pause time.Duration, call func()) {
 	p.timers.add(timer{at: p.now() + pause.Seconds(), call: func() {
