--- a/internal/command/balancer/upgrade_test.go
+++ b/internal/command/balancer/upgrade_test.go
@@ -84,12 +84,30 @@
 	return ln.Addr().String()
 }
 
+// journal is what a process logs, read while it runs.
+type journal struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (j *journal) Write(p []byte) (int, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.text.Write(p)
+}
+
+func (j *journal) String() string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.text.String()
+}
+
 // running is one process of the proxy.
 type running struct {
 	*exec.Cmd
 	t    *testing.T
 	door string
-	log  bytes.Buffer
+	log  journal
 	over chan struct{}
 	err  error
 }
--- a/proxy/bodies_test.go
+++ b/proxy/bodies_test.go
@@ -78,8 +78,10 @@
 				assert.Equal(t, 200, status, "%s %s", c.name, text)
 				assert.Len(t, y.got, 1)
 				assert.Equal(t, int64(c.taken), y.taken, c.name)
-				assert.Zero(t, y.main.b.Beliefs(y.now())[0].Errors, "no backend is blamed for a slow client")
 				conn.Close()
+				errors := make(chan int, 1)
+				y.post(func() { errors <- y.main.b.Beliefs(y.now())[0].Errors })
+				assert.Zero(t, <-errors, "no backend is blamed for a slow client")
 				y.end()
 			})
 		}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -224,7 +224,7 @@
 		})
 	}
 	p.log.WithFields(logrus.Fields{"listen": ln.Addr().String(), "backends": len(p.launch.Known.Entries),
-		"clients": p.door.most, "connections": p.pool.Most, "asserted": invariant.Asserted}).Info("serving")
+		"clients": p.door.whole[0], "connections": p.poolMost, "asserted": invariant.Asserted}).Info("serving")
 	var err error
 	select {
 	case err = <-accepted:
