--- a/internal/command/balancer/call.go
+++ b/internal/command/balancer/call.go
@@ -4,15 +4,12 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"lockloom/internal/command"
-	"lockloom/internal/heads"
 	"lockloom/internal/operations"
 )
 
@@ -60,26 +57,10 @@
 
 // ring makes a call at a door; no is an error.
 func ring(addr string, call operations.Call, out io.Writer) error {
-	conn, err := net.DialTimeout("tcp", addr, callFor)
+	status, text, err := operations.Ask(addr, call, callFor)
 	if err != nil {
 		return err
 	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(callFor))
-	if _, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\n\r\n", call.Method(), call.Path(), addr); err != nil {
-		return err
-	}
-	r := heads.NewReader(conn)
-	h, err := r.Response()
-	if err != nil {
-		return err
-	}
-	status := h.Status
-	body, err := r.Body(h.Length, h.Chunked)
-	if err != nil {
-		return err
-	}
-	text := strings.TrimSpace(string(body))
 	if status < 200 || status > 299 {
 		return fmt.Errorf("%s says no: %d: %s", addr, status, text)
 	}
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -94,6 +94,9 @@
 // Member is the one that fills a seat.
 func (f *Fleet) Member(seat int) *Member { return f.Members[f.seats[seat]] }
 
+// Index is the number of the member in a seat.
+func (f *Fleet) Index(seat int) int { return f.seats[seat] }
+
 func (f *Fleet) slot() int {
 	f.Slots++
 	return f.Slots - 1
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"net/url"
 	"slices"
@@ -96,6 +97,27 @@
 	return c, nil
 }
 
+// Ask makes a call at a door and returns what it says: 2xx is yes.
+func Ask(addr string, c Call, within time.Duration) (status int, text string, err error) {
+	conn, err := net.DialTimeout("tcp", addr, within)
+	if err != nil {
+		return 0, "", err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(within))
+	if _, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\n\r\n", c.Method(), c.Path(), addr); err != nil {
+		return 0, "", err
+	}
+	r := heads.NewReader(conn)
+	h, err := r.Response()
+	if err != nil {
+		return 0, "", err
+	}
+	status = h.Status
+	body, err := r.Body(h.Length, h.Chunked)
+	return status, strings.TrimSpace(string(body)), err
+}
+
 // Door serves callers.
 type Door struct {
 	Do  func(Call) (status int, text string) // 2xx is yes
--- a/internal/rehearse/audit.go
+++ b/internal/rehearse/audit.go
@@ -20,6 +20,7 @@
 	tries   []tried
 	listed  map[int]float64    // a member drains or is gone since
 	told    map[[2]int]float64 // and a proxy knows since
+	banned  map[[2]int]float64 // a member at a proxy, since its operators' door said yes
 }
 
 // tried is what is known of one try of a lookup.
@@ -36,7 +37,7 @@
 
 // NewAudit checks tries of these tariffs.
 func NewAudit(tariffs []balance.Tariff, slack, grace, counts float64) *Audit {
-	return &Audit{Slack: slack, Grace: grace, Counts: counts, tariffs: tariffs, listed: map[int]float64{}, told: map[[2]int]float64{}}
+	return &Audit{Slack: slack, Grace: grace, Counts: counts, tariffs: tariffs, listed: map[int]float64{}, told: map[[2]int]float64{}, banned: map[[2]int]float64{}}
 }
 
 func (a *Audit) breach(rule int, now float64, format string, args ...any) {
@@ -63,6 +64,9 @@
 			a.breach(3, now, "proxy %d sent to member %d, which it knew to drain for %.3f s", proxy+1, member, now-since)
 		}
 	}
+	if since, banned := a.banned[[2]int{proxy, member}]; banned && now > since+a.Grace+a.Slack {
+		a.breach(3, now, "proxy %d sent to member %d, which its operators had banned for %.3f s", proxy+1, member, now-since)
+	}
 	if try < 0 || try >= len(a.tries) {
 		a.breach(1, now, "a leg of no lookup that a client sent")
 		return
@@ -143,6 +147,16 @@
 	}
 }
 
+// Banned notes that a proxy's operators banned a member, or let it serve again.
+func (a *Audit) Banned(now float64, proxy, member int, banned bool) {
+	key := [2]int{proxy, member}
+	if _, already := a.banned[key]; !banned {
+		delete(a.banned, key)
+	} else if !already {
+		a.banned[key] = now
+	}
+}
+
 // Fell notes that a cold server was pushed over.
 func (a *Audit) Fell(now float64, member int) { a.breach(4, now, "member %d was pushed over", member) }
 
--- /dev/null
+++ b/internal/rehearse/operators.go
@@ -0,0 +1,130 @@
+package rehearse
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"lockloom/internal/emulator"
+	"lockloom/internal/load"
+	"lockloom/internal/operations"
+)
+
+// What operators are owed, as they see it from outside.
+const (
+	answerFor  = time.Second            // for a call at the door
+	upgradeFor = 6 * time.Second        // for a second process to say that it is ready
+	emptyFor   = 4 * time.Second        // a drained proxy is asked again after this
+	resumeFor  = 2 * time.Second        // for one to be up again
+	noticeFor  = 500 * time.Millisecond // for one to say that it is not up
+)
+
+// proxy is the process of a proxy that was started last.
+func (st *stage) proxy(i int) *process {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.proxies[i]
+}
+
+// try ends the run with an error, if there is one and the run is not over.
+func (st *stage) try(err error) {
+	if err != nil && st.ctx.Err() == nil {
+		st.fail(err)
+	}
+}
+
+// call makes a call at a proxy's door; anything but yes in time is an error.
+func (st *stage) call(i int, c operations.Call) error {
+	p := st.proxy(i)
+	p.mu.Lock()
+	door := p.door
+	p.mu.Unlock()
+	status, text, err := operations.Ask(door, c, answerFor)
+	if err != nil {
+		return fmt.Errorf("proxy %d: %s: %w", i+1, c.Path(), err)
+	}
+	if status < 200 || status > 299 {
+		return fmt.Errorf("proxy %d: %s: %d: %s", i+1, c.Path(), status, text)
+	}
+	return nil
+}
+
+// upgrade starts a second process beside a proxy's, and has the first end once the second serves.
+func (st *stage) upgrade(i int) error {
+	st.mu.Lock()
+	old := st.proxies[i]
+	st.proxies[i] = &process{door: old.door}
+	st.mu.Unlock()
+	if err := st.start(i); err != nil {
+		return err
+	}
+	for end := time.Now().Add(upgradeFor); ; time.Sleep(readyEach) {
+		err := st.call(i, operations.Call{Act: operations.Ready})
+		if err == nil {
+			break
+		}
+		if time.Now().After(end) || st.ctx.Err() != nil {
+			return fmt.Errorf("upgrade: %w", err)
+		}
+	}
+	st.end(old, syscall.SIGTERM)
+	p := st.proxy(i)
+	p.mu.Lock()
+	p.peak = max(p.peak, old.peak)
+	p.mu.Unlock()
+	return nil
+}
+
+// drain drains a proxy for a time, and looks whether it says so.
+func (st *stage) drain(i int, lasts time.Duration) error {
+	up := func(want bool, within time.Duration) error {
+		for end := time.Now().Add(within); ; time.Sleep(readyEach) {
+			if (load.Ready(st.addrs[i], readyEach*5) == nil) == want {
+				return nil
+			}
+			if time.Now().After(end) || st.ctx.Err() != nil {
+				return fmt.Errorf("proxy %d: up is not %t %v after the call", i+1, want, within)
+			}
+		}
+	}
+	if err := st.call(i, operations.Call{Act: operations.Drain}); err != nil {
+		return err
+	}
+	if err := up(false, noticeFor); err != nil {
+		return err
+	}
+	resumed := time.After(lasts)
+	if lasts > emptyFor {
+		time.Sleep(emptyFor)
+		if err := up(false, 0); err != nil {
+			return err
+		}
+	}
+	select {
+	case <-resumed:
+	case <-st.ctx.Done():
+		return nil
+	}
+	if err := st.call(i, operations.Call{Act: operations.Resume}); err != nil {
+		return err
+	}
+	return up(true, resumeFor)
+}
+
+// ban has a proxy leave out the server in a seat for a time. The audit holds it to it from its yes on.
+func (st *stage) ban(i, seat int, lasts time.Duration) error {
+	var id string
+	var member int
+	st.yard.Look(func(f *emulator.Fleet) { id, member = f.Member(seat).Name, f.Index(seat) })
+	if err := st.call(i, operations.Call{Act: operations.Disable, ID: id}); err != nil {
+		return err
+	}
+	st.score.locked(func(now, _ float64) { st.score.audit.Banned(now, i, member, true) })
+	select {
+	case <-time.After(lasts):
+	case <-st.ctx.Done():
+		return nil
+	}
+	st.score.locked(func(now, _ float64) { st.score.audit.Banned(now, i, member, false) })
+	return st.call(i, operations.Call{Act: operations.Enable, ID: id})
+}
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -252,6 +252,23 @@
 		"sent after its answer": {page, 1, func(a *Audit, n int) { a.Answered(1, n, balance.Dismissed); a.Reached(1.2, n, 0, 0, 0) }},
 		"honoured by nobody":    {page, 1, func(a *Audit, n int) { a.Answered(1, n, balance.NoAnswer) }},
 		"of no lookup":          {page, 1, func(a *Audit, n int) { a.Answered(1, n, balance.Dismissed); a.Reached(1, n+7, 0, 0, 0) }},
+		"sent to a banned server": {page, 3, func(a *Audit, n int) {
+			a.Banned(-9, 0, 4, true)
+			a.Banned(1.5, 0, 4, true) // repeated: since the first
+			a.Reached(1.9, n, 0, 4, 0)
+			a.Answered(1.9, n, balance.NoAnswer)
+		}},
+		"banned at another proxy": {page, 0, func(a *Audit, n int) {
+			a.Banned(-9, 1, 4, true)
+			a.Reached(1.9, n, 0, 4, 0)
+			a.Answered(1.9, n, balance.NoAnswer)
+		}},
+		"banned, and not any more": {page, 0, func(a *Audit, n int) {
+			a.Banned(-9, 0, 4, true)
+			a.Banned(1.8, 0, 4, false)
+			a.Reached(1.9, n, 0, 4, 0)
+			a.Answered(1.9, n, balance.NoAnswer)
+		}},
 		"replayable twice": {page, 0, func(a *Audit, n int) {
 			a.Reached(1, n, 0, 0, 0)
 			a.Reached(1, n, 0, 1, 0)
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -403,6 +403,7 @@
 	deed           emulator.Deed
 	factor, lasts  bool // needs a factor, ends after For
 	proxies, lists bool // not of servers
+	bans           bool // of servers at proxies
 }{
 	"slow":          {deed: emulator.SetSlow, factor: true, lasts: true},
 	"pause":         {deed: emulator.SetPause},
@@ -417,6 +418,9 @@
 	"list-silent":   {lists: true},
 	"proxy-kill":    {proxies: true},
 	"proxy-restart": {proxies: true},
+	"proxy-upgrade": {proxies: true},
+	"proxy-drain":   {proxies: true},
+	"ban":           {bans: true},
 }
 
 func (s *Scenario) checkTroubles() error {
@@ -436,7 +440,7 @@
 			return s.file.At("trouble", n, "servers", "%q: no such group", t.Servers)
 		case !ofServers && (t.Servers != "" || t.Count != 0 || t.Share != 0 || t.From != 0):
 			return s.file.At("trouble", n, "kind", "%s happens to no servers", t.Kind)
-		case ofServers && t.Proxy != 0:
+		case ofServers && !kind.bans && t.Proxy != 0:
 			return s.file.At("trouble", n, "proxy", "%s happens to servers", t.Kind)
 		case t.Count != 0 && t.Share != 0:
 			return s.file.At("trouble", n, "share", "a count or a share, not both")
@@ -448,7 +452,7 @@
 			return s.file.At("trouble", n, "tariff", "%s is of no one tariff", t.Kind)
 		case kind.factor && t.Factor <= 0 || !kind.factor && t.Factor != 0:
 			return s.file.At("trouble", n, "factor", "%v: %s", t.Factor, map[bool]string{true: "more than nothing", false: "not of " + t.Kind}[kind.factor])
-		case t.For <= 0 && t.Kind != "drain" && t.Kind != "replace" && t.Kind != "replace-there" && t.Kind != "crash":
+		case t.For <= 0 && t.Kind != "drain" && t.Kind != "replace" && t.Kind != "replace-there" && t.Kind != "crash" && t.Kind != "proxy-upgrade":
 			return s.file.At("trouble", n, "for", "%s lasts for a time", t.Kind)
 		}
 		if err := s.within("trouble", n, bounds{"at", t.At, 0, s.Seconds}, bounds{"for", t.For, 0, secondsMost},
--- a/internal/rehearse/sockets.go
+++ b/internal/rehearse/sockets.go
@@ -54,6 +54,7 @@
 	addrs   []string
 	doors   []string // where clients connect: addrs, or the ordinary doors
 	proxies []*process
+	doorsOf [][]string // the operators', two a proxy: one for each of two processes
 	era     int
 	ctx     context.Context
 	mu      sync.Mutex
@@ -66,7 +67,8 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	ended  chan struct{}
-	ending bool // it was told to
+	ending bool   // it was told to
+	door   string // the operators'
 	peak   float64
 	last   string // line of its log
 }
@@ -109,6 +111,13 @@
 			return nil, err
 		}
 	}
+	for range st.addrs {
+		doors, err := yard.Ports(2)
+		if err != nil {
+			return nil, err
+		}
+		st.doorsOf = append(st.doorsOf, doors)
+	}
 	st.front = load.NewFront(st.doors)
 	for i, t := range st.front.Targets {
 		t.Probe = st.addrs[i]
@@ -136,7 +145,8 @@
 	st.score.audit.Close(st.score.now())
 	var r *Result
 	yard.Look(func(f *emulator.Fleet) { r = st.score.tally.close(f, st.score.audit) })
-	for _, p := range st.proxies {
+	for i := range st.addrs {
+		p := st.proxy(i)
 		r.Peak = max(r.Peak, p.peak)
 	}
 	if l := st.score.slow; r.RigLate > lateMost || float64(l.over) > lateShare*float64(max(l.all, 1)) {
@@ -254,11 +264,17 @@
 		}
 		return
 	}
-	for i := range st.proxies {
+	for i := range st.addrs {
 		if h.Who >= 0 && h.Who != i {
 			continue
 		}
 		switch h.Proxy {
+		case Upgrade:
+			work.Go(func() { st.try(st.upgrade(i)) })
+		case Drain:
+			work.Go(func() { st.try(st.drain(i, seconds(h.Value))) })
+		case Ban:
+			work.Go(func() { st.try(st.ban(i, h.Act.Seat, seconds(h.Value))) })
 		case ListLate:
 			st.yard.Agent(i).Delay(seconds(h.Late), seconds(h.Value))
 		case ListSilent:
@@ -284,10 +300,17 @@
 
 // start starts a proxy's program anew.
 func (st *stage) start(i int) error {
-	p := st.proxies[i]
+	p := st.proxy(i)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	name, agent := "p"+strconv.Itoa(i+1), st.yard.Agent(i)
+	door, own := st.doorsOf[i][st.era%2], filepath.Join(st.dir, name+".tmp") // danger: two processes of one proxy never share a door
+	if p.door == door {
+		door = st.doorsOf[i][1-st.era%2]
+	}
+	if err := os.MkdirAll(own, 0o700); err != nil {
+		return err
+	}
 	text, err := st.s.Launch(name, st.addrs[i], agent.Addr(), st.o.Seed+uint64(st.era)<<16+uint64(i), agent.List())
 	if err != nil {
 		return err
@@ -307,6 +330,7 @@
 	}
 	cmd := exec.Command(st.o.Proxy, args...)
 	cmd.Env = append(os.Environ(), Variables(name, st.addrs[i], agent.Addr(), file)...)
+	cmd.Env = append(cmd.Env, "ROUTER_OPERATOR="+door, "TMPDIR="+own)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL} // Ctrl-C is for this program, which ends it
 	log, err := cmd.StderrPipe()
 	if err != nil {
@@ -323,7 +347,7 @@
 			return err
 		}
 	}
-	p.cmd, p.ended, p.ending = cmd, make(chan struct{}), false
+	p.cmd, p.ended, p.ending, p.door = cmd, make(chan struct{}), false, door
 	ended := p.ended
 	go func() {
 		lines := bufio.NewScanner(log)
@@ -360,8 +384,9 @@
 }
 
 // stop signals a proxy and waits until it has ended; one that does not end in time is killed.
-func (st *stage) stop(i int, signal syscall.Signal) {
-	p := st.proxies[i]
+func (st *stage) stop(i int, signal syscall.Signal) { st.end(st.proxy(i), signal) }
+
+func (st *stage) end(p *process, signal syscall.Signal) {
 	p.mu.Lock()
 	cmd, ended := p.cmd, p.ended
 	p.ending = true
@@ -387,7 +412,7 @@
 
 func (st *stage) stopAll() {
 	var work sync.WaitGroup
-	for i := range st.proxies {
+	for i := range st.addrs {
 		work.Go(func() { st.stop(i, syscall.SIGTERM) })
 	}
 	work.Wait()
--- a/internal/rehearse/timeline.go
+++ b/internal/rehearse/timeline.go
@@ -29,16 +29,22 @@
 	Restart         // told to stop, and started again when it has
 	ListLate        // for Value, what is told comes Late later
 	ListSilent      // for Value, nothing is told
+	Upgrade         // a second process starts beside it, and the first is told to stop once it serves
+	Drain           // by a call at its operators' door, and back to work Value later
+	Ban             // the same of the server in Act's seat
 )
 
 func (t Turn) String() string {
-	return [...]string{"", "killed", "restarted", "list late", "list silent"}[t]
+	return [...]string{"", "killed", "restarted", "list late", "list silent", "upgraded", "drained", "bans"}[t]
 }
 
 func (h Happening) String() string {
 	if h.Proxy == NoTurn {
 		return fmt.Sprintf("seat %d %s %g", h.Act.Seat, h.Act.Deed, h.Act.Value)
 	}
+	if h.Proxy == Ban {
+		return fmt.Sprintf("seat %d banned for %g", h.Act.Seat, h.Value)
+	}
 	if h.Who < 0 {
 		return fmt.Sprintf("all proxies %s %g", h.Proxy, h.Value)
 	}
@@ -49,7 +55,8 @@
 func (s *Scenario) Timeline() []Happening {
 	var all []Happening
 	for _, t := range s.Troubles {
-		turn := map[string]Turn{"proxy-kill": Kill, "proxy-restart": Restart, "list-late": ListLate, "list-silent": ListSilent}[t.Kind]
+		turn := map[string]Turn{"proxy-kill": Kill, "proxy-restart": Restart, "list-late": ListLate, "list-silent": ListSilent,
+			"proxy-upgrade": Upgrade, "proxy-drain": Drain}[t.Kind]
 		if turn != NoTurn {
 			all = append(all, s.turns(t, turn)...)
 			continue
@@ -57,6 +64,11 @@
 		kind, n, first := troubles[t.Kind], s.hit(t), s.first(t.Servers)+t.From
 		tariff, _ := s.tariff(t.Tariff)
 		for i := range n {
+			if kind.bans {
+				all = append(all, Happening{At: t.At + t.Within*float64(i)/float64(n), Proxy: Ban, Who: t.Proxy - 1, Value: t.For,
+					Act: emulator.Act{Seat: first + i}})
+				continue
+			}
 			a := emulator.Act{At: t.At + t.Within*float64(i)/float64(n), Deed: kind.deed, Seat: first + i, Tariff: tariff, Value: t.Factor}
 			switch kind.deed {
 			case emulator.SetPause, emulator.SetCrash:
