--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -789,3 +789,46 @@
 	assert.Greater(t, half, 0)
 	assert.InDelta(t, 0.5, float64(half)/float64(whole), 0.12, "%d of %d", half, whole)
 }
+
+// What one process of a proxy learned is the next one's, but for backends that have started anew or are not listed any more.
+func TestRememberedByTheNext(t *testing.T) {
+	k := open(t, deployment(), 4)
+	k.clock = 20
+	k.hear(k.servers[0], "hhhhhhhhhh")
+	k.hear(k.servers[1], "ffffffffff")
+	k.hear(k.servers[2], "llllllllll")
+	k.servers[3].limit = 0.7
+	m := k.Recall(20)
+	require.True(t, k.servers[1].paused)
+
+	next := open(t, deployment(), 4)
+	next.clock = 20
+	next.Remember(20, m)
+	old, now := k.Beliefs(20), next.Beliefs(20)
+	for i := range old {
+		assert.Equal(t, old[i].Paused, now[i].Paused, i)
+		assert.InDelta(t, old[i].Limit, now[i].Limit, 1e-9, i)
+		assert.InDelta(t, old[i].Heard, now[i].Heard, 1e-9, i)
+		assert.Equal(t, k.servers[i].opinions[2].pay, next.servers[i].opinions[2].pay, i)
+	}
+	assert.Less(t, now[1].Payoff, now[0].Payoff)
+	assert.Equal(t, k.rows[0].base, next.rows[0].base)
+
+	again := open(t, deployment(), 0)
+	list := backends(3) // the last is gone
+	list[1].UpSince = 19
+	again.Listed(20, true, true, list)
+	again.Remember(20, m)
+	assert.False(t, again.servers[1].paused, "it has started since")
+	assert.Zero(t, again.servers[1].opinions[2].sure)
+	assert.Len(t, again.Beliefs(20), 3)
+
+	later := open(t, deployment(), 4)
+	for i := range m.Servers {
+		m.Servers[i].Age += 60
+	}
+	later.Remember(20, m)
+	assert.InDelta(t, 0, later.servers[1].opinions[2].at(20), 0.01, "what is old moves nothing")
+	later.Remember(20, Memory{Bases: []float64{-1, 7}, Servers: []Learned{{Mark: 1, Limit: -3, Pace: 1}, {Mark: 99, Limit: 1, Pace: 1}}})
+	assert.Greater(t, later.servers[0].limit, 0.0, "what cannot be is not taken in")
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -329,6 +329,66 @@
 // with a whole budget each would push them over together.
 func (b *Balancer) Part(part float64) { b.part = part }
 
+// Memory is what a balancer learned, for the one of the same proxy that comes after it.
+type Memory struct {
+	Bases   []float64 // by tariff: what an answer takes when little waited, s
+	Servers []Learned
+}
+
+// Learned is what was learned of one backend since its start.
+type Learned struct {
+	Mark            uint64
+	UpSince         float64
+	Limit, Pace     float64
+	Pay, Sure       float64 // of its own payoff, beside those of its model and the fleet
+	Age             float64 // s since it was heard
+	Paused          bool
+	PausedFor       float64 // s that are left of a pause
+	Errors, Results int
+}
+
+// Recall tells what was learned.
+func (b *Balancer) Recall(now float64) Memory {
+	b.begin(now)
+	var m Memory
+	for i := range b.rows {
+		m.Bases = append(m.Bases, b.rows[i].base)
+	}
+	for _, s := range b.servers {
+		if s != nil {
+			o := s.opinions[2]
+			m.Servers = append(m.Servers, Learned{s.Mark, s.UpSince, s.limit, s.pace, o.pay, o.sure, now - o.heard,
+				s.paused, max(s.accessLast+s.cooldown-now, 0), s.errCount, s.totalCount})
+		}
+	}
+	return m
+}
+
+// Remember takes in what another balancer of this proxy learned. Danger: what it knew of a backend before a restart is not true of
+// it now, so that only one with the same start takes it over; it ages like anything heard, and no rule rests on it.
+func (b *Balancer) Remember(now float64, m Memory) {
+	b.begin(now)
+	for i := range min(len(m.Bases), len(b.rows)) {
+		if m.Bases[i] > 0 && m.Bases[i] <= b.rows[i].Due {
+			b.rows[i].base = m.Bases[i]
+		}
+	}
+	for _, l := range m.Servers {
+		for _, s := range b.servers {
+			if s == nil || s.Mark != l.Mark || s.UpSince != l.UpSince || !(l.Limit > 0 && l.Pace > 0 && l.Age >= 0) {
+				continue
+			}
+			s.limit, s.pace = max(s.least, l.Limit), l.Pace
+			o := s.opinions[2]
+			o.pay, o.sure, o.heard = min(max(l.Pay, -1), 1), min(max(l.Sure, 0), 1), now-l.Age
+			if l.Paused {
+				s.tracked, s.paused, s.cooldown, s.accessLast, s.roundLast = true, true, min(l.PausedFor, 2*recoverInterval), now, now
+				s.errCount, s.totalCount = l.Errors, l.Results
+			}
+		}
+	}
+}
+
 // Keeps says whether a backend is still known: as listed, or as one that lingers. One that is not is never named again.
 func (b *Balancer) Keeps(index int) bool { return index < len(b.servers) && b.servers[index] != nil }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -21,6 +21,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"lockloom/balance"
 	"lockloom/duty"
 	"lockloom/internal/discovery"
 )
@@ -49,6 +50,7 @@
 	IDs       []uint64
 	List      discovery.List
 	Listed    bool // List is told
+	Learned   balance.Memory
 }
 
 // Word is what one tells the other later; what is absent was not said.
--- a/proxy/life.go
+++ b/proxy/life.go
@@ -342,18 +342,22 @@
 
 // give is what the next process gets.
 func (p *Proxy) give() (handover.State, []*net.TCPListener) {
-	told := make(chan List, 1)
+	type known struct {
+		list    List
+		learned balance.Memory
+	}
+	told := make(chan known, 1)
 	go p.post(func() {
 		list := List{Version: p.version, Full: true}
 		for _, index := range slices.Sorted(maps.Keys(p.known)) {
 			list.Entries = append(list.Entries, p.known[index])
 		}
-		told <- list
+		told <- known{list, p.main.b.Recall(p.now())}
 	})
 	s := handover.State{}
 	select {
-	case s.List = <-told:
-		s.Listed = true
+	case k := <-told:
+		s.List, s.Learned, s.Listed = k.list, k.learned, true
 	case <-time.After(giveFor):
 	}
 	l := p.life
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -200,6 +200,9 @@
 	}
 	p.obey()
 	p.list(p.launch.Known, true)
+	if s := p.life.state; s != nil {
+		p.main.b.Remember(p.now(), s.Learned)
+	}
 	p.follow(p.launch.Discovery)
 	p.shares()
 	go p.own()
