--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -102,7 +102,7 @@
 		"no such group":         {small + "[[trouble]]\nkind = \"crash\"\nservers = \"x\"\n", `trouble: servers: "x": no such group`},
 		"more than there are":   {small + "[[trouble]]\nkind = \"crash\"\ncount = 7\n", "trouble: count: servers 0 to 7 of 6"},
 		"count and share":       {small + "[[trouble]]\nkind = \"crash\"\ncount = 1\nshare = 0.5\n", "a count or a share"},
-		"unknown trouble":       {small + "[[trouble]]\nkind = \"flood\"\n", `trouble: kind: "flood": it is crash, drain`},
+		"unknown trouble":       {small + "[[trouble]]\nkind = \"flood\"\n", `trouble: kind: "flood": it is ban, crash, drain`},
 		"the second trouble":    {small + "[[trouble]]\nkind = \"crash\"\n[[trouble]]\nkind = \"pause\"\n", "f.toml:40:1: trouble: for: pause lasts for a time"},
 		"a factor too many":     {small + "[[trouble]]\nkind = \"crash\"\nfactor = 2.0\n", "not of crash"},
 		"proxies have no group": {small + "[[trouble]]\nkind = \"proxy-kill\"\nfor = 1.0\nservers = \"s\"\n", "happens to no servers"},
