Read over: one rule for what binds, one for prefixes, one hash, one form of the list

Behaviour as it is. Cause: read again, the change said several things twice. A ban was bound beside told in two places (told takes it now); orders were wrapped twice (word); the first bytes of a flowing answer had framing of their own in relay (relayFlow writes them first); handover had figures.Hash again, the stand-in agent the list's form again (discovery.List writes both); the door's bounds were an array by position; Orders.Forget was called by its test alone and is gone: orders that are over stay, one an id that staff ever called. Clients told 408 heard our addresses in its text; the log alone does now. Tests pass under -race.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -99,13 +99,6 @@
 	return false, started
 }
 
-// Forget drops an order that is over, for a backend that is listed no more.
-func (o *Orders) Forget(id string) {
-	if !o.Backends[id].On {
-		delete(o.Backends, id)
-	}
-}
-
 // Life is one process of the proxy: the orders, and how far it has come itself.
 type Life struct {
 	Orders
@@ -134,8 +127,9 @@
 // Takes says whether a request that has come whole is a lookup; else it is turned away at once.
 func (l *Life) Takes(now float64) bool { return !l.Drain.On || now < l.Drain.At+Take }
 
-// Idle is the share of the idle connections that are to close until the next look, after so long.
-func (l *Life) Idle(now, next float64) float64 {
+// Idle is the share of the idle connections that are to close until the next look, after so long, and whether new ones that say
+// nothing go too.
+func (l *Life) Idle(now, next float64) (share float64, fresh bool) {
 	end := 0.0
 	switch {
 	case l.Drain.On && now >= l.Drain.At+Notice:
@@ -143,10 +137,10 @@
 	case l.Stopped > 0 && l.Heir:
 		end = l.Last
 	default:
-		return 0
+		return 0, false
 	}
-	if now+next >= end {
-		return 1
+	if share = 1; now+next < end {
+		share = next / (end - now)
 	}
-	return next / (end - now)
+	return share, !l.Takes(now)
 }
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -36,16 +36,6 @@
 	}
 }
 
-func TestForget(t *testing.T) {
-	var o Orders
-	o.Disable("a", 1)
-	o.Forget("a")
-	assert.True(t, o.Backends["a"].On, "a ban outlasts the list")
-	o.Enable("a", 2)
-	o.Forget("a")
-	assert.Empty(t, o.Backends)
-}
-
 func TestDrainTimes(t *testing.T) {
 	l := Life{Serving: true}
 	l.Drains(true, 100)
@@ -60,11 +50,14 @@
 		assert.True(t, l.Ready(), "the process still can")
 		assert.Equal(t, c.closes, l.Closes(c.at), c.at)
 		assert.Equal(t, c.takes, l.Takes(c.at), c.at)
-		assert.InDelta(t, c.idle, l.Idle(c.at, 0.1), 0.01, c.at)
+		share, fresh := l.Idle(c.at, 0.1)
+		assert.InDelta(t, c.idle, share, 0.01, c.at)
+		assert.Equal(t, !c.takes, fresh, c.at)
 	}
 	l.Drains(false, 104.5)
 	assert.True(t, l.Up() && l.Takes(104.5) && !l.Closes(104.5))
-	assert.Zero(t, l.Idle(104.5, 0.1))
+	share, _ := l.Idle(104.5, 0.1)
+	assert.Zero(t, share)
 }
 
 func TestIDs(t *testing.T) {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -24,6 +24,7 @@
 	"lockloom/balance"
 	"lockloom/duty"
 	"lockloom/internal/discovery"
+	"lockloom/internal/figures"
 )
 
 const (
@@ -119,7 +120,7 @@
 
 // Path is where a proxy's processes meet in a folder.
 func Path(dir string, h Hello) string {
-	return filepath.Join(dir, fmt.Sprintf("lockloom-%016x", mark(h.Name+" "+h.Listen)))
+	return filepath.Join(dir, fmt.Sprintf("lockloom-%016x", figures.Hash(h.Name+" "+h.Listen)))
 }
 
 // short is the same place under a name that a Unix socket may have, and what closes it again.
--- a/internal/handover/listen.go
+++ b/internal/handover/listen.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"hash/fnv"
 	"net"
 	"syscall"
 	"time"
@@ -13,12 +12,6 @@
 
 const lookEach = 50 * time.Millisecond // between tries for an address that another process holds
 
-func mark(s string) uint64 {
-	f := fnv.New64a()
-	f.Write([]byte(s))
-	return f.Sum64()
-}
-
 // Listen listens at an address that another process of this proxy may listen at too (SO_REUSEPORT, where the system has it). One
 // that is held by a process that does not share it is waited for as long as that.
 func Listen(addr string, patience time.Duration) (net.Listener, error) {
--- a/internal/heads/write.go
+++ b/internal/heads/write.go
@@ -93,12 +93,8 @@
 	if len(p) == 0 { // it would end the body
 		return 0, nil
 	}
-	return len(p), Write(c.Conn, ChunkHead(len(p)), p, []byte("\r\n"))
-}
-
-// ChunkHead is what comes before a chunk of so many bytes.
-func ChunkHead(n int) []byte {
-	return append(strconv.AppendInt(make([]byte, 0, 20), int64(n), 16), "\r\n"...)
+	head := append(strconv.AppendInt(make([]byte, 0, 20), int64(len(p)), 16), "\r\n"...)
+	return len(p), Write(c.Conn, head, p, []byte("\r\n"))
 }
 
 // Close ends the body.
--- a/internal/rehearse/sockets.go
+++ b/internal/rehearse/sockets.go
@@ -146,8 +146,7 @@
 	var r *Result
 	yard.Look(func(f *emulator.Fleet) { r = st.score.tally.close(f, st.score.audit) })
 	for i := range st.addrs {
-		p := st.proxy(i)
-		r.Peak = max(r.Peak, p.peak)
+		r.Peak = max(r.Peak, st.proxy(i).peak)
 	}
 	if l := st.score.slow; r.RigLate > lateMost || float64(l.over) > lateShare*float64(max(l.all, 1)) {
 		r.Void = fmt.Sprintf("the rig ran late: tries %.1f ms at the 99th percentile, servers over %.0f ms in %d of %d cases, %.1f ms at most",
@@ -304,9 +303,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	name, agent := "p"+strconv.Itoa(i+1), st.yard.Agent(i)
-	door, own := st.doorsOf[i][st.era%2], filepath.Join(st.dir, name+".tmp") // danger: two processes of one proxy never share a door
-	if p.door == door {
-		door = st.doorsOf[i][1-st.era%2]
+	door, own := st.doorsOf[i][0], filepath.Join(st.dir, name+".tmp")
+	if p.door == door { // danger: two processes of one proxy never share a door
+		door = st.doorsOf[i][1]
 	}
 	if err := os.MkdirAll(own, 0o700); err != nil {
 		return err
--- a/internal/standin/agent.go
+++ b/internal/standin/agent.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 	"time"
 
 	"lockloom/balance"
+	"lockloom/internal/discovery"
 	"lockloom/internal/heads"
 )
 
@@ -223,33 +225,20 @@
 
 // list is what changed after a version, all for -1, and the version it makes. What it says counts as told.
 func (a *Agent) list(from int64) (string, int64) {
-	type server struct {
-		ID      string  `json:"id"`
-		Addr    string  `json:"addr"`
-		Zone    string  `json:"zone"`
-		Kind    string  `json:"kind"`
-		Cell    int     `json:"cell"`
-		State   string  `json:"state"`
-		Weight  float64 `json:"weight"`
-		Started int64   `json:"started_ms"`
-	}
-	out := struct {
-		Version int64    `json:"version"`
-		Full    bool     `json:"full"`
-		Servers []server `json:"servers"`
-	}{Full: from < 0, Servers: []server{}}
+	out := discovery.List{Full: from < 0}
 	y := a.y
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	out.Version = y.Fleet.Version
 	now := y.Now()
-	states := map[balance.State]string{balance.Ready: "active", balance.Draining: "leaving", balance.Gone: "left"}
 	for i, m := range y.Fleet.Members[:len(y.owners)] {
 		if !m.Changed(from) || out.Full && m.State == balance.Gone {
 			continue
 		}
-		out.Servers = append(out.Servers, server{m.Name, y.slots[m.Slot].doors[a.proxy].addr, m.Zone, m.Model, m.Pod, states[m.State], 1,
-			int64(m.Since() * 1000)})
+		e := discovery.Entry{Addr: y.slots[m.Slot].doors[a.proxy].addr}
+		e.Name, e.ZoneName, e.ModelName, e.Pod, e.State, e.Size = m.Name, m.Zone, m.Model, m.Pod, m.State, 1
+		e.UpSince = math.Trunc(m.Since()*1000) / 1000
+		out.Entries = append(out.Entries, e)
 		if m.State != balance.Ready {
 			y.sight.Told(now, a.proxy, i)
 		}
--- a/proxy/door.go
+++ b/proxy/door.go
@@ -12,17 +12,20 @@
 
 // door knows the clients' connections, and which wait for a request, those for longest first.
 type door struct {
-	mu         sync.Mutex
-	room       sync.Cond
-	most, over int    // connections served; further ones that are dismissed at once
-	keep, kept int    // idle between requests: most, and now
-	whole      [3]int // most, over and keep where no other process of this proxy has a part
-	all        map[*client]bool
-	idle       []*client
-	crowded    int // connections taken over the bound
-	closed     bool
+	mu   sync.Mutex
+	room sync.Cond
+	bounds
+	whole   bounds // where no other process of this proxy has a part
+	kept    int    // idle between requests
+	all     map[*client]bool
+	idle    []*client
+	crowded int // connections taken over the bound
+	closed  bool
 }
 
+// bounds are how many connections are served, how many further ones dismissed at once, and how many kept idle between requests.
+type bounds struct{ most, over, keep int }
+
 // wait blocks while there is room for no connection at all and none is idle, unless the door was woken to stop.
 // One that was idle then may be so no more when the next comes: there is one more than the bound at most.
 func (d *door) wait(stops func() bool) {
@@ -147,19 +150,19 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	of := func(n int) int { return max(int(part*float64(n)), 1) }
-	d.most, d.over, d.keep = of(d.whole[0]), of(d.whole[1]), of(d.whole[2])
+	d.bounds = bounds{of(d.whole.most), of(d.whole.over), of(d.whole.keep)}
 	d.room.Broadcast()
 }
 
-// empty closes a share of the idle connections, those idle for longest first; at the end new ones too that say nothing. Danger:
+// empty closes a share of the idle connections, those idle for longest first; with fresh, new ones too that say nothing. Danger:
 // all at once they would cross many requests that are on their way, and the clients would come back all at once.
-func (d *door) empty(share float64, end bool) {
+func (d *door) empty(share float64, fresh bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	n := int(math.Ceil(share * float64(len(d.idle))))
 	for i := 0; i < len(d.idle) && n > 0; {
 		c := d.idle[i]
-		if c.begun || backends.Pending(c.nc) || c.fresh && (!end || time.Since(c.since) < seconds(duty.Fresh)) {
+		if c.begun || backends.Pending(c.nc) || c.fresh && (!fresh || time.Since(c.since) < seconds(duty.Fresh)) {
 			i++
 			continue
 		}
--- a/proxy/life.go
+++ b/proxy/life.go
@@ -92,8 +92,7 @@
 	case l.news <- struct{}{}:
 	default:
 	}
-	w := handover.Word{Orders: new(duty.Orders)}
-	*w.Orders = l.duty.Orders.Clone()
+	w := l.word()
 	if l.before != nil && l.before != but {
 		go l.before.Tell(w)
 	}
@@ -104,6 +103,12 @@
 	}
 }
 
+// word is all orders, to be said; the caller holds the lock.
+func (l *life) word() handover.Word {
+	orders := l.duty.Orders.Clone()
+	return handover.Word{Orders: &orders}
+}
+
 // heard takes in what another process says.
 func (l *life) heard(from *handover.Link, w handover.Word) {
 	l.mu.Lock()
@@ -183,10 +188,7 @@
 		e.Name, e.State, e.UpSince = p.names.Name(b.Index), b.State, b.UpSince
 		e, banned := p.ruled(e)
 		b.State, b.UpSince = e.State, e.UpSince
-		p.told(b.Index, b.State)
-		if banned > 0 {
-			p.stopFrom(b.Index, banned)
-		}
+		p.told(b.Index, b.State, banned)
 	}
 	return out
 }
@@ -380,8 +382,7 @@
 	p.log.Info("handed over to another process")
 	l.mu.Lock()
 	l.heirs[link] = false
-	w := handover.Word{Orders: new(duty.Orders)}
-	*w.Orders = l.duty.Orders.Clone() // what was ordered while the state was on its way
+	w := l.word() // what was ordered while the state was on its way
 	l.mu.Unlock()
 	p.shares()
 	go link.Tell(w)
@@ -429,13 +430,10 @@
 
 // rush closes idle connections where the proxy is to be emptied.
 func (p *Proxy) rush() {
-	now := p.now()
-	share, takes := 0.0, true
-	peek(p.life, func(d *duty.Life) bool {
-		share, takes = d.Idle(now, sweepEvery.Seconds()), d.Takes(now)
-		return true
-	})
+	p.life.mu.Lock()
+	share, fresh := p.life.duty.Idle(p.now(), sweepEvery.Seconds())
+	p.life.mu.Unlock()
 	if share > 0 {
-		p.door.empty(share, !takes)
+		p.door.empty(share, fresh)
 	}
 }
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -185,12 +185,7 @@
 		if b.State != balance.Gone || !p.kept(b.Index) {
 			p.pool.Place(b.Index, e.Addr, b.UpSince)
 		}
-		if banned > 0 { // danger: the order may be older than the owner's hearing of it
-			p.told(b.Index, balance.Draining)
-			p.stopFrom(b.Index, banned)
-		} else {
-			p.told(b.Index, b.State)
-		}
+		p.told(b.Index, b.State, banned)
 	}
 	p.note(l.Full, raw)
 	for _, in := range p.branches {
@@ -231,26 +226,26 @@
 	p.names.Forget(index)
 }
 
-// told notes from when on nothing may be sent to a backend, and closes what is idle to it then.
-func (p *Proxy) told(index int, state balance.State) {
+// told notes from when on nothing may be sent to a backend, and closes what is idle to it then. One that operators have banned, since
+// this time (0: it is not), drains whatever its state.
+func (p *Proxy) told(index int, state balance.State, banned float64) {
 	for len(p.stopSend) <= index {
 		p.stopSend = append(p.stopSend, math.Inf(1))
 	}
+	since := p.now()
 	switch {
+	case banned > 0: // danger: the order may be older than the owner's hearing of it
+		since = banned
 	case state == balance.Ready:
 		p.stopSend[index] = math.Inf(1)
 		p.pool.Until(index, time.Time{})
+		return
 	case state == balance.Gone && p.launch.GoneAdvises: // danger: a drain told before still binds
-	default:
-		p.stopFrom(index, p.now())
-		p.pool.Close(index)
+		return
 	}
-}
-
-// stopFrom notes that a backend drains, or is gone, since this time at the latest.
-func (p *Proxy) stopFrom(index int, since float64) {
 	p.stopSend[index] = min(p.stopSend[index], since)
 	p.pool.Until(index, p.at(p.stopSend[index]+p.launch.DrainGrace))
+	p.pool.Close(index)
 }
 
 // every has a call made every so often. The next is set before this one is made, so that a panic does not end it.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -172,7 +172,7 @@
 	if l.IdleFor > 0 {
 		p.pool.Idle = max(seconds(l.IdleFor)-idleMargin, seconds(l.IdleFor/2)) // danger: in a large bank most new connections replace lapsed ones
 	}
-	p.door.whole = [3]int{p.door.most, p.door.over, p.door.keep}
+	p.door.whole = p.door.bounds
 	if p.heldWhole = heldPart * float64(l.Limits.Memory); p.heldWhole == 0 {
 		p.heldWhole = math.MaxInt64 / 2
 	}
@@ -213,7 +213,7 @@
 			case <-time.After(firstList):
 			}
 		}
-		p.post(func() { p.serves() })
+		p.post(p.serves)
 	}()
 	accepted := make(chan error, 1)
 	go func() { accepted <- p.accept(ln, false) }()
@@ -227,7 +227,7 @@
 		})
 	}
 	p.log.WithFields(logrus.Fields{"listen": ln.Addr().String(), "backends": len(p.launch.Known.Entries),
-		"clients": p.door.whole[0], "connections": p.poolMost, "asserted": invariant.Asserted}).Info("serving")
+		"clients": p.door.whole.most, "connections": p.poolMost, "asserted": invariant.Asserted}).Info("serving")
 	var err error
 	select {
 	case err = <-accepted:
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -964,7 +964,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NoError(t, err)
 	defer ln.Close()
-	d := &door{most: 1, keep: 1, all: map[*client]bool{}}
+	d := &door{bounds: bounds{most: 1, keep: 1}, all: map[*client]bool{}}
 	d.room.L = &d.mu
 	var clients []*client
 	var ends []net.Conn
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -52,20 +52,11 @@
 	}
 	head = append(head, "\r\n"...)
 	c.nc.SetWriteDeadline(time.Now().Add(clientSlow))
-	chunked := a.flow != nil && a.length < 0 && !a.old
-	if a.flow != nil && a.bare {
-		a.body = nil
-	}
-	var err error
-	if chunked && len(a.body) > 0 {
-		err = heads.Write(c.nc, head, heads.ChunkHead(len(a.body)), a.body, []byte("\r\n"))
-	} else {
-		err = heads.Write(c.nc, head, a.body)
+	if a.flow == nil {
+		return heads.Write(c.nc, head, a.body)
 	}
-	if err != nil || a.flow == nil {
-		if a.flow != nil {
-			a.flow.CloseWithError(backends.ErrLeft)
-		}
+	if err := heads.Write(c.nc, head); err != nil {
+		a.flow.CloseWithError(backends.ErrLeft)
 		return err
 	}
 	return c.relayFlow(a)
@@ -81,12 +72,19 @@
 		chunks = heads.Chunked{Conn: c.nc}
 		to = chunks
 	}
+	piece := func(b []byte) error {
+		c.nc.SetWriteDeadline(time.Now().Add(flowSlow))
+		_, err := to.Write(b)
+		return err
+	}
+	if err := piece(a.body); err != nil { // what had come when it began to flow
+		return err
+	}
 	buf := make([]byte, flowBytes)
 	for {
 		n, err := a.flow.Read(buf)
 		if n > 0 {
-			c.nc.SetWriteDeadline(time.Now().Add(flowSlow))
-			if _, err := to.Write(buf[:n]); err != nil {
+			if err := piece(buf[:n]); err != nil {
 				return err
 			}
 		}
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -413,14 +413,14 @@
 	case errors.As(err, &wrong):
 		status = wrong.Status
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		status, text = 408, "request not whole in time: "+text
+		status, text = 408, "request not whole in time"
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		status, text = 400, "request not whole"
 	default: // the connection is gone
 		return false
 	}
 	c.p.post(func() { c.p.counts.TurnedAway++ })
-	c.p.log.WithField("client", c.nc.RemoteAddr().String()).Debug("turned away: ", text)
+	c.p.log.WithField("client", c.nc.RemoteAddr().String()).Debug("turned away: ", text, ": ", err)
 	if c.relay(reply{status: status, body: []byte(text + "\n")}, true) != nil {
 		return false
 	}
