Upgrades and flowing bodies measured by name; requests cut at every byte; 40 large answers in 32 MB

Change: BenchmarkUpgrade (2,000 connections, 500 a second), BenchmarkDoors with answers of 8 MiB, TestCutAnywhere over every byte of a head and of chunk lines, kept and flowing, TestLargeAnswersInLittleMemory with the real program. No change of the program.

--- a/internal/command/balancer/upgrade_test.go
+++ b/internal/command/balancer/upgrade_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,7 +40,7 @@
 
 // site is a proxy's surroundings: two servers, a list of them that no agent tells anew, and a folder.
 type site struct {
-	t      *testing.T
+	t      testing.TB
 	env    []string
 	addr   string
 	dir    string
@@ -48,13 +49,24 @@
 	ids    map[string]int // by lookup's
 }
 
-func newSite(t *testing.T) *site {
+const largeAnswer = 32 << 20 // bytes
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+func newSite(t testing.TB, memory int) *site {
 	s := &site{t: t, dir: t.TempDir(), served: map[string]int{}, ids: map[string]int{}, addr: freeAddr(t)}
 	var rows []string
 	for _, id := range []string{"b1", "b2"} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NoError(t, err)
 		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/look" && r.URL.RawQuery == "large" {
+				w.Header().Set("Content-Length", strconv.Itoa(largeAnswer))
+				io.CopyN(w, zeros{}, largeAnswer)
+				return
+			}
 			s.mu.Lock()
 			s.served[id]++
 			s.ids[r.Header.Get("X-Trace-Id")]++
@@ -66,7 +78,7 @@
 		rows = append(rows, fmt.Sprintf(`{"id":%q,"addr":%q,"state":"active","started_ms":0}`, id, ln.Addr().String()))
 	}
 	file := filepath.Join(s.dir, "launch.json")
-	text := `{"seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":1024},"known":{"version":1,"full":true,"servers":[` +
+	text := `{"seed":"1","limits":{"cores":1,"memory_mb":` + strconv.Itoa(memory) + `,"sockets":1024},"known":{"version":1,"full":true,"servers":[` +
 		strings.Join(rows, ",") + `]},"settings":{"Ceilings":{"MaxLegs":3,"ConnIdleMs":5000},"Rules":{"StopSendingWithinMs":500},
 		"Profiles":[{"Name":"look","Effect":"retryable","DueTimeMs":500,"HardStopMs":1000,"Value":1}]}}`
 	assert.NoError(t, os.WriteFile(file, []byte(text), 0o600))
@@ -75,7 +87,7 @@
 	return s
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NoError(t, err)
 	defer ln.Close()
@@ -85,7 +97,7 @@
 // running is one process of the proxy.
 type running struct {
 	*exec.Cmd
-	t         *testing.T
+	t         testing.TB
 	door, out string // the operators'; the file of its log
 	over      chan struct{}
 	err       error
@@ -223,7 +235,7 @@
 // Danger: staff upgrade the proxy while it serves. Nobody may be refused, nothing taken may be lost, nothing may run twice; and a ban
 // binds at the process that it was called at, at the other, and at the next.
 func TestUpgradeUnderLoad(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, 64)
 	old := s.start()
 	c := s.crowd(8, 8)
 	only := func(want ...string) {
@@ -279,7 +291,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			s := newSite(t)
+			s := newSite(t, 64)
 			old := s.start()
 			crowd := s.crowd(2, 2)
 			defer crowd.end()
@@ -301,9 +313,57 @@
 	}
 }
 
+// memory is what a process holds, in kB: VmRSS now, VmHWM at most so far.
+func (r *running) memory(name string) (kB int) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.Process.Pid))
+	assert.NoError(r.t, err)
+	_, rest, _ := strings.Cut(string(text), name+":")
+	fmt.Sscan(rest, &kB)
+	return kB
+}
+
+// Danger: answers are larger than all the memory there is, many at once, and their clients read at a trickle.
+func TestLargeAnswersInLittleMemory(t *testing.T) {
+	t.Parallel()
+	const answers, memory = 40, 32
+	s := newSite(t, memory)
+	p := s.start()
+	var all sync.WaitGroup
+	for i := range answers {
+		all.Go(func() {
+			nc, err := net.Dial("tcp", s.addr)
+			if !assert.NoError(t, err) {
+				return
+			}
+			defer nc.Close()
+			fmt.Fprintf(nc, "GET /look?large HTTP/1.1\r\nHost: x\r\nX-Qos: look\r\nX-Trace-Id: %d\r\nX-Expires-In: 1\r\n\r\n", i)
+			r := heads.NewReader(nc)
+			h, err := r.Response()
+			if !assert.NoError(t, err) || !assert.Equal(t, 200, h.Status) {
+				return
+			}
+			body := r.Flow(h.Length, h.Chunked)
+			got := int64(0)
+			for range 30 { // past its hard stop
+				n, err := io.CopyN(io.Discard, body, 10_000)
+				assert.NoError(t, err)
+				got += n
+				time.Sleep(50 * time.Millisecond)
+			}
+			n, err := io.Copy(io.Discard, body)
+			assert.NoError(t, err)
+			assert.EqualValues(t, largeAnswer, got+n)
+		})
+	}
+	all.Wait()
+	assert.Less(t, p.memory("VmHWM"), memory<<10)
+	t.Logf("%d answers of %d MB: %d kB at most", answers, largeAnswer>>20, p.memory("VmHWM"))
+	p.stop()
+}
+
 // What is drained stays so over an upgrade; how a proxy drains is proxy.TestDrain.
 func TestDrainAndResume(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, 64)
 	old := s.start()
 	up := func() int { return Run([]string{"up", s.addr}, io.Discard, io.Discard) }
 	busy, err := net.Dial("tcp", s.addr)
@@ -320,3 +380,46 @@
 	assert.Equal(t, command.Done, next.call("resume"))
 	assert.Equal(t, command.Done, up())
 }
+
+// BenchmarkUpgrade upgrades under 2,000 clients that come one after the other, 500 a second, each on a connection of its own.
+func BenchmarkUpgrade(b *testing.B) {
+	const clients, apart = 2000, 2 * time.Millisecond
+	for range b.N {
+		s := newSite(b, 64)
+		old := s.start()
+		c, worst, both := &crowd{}, time.Duration(0), 0
+		c.all.Go(func() {
+			time.Sleep(clients / 3 * apart)
+			next := s.start()
+			both = old.memory("VmRSS") + next.memory("VmRSS")
+			time.Sleep(clients / 3 * apart)
+			old.stop()
+		})
+		for i := range clients {
+			time.Sleep(apart)
+			c.all.Go(func() {
+				began := time.Now()
+				nc, err := net.Dial("tcp", s.addr)
+				if err != nil {
+					c.note(&c.refused, err)
+					return
+				}
+				defer nc.Close()
+				if status, _, _, err := ask(nc, strconv.Itoa(i)); err != nil || status != 200 {
+					c.note(&c.unread, fmt.Errorf("%d %w", status, err))
+				}
+				c.mu.Lock()
+				worst = max(worst, time.Since(began))
+				c.mu.Unlock()
+			})
+		}
+		c.all.Wait()
+		b.ReportMetric(float64(c.refused), "refused/op")
+		b.ReportMetric(float64(c.unread), "unserved/op")
+		b.ReportMetric(float64(worst.Microseconds())/1000, "worst-ms")
+		b.ReportMetric(float64(both), "both-kB")
+		if len(c.seen) > 0 {
+			b.Log(c.seen)
+		}
+	}
+}
--- a/proxy/bodies_test.go
+++ b/proxy/bodies_test.go
@@ -96,6 +96,38 @@
 	}
 }
 
+// A request may be cut anywhere on its way: within a name, a number, between the two bytes of a line's end.
+func TestCutAnywhere(t *testing.T) {
+	few, flowing := chunked("1;x=y\r\na\r\n2\r\nbc\r\n0\r\nX-After: all\r\n\r\n"), chunked(inChunks)
+	body := len(flowing) - len(inChunks)
+	for _, c := range []struct {
+		in       string
+		taken    int64
+		from, to int // where it is cut
+	}{{few, 3, 1, len(few)}, {flowing, int64(len(long)), body - 2, body + 20}, {flowing, int64(len(long)), body + 10_010, body + 10_040},
+		{flowing, int64(len(long)), len(flowing) - 30, len(flowing)}} {
+		synctest.Test(t, func(t *testing.T) {
+			y := made(t, map[string][]string{"b1": {ok}}, nil)
+			y.flows = true
+			y.begin()
+			for at := c.from; at < c.to; at++ {
+				y.taken = 0
+				conn := y.client()
+				go func() {
+					io.WriteString(conn, c.in[:at])
+					time.Sleep(10 * time.Millisecond)
+					io.WriteString(conn, c.in[at:])
+				}()
+				status, _, _, err := answer(conn)
+				assert.NoError(t, err)
+				assert.Equal(t, []any{200, c.taken}, []any{status, y.taken}, "cut after %q", c.in[max(at-20, 0):at])
+				conn.Close()
+			}
+			y.end()
+		})
+	}
+}
+
 // Danger: who stops in a body holds a connection, here and at a backend, for as long as it likes.
 func TestUnfinishedBodies(t *testing.T) {
 	for _, c := range []struct {
--- a/proxy/doors_bench_test.go
+++ b/proxy/doors_bench_test.go
@@ -22,7 +22,8 @@
 )
 
 // BenchmarkDoors tells the processor time of a lookup on kept connections by both doors, and of a request through a plain reverse
-// proxy of the standard library, in one process and so with the same clients and servers, whose part is measured apart.
+// proxy of the standard library, in one process and so with the same clients and servers, whose part is measured apart; and the same
+// of an answer of largeAnswer bytes, which flows.
 func BenchmarkDoors(b *testing.B) {
 	server := benchServer(b)
 	tariff := "[[tariff]]\nname = \"page\"\nhard_stop = 5.0\n"
@@ -50,8 +51,13 @@
 		Transport: &http.Transport{MaxIdleConnsPerHost: 100}})
 	time.Sleep(2 * firstList)
 	fields := "X-Trace-Id: %d\r\nX-Qos: page\r\nX-Expires-In: 4\r\n"
-	for _, way := range []struct{ name, addr, fields string }{{"no-proxy", server, ""}, {"platform", platform.Addr().String(), fields},
-		{"ordinary", ordinary.Addr().String(), ""}, {"httputil", plain.Addr().String(), ""}} {
+	ways := []struct{ name, addr, fields, path string }{{"no-proxy", server, "", "/page"}, {"platform", platform.Addr().String(), fields, "/page"},
+		{"ordinary", ordinary.Addr().String(), "", "/page"}, {"httputil", plain.Addr().String(), "", "/page"}}
+	for _, way := range ways[:len(ways):len(ways)] {
+		way.name, way.path = way.name+"-large", "/page?large"
+		ways = append(ways, way)
+	}
+	for _, way := range ways {
 		b.Run(way.name, func(b *testing.B) {
 			var work sync.WaitGroup
 			const clients = 8
@@ -71,14 +77,14 @@
 						if way.fields != "" {
 							own = fmt.Sprintf(way.fields, k*1_000_000_000+i)
 						}
-						io.WriteString(nc, "GET /page HTTP/1.1\r\nHost: x\r\n"+own+"\r\n")
+						io.WriteString(nc, "GET "+way.path+" HTTP/1.1\r\nHost: x\r\n"+own+"\r\n")
 						h, err := r.Response()
 						if err != nil || h.Status != 200 {
 							b.Error(err, h)
 							return
 						}
-						if _, err := r.Body(h.Length, h.Chunked); err != nil {
-							b.Error(err)
+						if n, err := io.Copy(io.Discard, r.Flow(h.Length, h.Chunked)); err != nil || way.path == "/page?large" && n != largeAnswer {
+							b.Error(n, err)
 							return
 						}
 					}
@@ -97,9 +103,13 @@
 	return ln
 }
 
-// benchServer answers at once.
+const largeAnswer = 8 << 20 // bytes
+
+// benchServer answers at once, at /page?large with many bytes.
 func benchServer(b *testing.B) string {
 	ln := benchListen(b)
+	large := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", largeAnswer)
+	large = append(large, make([]byte, largeAnswer)...)
 	go func() {
 		for {
 			nc, err := ln.Accept()
@@ -114,8 +124,12 @@
 					if err != nil {
 						return
 					}
+					whole := []byte(ok)
+					if string(h.Target) == "/page?large" {
+						whole = large
+					}
 					r.Body(h.Length, h.Chunked)
-					io.WriteString(nc, ok)
+					nc.Write(whole)
 				}
 			}()
 		}
