A control service over xDS in loomd: assignments from one instance's opinions, subscriptions, load reports

Cause: installations with Envoy-family proxies or gRPC clients want lockloom's decisions without lockloom in their data path. Change: assign/ (pure) turns what a Balancer holds into servers, health and weights, damped, drains at once, cold servers bounded; control/ tells them over ADS (state of the world and differences) and takes in load reports; Balancer.Reported hands those on to the rows and payoffs that own legs go to; loomd is the proxy with that front, and has servers and a client to try it with. The operator file has a control table, which lockloom refuses.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -196,7 +196,7 @@
 		}
 		g.counted = true                  // danger: a hanging backend would be known only a hard stop later
 		b.unload(g, g.s.limit >= halfLeg) // danger: a tariff that hangs there leaves the others no room
-		b.results(l, g.s, false)
+		b.results(l.Tariff, g.s, false)
 		g.s.payoff(b, l.Tariff, 0, b.now, oneResult)
 		// danger: a leg that was lost on its way is never answered, at whatever server
 		if s, _ := b.pick(l); s != nil && b.d.Beside && float64(max(b.out, 1)) < spareShare*b.room {
@@ -514,7 +514,7 @@
 		s.payoff(b, len(b.rows), worth, b.now, oneResult)
 	case Honoured:
 		s.served = b.now
-		b.results(l, s, true)
+		b.results(l.Tariff, s, true)
 		alone := latency / max(g.crowd, 1) / max(l.heavy, 0.5) // what it had taken at an idle server
 		l.row.alone.Add(alone)
 		m := l.row.alone.Quantile(0.5, l.row.Due/4)
@@ -543,7 +543,7 @@
 		}
 	default:
 		if !g.counted {
-			b.results(l, s, false)
+			b.results(l.Tariff, s, false)
 			s.payoff(b, l.Tariff, 0, b.now, oneResult)
 		}
 	}
@@ -595,13 +595,13 @@
 
 // results keeps the rows of a server. Danger: one that fails a single tariff serves the others well, so its
 // own row never pauses it; the tariff's row there pauses it for that tariff.
-func (b *Balancer) results(l *Lookup, s *server, ok bool) {
+func (b *Balancer) results(tariff int, s *server, ok bool) {
 	b.failShare -= meanPart * b.failShare
 	if !ok {
 		b.failShare += meanPart
 	}
 	b.result(&s.breaker, ok, roundInterval, b.failShare)
-	b.result(&s.tariffs[l.Tariff], ok, tariffRound, b.shared(l.Tariff, ok))
+	b.result(&s.tariffs[tariff], ok, tariffRound, b.shared(tariff, ok))
 }
 
 // result keeps a row; shared is the share of failures that servers have in common.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -832,3 +832,27 @@
 	later.Remember(20, Memory{Bases: []float64{-1, 7}, Servers: []Learned{{Mark: 1, Limit: -3, Pace: 1}, {Mark: 99, Limit: 1, Pace: 1}}})
 	assert.Greater(t, later.servers[0].limit, 0.0, "what cannot be is not taken in")
 }
+
+// What others tell of their legs pauses and readmits as own results would, by the share that failed and not by their order.
+func TestReported(t *testing.T) {
+	for _, c := range []struct {
+		honoured, failed, after int // after: honoured, told in a second report
+		paused                  bool
+	}{{100, 0, 0, false}, {0, 5, 0, false}, {0, 8, 0, true}, {70, 30, 0, false}, {400, 1600, 0, true}, {10, 90, 1, false}} {
+		k := open(t, deployment(), 9)
+		report := []Results{{0, 0, c.honoured, c.failed}, {77, 0, 5, 5}} // the last is nobody's
+		for i := 1; i < 9; i++ {
+			report = append(report, Results{i, 0, 95, 5})
+		}
+		k.Reported(1, report)
+		k.Reported(2, []Results{{0, 0, c.after, 0}})
+		all := k.Beliefs(3)
+		for i := range all {
+			assert.Equal(t, i == 0 && c.paused, all[i].Paused, "%d: %+v", i, c)
+		}
+		assert.Equal(t, c.paused, k.Beliefs(20)[0].Trial, "cooled down")
+		if c.paused {
+			assert.Less(t, all[0].Payoff, all[1].Payoff)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -389,6 +389,37 @@
 	}
 }
 
+// Results are legs of a tariff that others sent to a backend, by how they ended.
+type Results struct{ Backend, Tariff, Honoured, Failed int }
+
+// mostReported results of one backend count of a report: more tell no more, and would take long.
+const mostReported = 50
+
+// Reported takes in what others tell of their legs since they told last. Danger: the failures of one backend in a row, or all of its
+// results before another's, would pause one that mostly serves or raise the bar for all; so what each tells is spread evenly over
+// the report, a failure last, and what holds after it is what the shares say.
+func (b *Balancer) Reported(now float64, all []Results) {
+	b.begin(now)
+	most := 0
+	for _, r := range all {
+		most = max(most, min(r.Honoured+r.Failed, mostReported))
+	}
+	for round := 1; round <= most; round++ {
+		for _, r := range all {
+			n := r.Honoured + r.Failed
+			count := min(n, mostReported)
+			i := round * count / most // of its results that count
+			if i == (round-1)*count/most || !b.Keeps(r.Backend) {
+				continue
+			}
+			failed := (r.Failed*count + n/2) / n
+			fails := i*failed/count - (i-1)*failed/count
+			b.results(r.Tariff, b.servers[r.Backend], fails == 0)
+			b.servers[r.Backend].payoff(b, r.Tariff, 1-float64(fails), now, oneResult)
+		}
+	}
+}
+
 // Keeps says whether a backend is still known: as listed, or as one that lingers. One that is not is never named again.
 func (b *Balancer) Keeps(index int) bool { return index < len(b.servers) && b.servers[index] != nil }
 
@@ -430,6 +461,7 @@
 	Out             int     // legs
 	Limit, Payoff   float64 // legs it bears, and what one is worth there
 	Paused, Cold    bool
+	Trial           bool    // paused, and cooled down: one leg may go there
 	Errors, Results int     // of the present window
 	Heard           float64 // s since a leg's end told of it
 }
@@ -440,8 +472,8 @@
 	var all []Belief
 	for _, s := range b.servers {
 		if s != nil {
-			all = append(all, Belief{s.Index, s.inFlight, s.limit, b.payNow(s, 0), s.paused, b.cold(s), s.errCount,
-				s.totalCount, now - s.opinions[2].heard})
+			all = append(all, Belief{s.Index, s.inFlight, s.limit, b.payNow(s, 0), s.paused, b.cold(s),
+				s.paused && b.admitted(&s.breaker), s.errCount, s.totalCount, now - s.opinions[2].heard})
 		}
 	}
 	return all
--- /dev/null
+++ b/cmd/loomd/main.go
@@ -0,0 +1,11 @@
+// Command loomd is the proxy with every front: what lockloom does, and a control service over xDS for proxies and clients that lockloom
+// does not run.
+package main
+
+import (
+	"os"
+
+	"lockloom/internal/command/daemon"
+)
+
+func main() { os.Exit(daemon.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/control/reports.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"time"
+
+	load "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+)
+
+const (
+	reportEvery = time.Second // of a subscriber's load reports
+	reportsMost = 3           // of them missing, and its load counts no more
+	countMost   = 1 << 30     // legs in one report: more cannot be
+)
+
+// reports is the published service of load reports.
+type reports struct {
+	load.UnimplementedLoadReportingServiceServer
+	s *Service
+}
+
+// reporter is one stream of them.
+type reporter struct{ holds map[string]float64 } // lookups in work by pool, as of the last report
+
+// StreamLoadStats takes in what a subscriber tells of the legs that it sent. A server is told as a locality of its own, so what is
+// reported of a locality is a server's. Danger: a subscriber that reports what it may not see could have others' servers paused.
+func (r reports) StreamLoadStats(st load.LoadReportingService_StreamLoadStatsServer) error {
+	pools, err := r.s.allowed(st.Context())
+	if err != nil {
+		return status.Error(codes.PermissionDenied, err.Error())
+	}
+	if _, err := st.Recv(); err != nil {
+		return err
+	}
+	if err := st.Send(&load.LoadStatsResponse{SendAllClusters: true, LoadReportingInterval: durationpb.New(reportEvery)}); err != nil {
+		return err
+	}
+	own := &reporter{}
+	defer r.s.holds(own, nil)
+	silent := time.AfterFunc(reportsMost*reportEvery, func() { r.s.holds(own, nil) })
+	defer silent.Stop()
+	for {
+		in, err := st.Recv()
+		if err != nil {
+			return nil // it has gone
+		}
+		silent.Reset(reportsMost * reportEvery)
+		holds := map[string]float64{}
+		r.s.mu.Lock()
+		seen := r.s.sees(viewer{pools: pools})[clusters]
+		r.s.mu.Unlock()
+		for _, c := range in.ClusterStats {
+			if seen[c.ClusterName] == nil {
+				continue
+			}
+			legs := map[string][2]int{}
+			for _, l := range c.UpstreamLocalityStats {
+				holds[c.ClusterName] += float64(min(l.TotalRequestsInProgress, countMost))
+				n := legs[l.Locality.GetSubZone()]
+				n[0] += int(min(l.TotalSuccessfulRequests, countMost))
+				n[1] += int(min(l.TotalErrorRequests, countMost))
+				legs[l.Locality.GetSubZone()] = n
+			}
+			r.s.Reported(c.ClusterName, legs)
+		}
+		r.s.holds(own, holds)
+	}
+}
+
+// holds notes what a subscriber has in work; nil: nothing is known of it any more.
+func (s *Service) holds(r *reporter, holds map[string]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.holds = holds; holds == nil {
+		delete(s.loads, r)
+	} else {
+		s.loads[r] = true
+	}
+}
--- a/internal/command/balancer/balancer.go
+++ b/internal/command/balancer/balancer.go
@@ -13,9 +13,13 @@
 
 // Run runs one command and returns what the program ends with.
 func Run(args []string, out, errs io.Writer) int {
-	return command.Run(context.Background(), &ffcli.Command{Name: "lockloom",
-		Subcommands: append([]*ffcli.Command{serving(errs), asking(out), checking(out, errs), explaining(out, errs), command.Versions("lockloom", out)},
-			calling(out)...)}, args, out, errs)
+	return command.Run(context.Background(), &ffcli.Command{Name: "lockloom", Subcommands: Commands("lockloom", nil, out, errs)}, args, out, errs)
+}
+
+// Commands are those of a program that is a proxy, with a front or none.
+func Commands(name string, front Front, out, errs io.Writer) []*ffcli.Command {
+	return append([]*ffcli.Command{serving(errs, front), asking(out), checking(out, errs), explaining(out, errs), command.Versions(name, out)},
+		calling(out)...)
 }
 
 // bare is a command without words.
--- a/internal/command/balancer/serve.go
+++ b/internal/command/balancer/serve.go
@@ -25,15 +25,25 @@
 	gcPercent  = 300 // a small heap: collect seldom, the memory aim permitting
 )
 
-func serving(errs io.Writer) *ffcli.Command {
+// Front is what a program serves beside the proxy's own listeners, by the operator file. It is made before the proxy serves.
+type Front func(p *proxy.Proxy, s *proxy.Setup, l *proxy.Launch, log logrus.FieldLogger) (Beside, error)
+
+// Beside is such a front at work.
+type Beside interface {
+	Operate(s *proxy.Setup) error // by another file from now on
+	Stop()
+}
+
+// serving is the command that runs a proxy, with a front or none.
+func serving(errs io.Writer, front Front) *ffcli.Command {
 	set := flags("serve")
 	level := set.String("log", "info", "the least `level` that is logged: debug, info, warning or error")
 	file := operatorFlag(set)
 	return bare("serve", "run a proxy, told by ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY and ROUTER_CONFIG", set,
-		func() error { return serve(*level, *file, errs) })
+		func() error { return serve(*level, *file, errs, front) })
 }
 
-func serve(level, file string, errs io.Writer) error {
+func serve(level, file string, errs io.Writer, front Front) error {
 	log := logrus.New()
 	log.SetOutput(errs)
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
@@ -63,6 +73,7 @@
 	debug.SetGCPercent(gcPercent)
 	p.Shared = func(part float64) { debug.SetMemoryLimit(int64(part * memoryPart * float64(l.Limits.Memory))) }
 	p.Shared(1)
+	var beside Beside
 	if file != "" {
 		s, err := setup(file, errs)
 		if err != nil {
@@ -80,6 +91,16 @@
 		if err := p.Operate(s, more...); err != nil {
 			return fmt.Errorf("%s: %w", file, err)
 		}
+		switch {
+		case s.Control == nil:
+		case front == nil:
+			return fmt.Errorf("%s: control: this program has no control service; loomd has", file)
+		default:
+			if beside, err = front(p, s, &l, log); err != nil {
+				return fmt.Errorf("%s: %w", file, err)
+			}
+			defer beside.Stop()
+		}
 	}
 	ln, err := p.Listen(l.Listen)
 	if err != nil {
@@ -103,6 +124,9 @@
 			if err == nil {
 				err = p.Reoperate(s)
 			}
+			if err == nil && beside != nil {
+				err = beside.Operate(s)
+			}
 			if err != nil {
 				log.WithError(err).Error("not operated anew: what held before still holds")
 			}
--- /dev/null
+++ b/internal/operator/control.go
@@ -0,0 +1,69 @@
+package operator
+
+import (
+	"net"
+	"strings"
+)
+
+// Control is what a control service needs to know; see package control.
+type Control struct {
+	Address     string  `toml:"address"`     // where subscribers connect
+	Status      string  `toml:"status"`      // where staff ask who holds what; empty: nowhere
+	Local       bool    `toml:"local"`       // subscribers keep to their own zone while it has a healthy server
+	Memory      string  `toml:"memory"`      // the file of snapshots; empty: none
+	Subscribers int     `toml:"subscribers"` // at most; 0: the service's own bound
+	Certificate string  `toml:"certificate"` // PEM files, all or none
+	Key         string  `toml:"key"`
+	Authority   string  `toml:"authority"` // of the subscribers' certificates
+	Allow       []Allow `toml:"allow"`     // subscribers by the names in their certificates; none: all that have one
+}
+
+// Allow lets subscribers see pools.
+type Allow struct {
+	Name  string   `toml:"name"`  // a DNS name or URI; with a star at its end, all that begin so
+	Pools []string `toml:"pools"` // empty: all
+}
+
+// Fits tells whether a name in a certificate is meant.
+func (a *Allow) Fits(name string) bool {
+	if begin, all := strings.CutSuffix(a.Name, "*"); all {
+		return strings.HasPrefix(name, begin)
+	}
+	return name == a.Name
+}
+
+func (r *reader) control() {
+	c := r.Control
+	if c == nil {
+		return
+	}
+	here := func(field, address string) {
+		host, _, err := net.SplitHostPort(address)
+		switch ip := net.ParseIP(host); {
+		case err != nil:
+			r.fault("control", 0, field, "%v", err)
+		case field == "address" && c.Certificate != "":
+		case host != "localhost" && (ip == nil || !ip.IsLoopback()):
+			r.fault("control", 0, field, "%s: without certificates it must be of the loopback", address)
+		}
+	}
+	here("address", c.Address)
+	if c.Status != "" {
+		here("status", c.Status)
+	}
+	if n := len(strings.Fields(strings.Join([]string{c.Certificate, c.Key, c.Authority}, " "))); n != 0 && (c.Certificate == "" || c.Key == "" || c.Authority == "") {
+		r.fault("control", 0, "certificate", "certificate, key and authority go together")
+	}
+	r.within("control", 0, "subscribers", float64(c.Subscribers), 0, 1e6)
+	if len(c.Allow) > 0 && c.Certificate == "" {
+		r.fault("control", 0, "allow", "without certificates nobody has a name")
+	}
+	for i, a := range c.Allow {
+		if a.Name == "" {
+			r.fault("control.allow", i+1, "name", "missing")
+		}
+		for _, pool := range a.Pools {
+			r.known("control.allow", i+1, "pools", "pool", pool, r.poolNames())
+		}
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -28,6 +28,7 @@
 	Limits    []Limit    `toml:"limit"`
 	Retries   []Retry    `toml:"retry"`
 	Routes    []Route    `toml:"route"`
+	Control   *Control   `toml:"control"` // only a program with a control service takes it
 }
 
 // Listener is where clients connect.
@@ -174,6 +175,7 @@
 	r.pools()
 	r.limits()
 	r.retries()
+	r.control()
 	list, places := r.routes(r.Routes, "route")
 	if len(r.Routes) == 0 {
 		r.fault("route", 0, "", "there is none")
--- a/proxy/life.go
+++ b/proxy/life.go
@@ -165,6 +165,7 @@
 		changed.Version = p.version
 		p.list(changed, false)
 	}
+	p.opine()
 }
 
 // ruled is an entry of the list as operators' orders leave it, and since when its backend is banned, if it is.
--- /dev/null
+++ b/proxy/opine.go
@@ -0,0 +1,82 @@
+package proxy
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"lockloom/assign"
+	"lockloom/balance"
+	"lockloom/internal/discovery"
+)
+
+// opineEvery is how often opinions are told. What the list or operators say is told as it comes.
+const opineEvery = 100 * time.Millisecond
+
+// Opine has a control service beside the proxy hear what the proxy holds of each operator's pool: every so often, and at once when the
+// list or an order changes something. The call is the owner's: it must not wait. Set it before Serve.
+func (p *Proxy) Opine(call func(now float64, pools map[string]assign.Sight)) { p.opined = call }
+
+// Reported takes in how legs ended that the control service's subscribers sent to a pool, by server's name: honoured, failed. Unknown
+// names are passed over. It may be called by anyone.
+func (p *Proxy) Reported(pool string, legs map[string][2]int) {
+	p.post(func() {
+		o := p.ordinary.Load()
+		if o == nil || o.pools[pool] == nil {
+			return
+		}
+		var all []balance.Results
+		for _, name := range slices.Sorted(maps.Keys(legs)) {
+			if index, ok := p.names.Find(name); ok {
+				all = append(all, balance.Results{Backend: index, Honoured: legs[name][0], Failed: legs[name][1]})
+			}
+		}
+		o.pools[pool].b.Reported(p.now(), all)
+	})
+}
+
+// opine tells what is held now.
+func (p *Proxy) opine() {
+	o := p.ordinary.Load()
+	if p.opined == nil || o == nil || !p.listed {
+		return
+	}
+	all := map[string]assign.Sight{}
+	for name, in := range o.pools {
+		all[name] = p.sight(in)
+	}
+	p.gone = nil
+	p.opined(p.now(), all)
+}
+
+// sight is what is held of one pool. Danger: the opinion of a server is the Balancer's, whether it may be sent to the list's and the
+// operators'.
+func (p *Proxy) sight(in *branch) assign.Sight {
+	s := assign.Sight{Gone: p.gone}
+	beliefs := map[int]balance.Belief{}
+	for _, b := range in.b.Beliefs(p.now()) {
+		beliefs[b.Backend] = b
+		s.Load += float64(b.Out * max(p.launch.Proxies, 1)) // the others' are taken to be alike
+	}
+	add := func(e discovery.Entry, index int) {
+		b := beliefs[index]
+		s.Servers = append(s.Servers, assign.Opinion{Name: e.Name, Addr: e.Addr, Zone: e.ZoneName, Draining: e.State != balance.Ready,
+			Paused: b.Paused, Trial: b.Trial, Payoff: b.Payoff, Size: e.Size, UpSince: e.UpSince})
+	}
+	if in.written {
+		for _, b := range p.ruledOut(in.first) {
+			var e discovery.Entry
+			e.Name, e.State, e.UpSince = p.names.Name(b.Index), b.State, b.UpSince
+			e.Addr = strings.TrimPrefix(e.Name, in.name+"/")
+			add(e, b.Index)
+		}
+		return s
+	}
+	for _, index := range slices.Sorted(maps.Keys(p.known)) {
+		if e, _ := p.ruled(p.known[index]); in.has == nil || in.has(&e) {
+			add(e, index)
+		}
+	}
+	return s
+}
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -24,6 +24,9 @@
 	if p.ordinary.Load() != nil {
 		p.every(sweepEvery, p.standbys)
 	}
+	if p.opined != nil {
+		p.every(opineEvery, p.opine)
+	}
 	if p.traces() {
 		p.every(traceEvery, p.trace)
 	}
@@ -196,6 +199,12 @@
 			p.forget(i)
 		}
 	}
+	for _, e := range raw {
+		if e.State == balance.Gone && p.opined != nil { // danger: where nobody asks they would gather for ever
+			p.gone = append(p.gone, e.Name)
+		}
+	}
+	p.opine()
 }
 
 // kept says whether a pool's decisions may still name a backend: one that is listed, or that the list has lost and that lingers.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -17,6 +17,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lockloom/assign"
 	"lockloom/balance"
 	"lockloom/duty"
 	"lockloom/internal/backends"
@@ -113,9 +114,11 @@
 	ordinary atomic.Pointer[ordinary]
 	known    map[int]discovery.Entry // what is listed, by index, as discovery says
 	listed   bool                    // a list was taken in
-	orders   duty.Orders             // those that were obeyed
-	written  map[int]bool            // backends that an operator wrote out: no list takes them away
-	later    []func()                // what came up while orders were carried out
+	gone     []string                // listed as gone, since opinions were told last
+	opined   func(now float64, pools map[string]assign.Sight)
+	orders   duty.Orders  // those that were obeyed
+	written  map[int]bool // backends that an operator wrote out: no list takes them away
+	later    []func()     // what came up while orders were carried out
 	stopSend []float64
 	counts   counts
 	version  int64 // of the list
