--- a/control/resources.go
+++ b/control/resources.go
@@ -250,13 +250,14 @@
 type noted struct {
 	*operator.Route
 	path   string
-	nested []*operator.Route
+	nested []*operator.Route // expressions
+	parent *noted
 }
 
 // list orders one host's routes so that the first match is the route that package routes chooses: exact paths; then prefixes, the
 // longest first, each with the expressions that go before it, bound to the same prefix; then the expressions alone.
 func (t *teller) list(of []*operator.Route) (out []*route.Route) {
-	var prefixes []noted
+	var prefixes []*noted
 	var own []*operator.Route
 	var gather func(list []*operator.Route, in *noted)
 	gather = func(list []*operator.Route, in *noted) {
@@ -273,42 +274,60 @@
 			case r.Regex != "":
 				own = append(own, r)
 			default:
-				n := noted{Route: r, path: r.Prefix + r.Under}
+				n := &noted{Route: r, path: r.Prefix + r.Under, parent: in}
 				if r.Under != "" && r.Under != "/" {
 					n.path = strings.TrimSuffix(r.Under, "/")
 				}
-				gather(kids, &n)
+				gather(kids, n)
 				prefixes = append(prefixes, n)
 			}
 		}
 	}
 	gather(of, nil)
-	slices.SortStableFunc(prefixes, func(x, y noted) int { return len(y.path) - len(x.path) })
+	slices.SortStableFunc(prefixes, func(x, y *noted) int { return len(y.path) - len(x.path) })
 	for _, p := range prefixes {
-		for _, m := range under(&p) {
+		for _, m := range under(p) {
 			if !p.Final {
-				for _, r := range slices.Concat(p.nested, own) {
-					bound := &route.HeaderMatcher{Name: pathField}
-					if exact := m.GetPath(); exact != "" {
-						bound.HeaderMatchSpecifier = text(&matcher.StringMatcher{MatchPattern: &matcher.StringMatcher_SafeRegex{
-							SafeRegex: &matcher.RegexMatcher{Regex: regexp.QuoteMeta(exact) + `(\?.*)?`}}})
-					} else {
-						bound.HeaderMatchSpecifier = text(&matcher.StringMatcher{MatchPattern: &matcher.StringMatcher_Prefix{Prefix: m.GetPrefix()}})
-					}
-					with := expression(r)
-					with.Headers = append(t.conditions(p.Route, with), bound)
-					out = append(out, t.tell(r, with)...)
+				bound := &route.HeaderMatcher{Name: pathField}
+				if exact := m.GetPath(); exact != "" {
+					bound.HeaderMatchSpecifier = text(whole(regexp.QuoteMeta(exact)))
+				} else {
+					bound.HeaderMatchSpecifier = text(&matcher.StringMatcher{MatchPattern: &matcher.StringMatcher_Prefix{Prefix: m.GetPrefix()}})
 				}
+				with := &route.RouteMatch{}
+				with.Headers = append(t.conditions(p.Route, with), bound)
+				for in := p; in != nil; in = in.parent {
+					out = append(out, t.expressions(in.nested, with)...)
+				}
+				out = append(out, t.expressions(own, with)...)
 			}
 			out = append(out, t.tell(p.Route, m)...)
 		}
 	}
-	for _, r := range own {
-		out = append(out, t.tell(r, expression(r))...)
+	return append(out, t.expressions(own, &route.RouteMatch{})...)
+}
+
+// expressions are routes by expression under further conditions; those nested in one go before it, bound to it.
+func (t *teller) expressions(list []*operator.Route, with *route.RouteMatch) (out []*route.Route) {
+	for _, r := range list {
+		m := &route.RouteMatch{PathSpecifier: &route.RouteMatch_SafeRegex{SafeRegex: &matcher.RegexMatcher{Regex: anywhere(r.Regex)}},
+			Headers: slices.Clone(with.Headers), QueryParameters: slices.Clone(with.QueryParameters)}
+		for i := range r.Routes {
+			bound := &route.RouteMatch{QueryParameters: slices.Clone(with.QueryParameters)}
+			bound.Headers = append(slices.Clone(with.Headers), &route.HeaderMatcher{Name: pathField, HeaderMatchSpecifier: text(whole("[^?]*?(?:" + r.Regex + ")[^?]*"))})
+			bound.Headers = t.conditions(r, bound)
+			out = append(out, t.expressions([]*operator.Route{&r.Routes[i]}, bound)...)
+		}
+		out = append(out, t.tell(r, m)...)
 	}
 	return out
 }
 
+// whole matches a whole path by an expression, whatever the query behind it is.
+func whole(path string) *matcher.StringMatcher {
+	return &matcher.StringMatcher{MatchPattern: &matcher.StringMatcher_SafeRegex{SafeRegex: &matcher.RegexMatcher{Regex: "(?:" + path + `)(\?.*)?`}}}
+}
+
 // under are the matches of a prefix; of one that ends with a part of the path there are two, which every subscriber understands.
 func under(p *noted) []*route.RouteMatch {
 	prefix := func(path string) *route.RouteMatch {
@@ -320,11 +339,7 @@
 	return []*route.RouteMatch{{PathSpecifier: &route.RouteMatch_Path{Path: p.path}}, prefix(p.path + "/")}
 }
 
-// expression matches anywhere in the path, as here; there it must match the whole.
-func expression(r *operator.Route) *route.RouteMatch {
-	return &route.RouteMatch{PathSpecifier: &route.RouteMatch_SafeRegex{SafeRegex: &matcher.RegexMatcher{Regex: anywhere(r.Regex)}}}
-}
-
+// anywhere has an expression match anywhere in the path, as it does here; subscribers match the whole.
 func anywhere(expr string) string { return ".*?(?:" + expr + ").*" }
 
 func text(m *matcher.StringMatcher) *route.HeaderMatcher_StringMatch {
--- a/control/service.go
+++ b/control/service.go
@@ -31,6 +31,7 @@
 
 const (
 	messageMost     = 1 << 20          // bytes of one request
+	bufferOf        = 4 << 10          // bytes, of a connection's buffers
 	namesMost       = 10_000           // asked for by one stream
 	streamsMost     = 16               // of one connection
 	subscribersMost = 2_000            // where the file does not say
@@ -82,7 +83,7 @@
 	pools string // that it may see, each followed by a line's end; empty: all
 }
 
-// New makes a service of an operator file with a control table.
+// New makes a service of an operator file with a control table. It is at work until Stop.
 func New(s *operator.Setup, t assign.Terms, log logrus.FieldLogger) (*Service, error) {
 	c := s.Control
 	if c == nil {
@@ -95,6 +96,7 @@
 		subscribers: map[*subscriber]bool{}, loads: map[*reporter]bool{}, quit: make(chan struct{}), inbox: inbox{kick: make(chan struct{}, 1)},
 		Reported: func(string, map[string][2]int) {}}
 	options := []grpc.ServerOption{
+		grpc.ReadBufferSize(bufferOf), grpc.WriteBufferSize(bufferOf), grpc.SharedWriteBuffer(true), // a thousand connections, most of them at rest
 		grpc.MaxRecvMsgSize(messageMost), grpc.MaxConcurrentStreams(streamsMost),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingFor}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingAfter, PermitWithoutStream: true}),
@@ -113,6 +115,7 @@
 	out.grpc = grpc.NewServer(options...)
 	discovery.RegisterAggregatedDiscoveryServiceServer(out.grpc, front{s: out})
 	load.RegisterLoadReportingServiceServer(out.grpc, reports{s: out})
+	out.work.Go(out.follow) // danger: begun by Serve, it could begin after Stop and keep a snapshot then
 	return out, nil
 }
 
@@ -163,8 +166,10 @@
 
 // Serve serves subscribers until Stop.
 func (s *Service) Serve(ln net.Listener) error {
-	s.work.Go(s.follow)
-	return s.grpc.Serve(ln)
+	if err := s.grpc.Serve(ln); err != grpc.ErrServerStopped {
+		return err
+	}
+	return nil
 }
 
 // Stop ends all streams and what runs.
--- /dev/null
+++ b/internal/command/tools/subscribers.go
@@ -0,0 +1,75 @@
+package tools
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"lockloom/control"
+	"lockloom/internal/command"
+)
+
+const (
+	askFor   = 3 * time.Second
+	rowsMost = 64 << 20 // bytes of the answer
+)
+
+// subscribing tells who holds what.
+func subscribing(out io.Writer) *ffcli.Command {
+	return command.New("subscribers", "subscribers ADDR", "tell what a control service's subscribers hold, by its status address", flags("subscribers"),
+		func(ctx context.Context, words []string) error {
+			if len(words) != 1 {
+				return command.Wrong("it takes the status address")
+			}
+			ctx, stop := context.WithTimeout(ctx, askFor)
+			defer stop()
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+words[0]+"/subscribers", nil)
+			if err != nil {
+				return err
+			}
+			answer, err := http.DefaultClient.Do(r)
+			if err != nil {
+				return err
+			}
+			defer answer.Body.Close()
+			if answer.StatusCode != http.StatusOK {
+				return fmt.Errorf("%s: %s", words[0], answer.Status)
+			}
+			var rows []control.Row
+			if err := json.NewDecoder(io.LimitReader(answer.Body, rowsMost)).Decode(&rows); err != nil {
+				return fmt.Errorf("%s: %w", words[0], err)
+			}
+			return table(out, rows)
+		})
+}
+
+func table(out io.Writer, rows []control.Row) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "SUBSCRIBER\tZONE\tWAY\tSINCE\tTYPE\tNAMES\tVERSION\tSTATE")
+	for _, r := range rows {
+		for _, h := range r.Holds {
+			state := "newest"
+			switch {
+			case len(h.Refused) > 0:
+				state = fmt.Sprintf("refuses %s: %s", strings.Join(h.Refused, ", "), r.Detail)
+			case h.Waits > 0:
+				state = fmt.Sprintf("unacknowledged for %.1f s", h.Waits)
+			case !h.Newest:
+				state = "behind"
+			}
+			names := fmt.Sprint(h.Names)
+			if h.Names < 0 {
+				names = "all"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", r.ID, r.Zone, r.Way, r.Since.Format(time.TimeOnly), h.Type, names, h.Version, state)
+		}
+	}
+	return w.Flush()
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -109,3 +109,34 @@
 		}
 	})
 }
+
+// The control service's table, each fault at its place.
+func TestControl(t *testing.T) {
+	rest := "[[tariff]]\nname = \"t\"\nhard_stop = 1.0\n[[pool]]\nname = \"p\"\n[[route]]\nname = \"r\"\nprefix = \"/\"\npool = \"p\"\n"
+	keys := "certificate = \"c\"\nkey = \"k\"\nauthority = \"a\"\n"
+	for _, c := range []struct{ table, want string }{
+		{`address = "127.0.0.1:1"`, ""},
+		{`address = "[::1]:1"` + "\nstatus = \"localhost:2\"", ""},
+		{"address = \"0.0.0.0:1\"\n" + keys + "[[control.allow]]\nname = \"edge-*\"\npools = [\"p\"]", ""},
+		{`address = "1"`, "f.toml:2:1: control: address: address 1: missing port"},
+		{`address = "0.0.0.0:1"`, "f.toml:2:1: control: address: 0.0.0.0:1: without certificates"},
+		{"address = \"0.0.0.0:1\"\nstatus = \"0.0.0.0:2\"\n" + keys, "f.toml:3:1: control: status: 0.0.0.0:2: without certificates"},
+		{"address = \"127.0.0.1:1\"\nkey = \"k\"", "f.toml:1:1: control: certificate: certificate, key and authority go together"},
+		{"address = \"127.0.0.1:1\"\nsubscribers = -1", "f.toml:3:1: control: subscribers: -1"},
+		{"address = \"127.0.0.1:1\"\n[[control.allow]]\nname = \"x\"", "control: allow: without certificates nobody has a name"},
+		{"address = \"127.0.0.1:1\"\n" + keys + "[[control.allow]]\npools = [\"q\"]", "f.toml:6:1: control.allow: name: missing"},
+		{"address = \"127.0.0.1:1\"\n" + keys + "[[control.allow]]\nname = \"x\"\npools = [\"q\"]", `f.toml:8:1: control.allow: pools: no pool "q"`},
+		{`adress = "127.0.0.1:1"`, "f.toml:2:1: control.adress: no such field: address?"},
+	} {
+		_, faults := Read("f.toml", []byte("[control]\n"+c.table+"\n"+rest))
+		if c.want == "" {
+			assert.Empty(t, faults, c.table)
+		} else if assert.NotEmpty(t, faults, c.table) {
+			assert.Contains(t, faults[0].Error(), c.want, c.table)
+		}
+	}
+	a := Allow{Name: "edge-*"}
+	assert.True(t, a.Fits("edge-1") && !a.Fits("core-1") && !a.Fits("edge"))
+	a.Name = "one"
+	assert.True(t, a.Fits("one") && !a.Fits("one-1"))
+}
