--- a/assign/assign.go
+++ b/assign/assign.go
@@ -22,9 +22,13 @@
 	restLeast   = 1.0     // s told as paused at least: a success may be that of a leg from before
 	restMost    = 40.0    // s told as paused beyond what the decisions say, however often it was paused lately
 	flapFor     = 60.0    // s after which a pause no longer counts as lately
-	coldMargin  = 0.4     // of what makes a cold server fall, as subscribers are not seen when they send in clumps
+	coldMargin  = 0.4     // of what makes a cold server fall, at least; the decisions' own, as are the next two
+	coldMost    = 0.55    // and at most: the load may have grown since it was reported
+	coldSpread  = 3.5     // deviations of what chance sends, to fit above the flow; fewer lookups, wider ones
 	coldSlack   = 0.05    // of a cold server's bound: a fall of less waits for the next move
 	loadFalls   = 10.0    // s; the load that is reckoned with falls so slowly, and rises at once
+	baseRises   = 60.0    // s; the time of a lookup that does not wait, as it is taken, rises so slowly, and falls at once
+	timeOver    = 2.0     // s over which a lookup's time is the mean
 	lostShare   = 0.5     // of the servers missing from a list at once: it is doubted
 	holdFor     = 30.0    // s that a doubted list is held back
 	oldest      = 600.0   // s; a memory as old as this says nothing
@@ -48,6 +52,7 @@
 	ColdShare    float64 // a server starts at this share of its capacity or more
 	ColdFor      float64 // s until it is warm
 	FallMultiple float64 // sent more than this many times what it can do a cold server falls over; 0: none does
+	FallFor      float64 // s for which it must be sent so much
 	Local        bool    // subscribers keep to their own zone while it has a healthy server
 }
 
@@ -66,6 +71,7 @@
 	Servers []Opinion
 	Gone    []string // listed as gone since the last sight, as opposed to missing from a list
 	Load    float64  // lookups in work for all subscribers together; 0: not known
+	Rate    float64  // of them begun a second; with it the load is reckoned without what waits
 }
 
 // Server is a server as a subscriber is told of it.
@@ -101,7 +107,10 @@
 	told     map[string]*told
 	movedAt  float64 // when weights moved last
 	raisedAt float64 // when the bounds of cold servers rose last
-	load     float64 // lookups in work, for all subscribers; 0: never told
+	load     float64 // of all that is sent, in servers wholly in use; 0: never told
+	holds    float64 // lookups in work, smoothed
+	rate     float64 // begun a second, smoothed
+	base     float64 // s that one takes where little waits; 0: not known
 	loadAt   float64
 	reckoned float64 // the load that the bounds are made for
 }
@@ -114,8 +123,7 @@
 func (p *Pool) Next(now float64, s Sight) (changed, urgent bool) {
 	now = max(now, p.now) // danger: a clock that is set back would stop all moves until it has caught up
 	p.now = now
-	p.load = max(s.Load, p.load*math.Exp((p.loadAt-now)/loadFalls))
-	p.loadAt = now
+	p.loads(now, s)
 	for _, name := range s.Gone {
 		if p.told[name] != nil {
 			delete(p.told, name)
@@ -148,6 +156,30 @@
 	return changed || warmed || urgent, urgent
 }
 
+// loads takes in how much is sent. Danger: reckoned by what is in work, a crowd that waits at the warm servers would shut the cold
+// ones, which makes the crowd; so it is the rate times what a lookup takes where little waits.
+func (p *Pool) loads(now float64, s Sight) {
+	passed := now - p.loadAt
+	p.loadAt = now
+	load := s.Load
+	if s.Rate > 0 {
+		part := 1 - math.Exp(-min(passed, timeOver)/timeOver)
+		if p.rate == 0 {
+			part = 1
+		}
+		p.holds += part * (s.Load - p.holds)
+		p.rate += part * (s.Rate - p.rate)
+		took := p.holds / p.rate
+		if p.base == 0 || took < p.base {
+			p.base = took
+		} else {
+			p.base += (1 - math.Exp(-min(passed, baseRises)/baseRises)) * (took - p.base)
+		}
+		load = min(load, max(s.Rate, p.rate)*p.base)
+	}
+	p.load = max(load, p.load*math.Exp(-passed/loadFalls))
+}
+
 // lose drops servers that the list has lost. Danger: a list source that restarts empty, or tells half, would have every subscriber
 // without servers; where many are missing at once they are held, until they are listed as drained or gone, or for holdFor.
 func (p *Pool) lose(s Sight) (urgent bool) {
@@ -255,7 +287,8 @@
 	for _, t := range p.told {
 		bound := math.Inf(1)
 		if can := p.can(t); can < 1 && p.terms.FallMultiple > 0 {
-			bound = coldMargin * p.terms.FallMultiple * can * max(t.Size, 1) / p.reckoned
+			budget := p.terms.FallMultiple * can * max(t.Size, 1)
+			bound = p.margin(budget) * budget / p.reckoned
 		}
 		switch {
 		case bound < t.cap*(1-coldSlack):
@@ -270,6 +303,15 @@
 	return changed, urgent
 }
 
+// margin is the part of a cold server's budget that is given out, so that what chance adds in one time to fall still fits.
+func (p *Pool) margin(budget float64) float64 {
+	if p.base == 0 || p.terms.FallFor == 0 {
+		return coldMargin
+	}
+	spread := coldSpread * math.Sqrt(2*p.base/(budget*p.terms.FallFor))
+	return max(coldMargin, min(math.Pow((math.Sqrt(spread*spread+4)-spread)/2, 2), coldMost))
+}
+
 // can is the share of its capacity that a server has at least.
 func (p *Pool) can(t *told) float64 {
 	if t.UpSince == 0 || p.now >= t.UpSince+p.terms.ColdFor {
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 )
 
-var terms = Terms{ColdShare: .2, ColdFor: 20, FallMultiple: 3}
+var terms = Terms{ColdShare: .2, ColdFor: 20, FallMultiple: 3, FallFor: 1}
 
 // sight has so many servers, alike and well, in zones a and b in turn.
 func sight(n int) Sight {
@@ -169,6 +169,7 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now += rapid.SampledFrom([]float64{.1, .5, 3, 40, -5}).Draw(t, "passes")
 			s.Gone, s.Load = nil, rapid.SampledFrom([]float64{0, .3, 3, 50}).Draw(t, "load")
+			s.Rate = s.Load * rapid.SampledFrom([]float64{0, 10, 100}).Draw(t, "lookups a second")
 			all := s.Servers
 			if len(all) > 0 {
 				o := &all[rapid.IntRange(0, len(all)-1).Draw(t, "server")]
@@ -216,8 +217,8 @@
 				if o.Draining {
 					assert.Equal(t, Draining, shown[o.Name].Health)
 				}
-				if can := p.can(&told{Opinion: o}); can < 1 && s.Load > 0 {
-					assert.LessOrEqual(t, given[o.Name]*s.Load, terms.FallMultiple*can*coldMargin*(1+2*coldSlack)+2*s.Load/scale,
+				if can := p.can(&told{Opinion: o}); can < 1 && p.load > 0 {
+					assert.LessOrEqual(t, given[o.Name]*p.load, terms.FallMultiple*can*coldMost*(1+2*coldSlack)+2*p.load/scale,
 						"cold %+v", o)
 				}
 			}
--- a/control/reports.go
+++ b/control/reports.go
@@ -22,7 +22,10 @@
 }
 
 // reporter is one stream of them.
-type reporter struct{ holds map[string]float64 } // lookups in work by pool, as of the last report
+type reporter struct{ sends map[string]sent } // by pool, as of the last report
+
+// sent is what a subscriber sends to a pool.
+type sent struct{ holds, rate float64 } // lookups in work; begun a second
 
 // StreamLoadStats takes in what a subscriber tells of the legs that it sent. A server is told as a locality of its own, so what is
 // reported of a locality is a server's. Danger: a subscriber that reports what it may not see could have others' servers paused.
@@ -38,8 +41,8 @@
 		return err
 	}
 	own := &reporter{}
-	defer r.s.holds(own, nil)
-	silent := time.AfterFunc(reportsMost*reportEvery, func() { r.s.holds(own, nil) })
+	defer r.s.sends(own, nil)
+	silent := time.AfterFunc(reportsMost*reportEvery, func() { r.s.sends(own, nil) })
 	defer silent.Stop()
 	for {
 		in, err := st.Recv()
@@ -47,7 +50,7 @@
 			return nil // it has gone
 		}
 		silent.Reset(reportsMost * reportEvery)
-		holds := map[string]float64{}
+		sends := map[string]sent{}
 		r.s.mu.Lock()
 		seen := r.s.sees(viewer{pools: pools})[clusters]
 		r.s.mu.Unlock()
@@ -56,24 +59,30 @@
 				continue
 			}
 			legs := map[string][2]int{}
+			sum, begun := sends[c.ClusterName], uint64(0)
 			for _, l := range c.UpstreamLocalityStats {
-				holds[c.ClusterName] += float64(min(l.TotalRequestsInProgress, countMost))
+				sum.holds += float64(min(l.TotalRequestsInProgress, countMost))
+				begun += min(l.TotalIssuedRequests, countMost)
 				n := legs[l.Locality.GetSubZone()]
 				n[0] += int(min(l.TotalSuccessfulRequests, countMost))
 				n[1] += int(min(l.TotalErrorRequests, countMost))
 				legs[l.Locality.GetSubZone()] = n
 			}
+			if passed := c.LoadReportInterval.AsDuration(); passed > 0 {
+				sum.rate += float64(begun) / passed.Seconds()
+			}
+			sends[c.ClusterName] = sum
 			r.s.Reported(c.ClusterName, legs)
 		}
-		r.s.holds(own, holds)
+		r.s.sends(own, sends)
 	}
 }
 
-// holds notes what a subscriber has in work; nil: nothing is known of it any more.
-func (s *Service) holds(r *reporter, holds map[string]float64) {
+// sends notes what a subscriber sends; nil: nothing is known of it any more.
+func (s *Service) sends(r *reporter, sends map[string]sent) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.holds = holds; holds == nil {
+	if r.sends = sends; sends == nil {
 		delete(s.loads, r)
 	} else {
 		s.loads[r] = true
--- a/control/service.go
+++ b/control/service.go
@@ -217,7 +217,8 @@
 			}
 			s.pools[name] = p
 		}
-		sight.Load += s.load(name)
+		holds, rate := s.load(name)
+		sight.Load, sight.Rate = sight.Load+holds, sight.Rate+rate
 		if c, urgent := p.Next(now, sight); c {
 			changed, hurry = append(changed, name), hurry || urgent
 		}
@@ -302,12 +303,12 @@
 	return nil
 }
 
-// load is how many lookups of a pool its subscribers have in work, as they reported last.
-func (s *Service) load(pool string) (n float64) {
+// load is what the subscribers send to a pool, as they reported last: lookups in work, and begun a second.
+func (s *Service) load(pool string) (holds, rate float64) {
 	for r := range s.loads {
-		n += r.holds[pool]
+		holds, rate = holds+r.sends[pool].holds, rate+r.sends[pool].rate
 	}
-	return n
+	return holds, rate
 }
 
 // enter takes in a subscriber, unless there are too many.
--- a/internal/command/daemon/daemon.go
+++ b/internal/command/daemon/daemon.go
@@ -30,7 +30,7 @@
 
 // steer is the control service as a front.
 func steer(p *proxy.Proxy, s *proxy.Setup, l *proxy.Launch, log logrus.FieldLogger) (balancer.Beside, error) {
-	service, err := control.New(s, assign.Terms{ColdShare: l.ColdShare, ColdFor: l.ColdFor, FallMultiple: l.FallMultiple}, log)
+	service, err := control.New(s, assign.Terms{ColdShare: l.ColdShare, ColdFor: l.ColdFor, FallMultiple: l.FallMultiple, FallFor: l.FallFor}, log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/command/tools/rehearse.go
+++ b/internal/command/tools/rehearse.go
@@ -54,7 +54,7 @@
 			case *match || *proxy != "" || *logs != "":
 				return command.Wrong("-match, -proxy and -logs are of the clock sockets")
 			default:
-				if r, err = s.Virtual(*policy, rehearse.Policies[*policy], *seed); err != nil {
+				if r, err = s.Virtual(*policy, rehearse.Policies[*policy](), *seed); err != nil {
 					return err
 				}
 			}
@@ -63,7 +63,7 @@
 			}
 			differs := false
 			if *match {
-				v, err := s.Virtual(*policy, rehearse.Policies[*policy], *seed)
+				v, err := s.Virtual(*policy, rehearse.Policies[*policy](), *seed)
 				if err != nil {
 					return err
 				}
--- a/internal/rehearse/experiment.go
+++ b/internal/rehearse/experiment.go
@@ -101,7 +101,7 @@
 				if ctx.Err() != nil {
 					return
 				}
-				r, err := s.Virtual(name, policy, seed)
+				r, err := s.Virtual(name, policy(), seed)
 				if err != nil {
 					mu.Lock()
 					defer mu.Unlock()
--- a/internal/rehearse/policy.go
+++ b/internal/rehearse/policy.go
@@ -24,15 +24,19 @@
 // Policy makes a decider.
 type Policy func(d balance.Deployment, now float64) (Decider, error)
 
-// Policies are those that can be asked for; all but lockloom are plain baselines, kept for comparison only.
-var Policies = map[string]Policy{
-	"lockloom": func(d balance.Deployment, now float64) (Decider, error) {
-		b, err := balance.New(d, now)
-		return module{b}, err
+// Policies are those that can be asked for, each made anew for a run; all but lockloom and steered are plain baselines, kept for
+// comparison only.
+var Policies = map[string]func() Policy{
+	"lockloom": func() Policy {
+		return func(d balance.Deployment, now float64) (Decider, error) {
+			b, err := balance.New(d, now)
+			return module{b}, err
+		}
 	},
-	"random":      plainly(func(p *plain, c []int) int { return c[p.chance.IntN(len(c))] }),
-	"round-robin": plainly(inTurn),
-	"least":       plainly(leastInFlight),
+	"steered":     steered,
+	"random":      func() Policy { return plainly(func(p *plain, c []int) int { return c[p.chance.IntN(len(c))] }) },
+	"round-robin": func() Policy { return plainly(inTurn) },
+	"least":       func() Policy { return plainly(leastInFlight) },
 }
 
 // module is the decision module as a Decider.
@@ -53,6 +57,8 @@
 	turn   int
 	cands  []int
 	orders balance.Orders
+
+	steward *steward // nil: nobody tells it where to send
 }
 
 func plainly(choose func(*plain, []int) int) Policy {
@@ -88,7 +94,7 @@
 	return &p.orders
 }
 
-func (p *plain) Listed(_ float64, full, _ bool, list []balance.Backend) *balance.Orders {
+func (p *plain) Listed(now float64, full, _ bool, list []balance.Backend) *balance.Orders {
 	for i := range p.list {
 		if full {
 			p.list[i].State = balance.Gone
@@ -101,6 +107,9 @@
 		}
 		p.list[b.Index] = b
 	}
+	if p.steward != nil {
+		p.steward.listed(now, p.list)
+	}
 	return p.begin()
 }
 
@@ -108,6 +117,9 @@
 
 func (p *plain) Take(now float64, a balance.Arrival) (Handle, *balance.Orders) {
 	p.begin()
+	if p.steward != nil {
+		p.steward.look(now)
+	}
 	l := &asked{p: p, Arrival: a, row: &p.d.Tariffs[a.Tariff]}
 	p.orders.Steps = append(p.orders.Steps, balance.Step{Ref: a.Ref, Wake: a.HardStop - plainEarly})
 	l.next(now)
@@ -142,6 +154,10 @@
 		return
 	}
 	to := p.choose(p, p.cands)
+	if to < 0 {
+		l.giveUp()
+		return
+	}
 	l.legs = append(l.legs, struct {
 		to       int
 		sent     float64
@@ -186,6 +202,9 @@
 	l.p.begin()
 	g := &l.legs[leg]
 	l.p.out[g.to]--
+	if l.p.steward != nil {
+		l.p.steward.ended(g.to, o)
+	}
 	g.neverRan, l.out = o.NeverRan(), false
 	if l.over = l.over || over || o == balance.Honoured; !l.over {
 		l.next(now)
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -69,7 +69,7 @@
 		s.Seconds /= 3 // CI plays a part of each
 		var lines [2]bytes.Buffer
 		for i := range lines {
-			r, err := s.Virtual("lockloom", Policies["lockloom"], 7)
+			r, err := s.Virtual("lockloom", Policies["lockloom"](), 7)
 			require.NoError(t, err)
 			assert.True(t, r.Kept(), "%s: rules broken: %v", s.Name, r.First)
 			assert.Zero(t, r.Lost)
@@ -218,7 +218,7 @@
 			if rule == 4 {
 				under = "random" // lockloom's limits would keep it from doing much harm
 			}
-			b, err := Policies[under](d, now)
+			b, err := Policies[under]()(d, now)
 			return &rogue{Decider: b, rule: rule, d: d}, err
 		}
 		if rule == 4 {
@@ -332,7 +332,7 @@
 	} {
 		s := scenario(t, "[[trouble]]\nkind = \""+kind+"\"\nat = 0.5\n"+c.more+"\n")
 		for name, policy := range Policies {
-			r, err := s.Virtual(name, policy, 3)
+			r, err := s.Virtual(name, policy(), 3)
 			require.NoError(t, err)
 			assert.Equal(t, [2]int{0, 3}, [2]int{c.state(r.Seconds[0]) % 3, c.state(r.Seconds[1])}, "%s under %s: %+v", kind, name, r.Seconds[:3])
 			assert.Zero(t, r.Broken[1]+r.Broken[2]+r.Broken[3], "%s under %s: %v", kind, name, r.First)
@@ -344,14 +344,14 @@
 func TestProxies(t *testing.T) {
 	for kind, lost := range map[string]bool{"proxy-kill": true, "proxy-restart": false} {
 		s := scenario(t, "[[trouble]]\nkind = \""+kind+"\"\nat = 1.0\nfor = 1.0\nproxy = 1\n")
-		r, err := s.Virtual("lockloom", Policies["lockloom"], 3)
+		r, err := s.Virtual("lockloom", Policies["lockloom"](), 3)
 		require.NoError(t, err)
 		assert.Equal(t, lost, r.WithProxy > 0, kind)
 		assert.Equal(t, []any{0, 0, true}, []any{r.Lost, r.Unreached, r.Kept()}, "%s: %v", kind, r.First)
 		assert.Equal(t, r.Tries, r.Honoured+r.Dismissed+r.Forfeited+r.WithProxy)
 	}
 	s := scenario(t, "[[trouble]]\nkind = \"proxy-kill\"\nat = 1.0\nfor = 1.5\n")
-	r, err := s.Virtual("lockloom", Policies["lockloom"], 3)
+	r, err := s.Virtual("lockloom", Policies["lockloom"](), 3)
 	require.NoError(t, err)
 	assert.Greater(t, r.Unreached, 0, "with none up there is nobody to take them")
 	assert.True(t, r.Kept(), r.First)
@@ -364,7 +364,7 @@
 		b.Run(name, func(b *testing.B) {
 			tries := 0
 			for b.Loop() {
-				r, err := s.Virtual(name, policy, 7)
+				r, err := s.Virtual(name, policy(), 7)
 				require.NoError(b, err)
 				tries += r.Tries
 			}
--- /dev/null
+++ b/internal/rehearse/steered.go
@@ -0,0 +1,141 @@
+package rehearse
+
+import (
+	"strconv"
+
+	"lockloom/assign"
+	"lockloom/balance"
+)
+
+const (
+	stewardReports = 1.0 // s between the reports of those that are steered
+	stewardLooks   = 0.1 // s between its sights, and what a push takes at most
+)
+
+// steward is a control service in virtual time: a Balancer that sends nothing itself and hears what those that it steers report, and the
+// assignment made of its opinions.
+type steward struct {
+	b                *balance.Balancer
+	pool             *assign.Pool
+	all              map[uint64]*plain // by number
+	list             []balance.Backend // by index, the newest that any of them was told
+	results          []balance.Results // since the last report, by index
+	told             []assign.Server   // by index; Weight 0: nothing is to be sent there
+	drop, rate       float64
+	reportAt, lookAt float64
+}
+
+// steered makes proxies with weighted random choice that one steward for each pool steers: what installations have that lockloom does not
+// run. A seed tells which proxy and pool it is for; see start.
+func steered() Policy {
+	pools := map[uint64]*steward{}
+	return func(d balance.Deployment, now float64) (Decider, error) {
+		pool, number := d.Seed>>16&0xffff, d.Seed>>32
+		s := pools[pool]
+		if s == nil {
+			b, err := balance.New(d, now)
+			if err != nil {
+				return nil, err
+			}
+			s = &steward{b: b, all: map[uint64]*plain{}}
+			pools[pool] = s
+			s.pool = assign.New(assign.Terms{ColdShare: d.ColdShare, ColdFor: d.ColdFor, FallMultiple: d.FallMultiple, FallFor: d.FallFor})
+		}
+		made, _ := plainly(s.choose)(d, now)
+		p := made.(*plain)
+		p.steward = s
+		s.all[number] = p // in place of the one that was killed
+		return p, nil
+	}
+}
+
+// listed takes in a list. Danger: one of them may be told late; what drains or is gone stays so until its next start.
+func (s *steward) listed(now float64, list []balance.Backend) {
+	for _, b := range list {
+		for len(s.list) <= b.Index {
+			s.list = append(s.list, balance.Backend{State: balance.Gone, UpSince: -1})
+			s.results = append(s.results, balance.Results{Backend: len(s.results)})
+			s.told = append(s.told, assign.Server{})
+		}
+		if was := s.list[b.Index]; b.UpSince > was.UpSince || b.UpSince == was.UpSince && b.State > was.State {
+			s.list[b.Index] = b
+		}
+	}
+	s.b.Listed(now, true, true, s.list)
+	s.lookAt = 0
+	s.look(now)
+}
+
+// ended counts how a leg ended, as its sender would see it.
+func (s *steward) ended(to int, o balance.Outcome) {
+	switch o {
+	case balance.Honoured:
+		s.results[to].Honoured++
+	case balance.CalledOff, balance.NeverSent, balance.Unfit:
+	default:
+		s.results[to].Failed++
+	}
+}
+
+// look takes in what was reported and pushes what came of it, where it is time.
+func (s *steward) look(now float64) {
+	if now >= s.reportAt {
+		s.reportAt = now + stewardReports
+		s.b.Reported(now, s.results)
+		s.rate = 0
+		for i := range s.results {
+			s.rate += float64(s.results[i].Honoured+s.results[i].Failed) / stewardReports
+			s.results[i].Honoured, s.results[i].Failed = 0, 0
+		}
+	}
+	if now < s.lookAt {
+		return
+	}
+	s.lookAt = now + stewardLooks
+	sight := assign.Sight{Rate: s.rate}
+	for _, p := range s.all { // whole numbers: their order does not matter
+		for _, n := range p.out {
+			sight.Load += float64(n)
+		}
+	}
+	for _, x := range s.b.Beliefs(now) {
+		b := s.list[x.Backend]
+		sight.Servers = append(sight.Servers, assign.Opinion{Name: strconv.Itoa(b.Index), Draining: b.State != balance.Ready, Paused: x.Paused,
+			Trial: x.Trial, Payoff: x.Payoff, Size: b.Size, UpSince: b.UpSince})
+	}
+	for _, b := range s.list {
+		if b.State == balance.Gone {
+			sight.Gone = append(sight.Gone, strconv.Itoa(b.Index))
+		}
+	}
+	s.pool.Next(now, sight)
+	view := s.pool.View("")
+	s.drop = view.Drop
+	clear(s.told)
+	for _, x := range view.Servers {
+		if i, _ := strconv.Atoi(x.Name); x.Health == assign.Healthy {
+			s.told[i] = x
+		}
+	}
+}
+
+// choose draws a server by the told weights, as gRPC's clients do; -1: the lookup is dropped, or none may be sent to.
+func (s *steward) choose(p *plain, cands []int) int {
+	if p.chance.Float64() < s.drop {
+		return -1
+	}
+	sum := 0
+	for _, c := range cands {
+		sum += s.told[c].Weight
+	}
+	if sum == 0 {
+		return -1
+	}
+	n := p.chance.IntN(sum)
+	for _, c := range cands {
+		if n -= s.told[c].Weight; n < 0 {
+			return c
+		}
+	}
+	return -1
+}
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -60,6 +60,7 @@
 	p.open[l.id] = true
 	p.counts.Taken++
 	l.in.live++
+	l.in.admitted++
 	if n := len(p.free); n > 0 {
 		l.ref, p.free = p.free[n-1], p.free[:n-1]
 		p.slots[l.ref] = l
--- a/proxy/opine.go
+++ b/proxy/opine.go
@@ -53,11 +53,16 @@
 // sight is what is held of one pool. Danger: the opinion of a server is the Balancer's, whether it may be sent to the list's and the
 // operators'.
 func (p *Proxy) sight(in *branch) assign.Sight {
-	s := assign.Sight{Gone: p.gone}
+	proxies := float64(max(p.launch.Proxies, 1)) // the others are taken to be alike
+	if passed := p.now() - in.opinedAt; passed >= opineEvery.Seconds()/2 {
+		in.rate = float64(in.admitted-in.opined) / passed
+		in.opined, in.opinedAt = in.admitted, p.now()
+	}
+	s := assign.Sight{Gone: p.gone, Rate: in.rate * proxies}
 	beliefs := map[int]balance.Belief{}
 	for _, b := range in.b.Beliefs(p.now()) {
 		beliefs[b.Backend] = b
-		s.Load += float64(b.Out * max(p.launch.Proxies, 1)) // the others' are taken to be alike
+		s.Load += float64(b.Out) * proxies
 	}
 	add := func(e discovery.Entry, index int) {
 		b := beliefs[index]
