--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -158,6 +158,21 @@
 	assert.Len(t, empty.View("").Servers, 3, "a list that is empty after a start is doubted")
 }
 
+// Two services that hold opposite opinions differ by the stated bound at most: so far may weights jump for one who fails over.
+func TestTwoServices(t *testing.T) {
+	ratio := func(first, second float64) float64 {
+		p, s := New(terms), sight(4)
+		s.Servers[0].Payoff, s.Servers[1].Payoff = first, second
+		for now := 100.0; now < 200; now++ {
+			p.Next(now, s)
+		}
+		a := p.View("")
+		return float64(a.Servers[0].Weight) / float64(a.Servers[1].Weight)
+	}
+	assert.InDelta(t, mostUneven*mostUneven, ratio(1, 0), .1)
+	assert.InDelta(t, 1/(mostUneven*mostUneven), ratio(0, 1), .01)
+}
+
 // Whatever is seen: nobody gone or draining is given lookups, cold servers get no more than they bear, weights stay within their bounds and
 // move no faster than they may, and drains wait for nothing.
 func TestProperties(t *testing.T) {
--- a/control/service.go
+++ b/control/service.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	core "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	load "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
 	"github.com/sirupsen/logrus"
@@ -339,15 +340,36 @@
 	names := namesOf(ctx)
 	for _, a := range c.Allow {
 		if slices.ContainsFunc(names, func(n string) bool { return a.Fits(n) }) {
-			if len(a.Pools) == 0 {
-				return "", nil
-			}
-			return strings.Join(slices.Sorted(slices.Values(a.Pools)), "\n") + "\n", nil
+			return listed(a.Pools), nil
 		}
 	}
 	return "", fmt.Errorf("no subscriber by the name of %q is allowed", names)
 }
 
+// narrowed are the pools that a node is told, of those that it may see.
+func (s *Service) narrowed(pools string, n *core.Node) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sub := range s.setup.Control.Subsets {
+		if sub.Fits(n.GetId(), n.GetCluster(), n.GetLocality().GetZone()) {
+			left := slices.DeleteFunc(slices.Clone(sub.Pools), func(p string) bool { return pools != "" && !strings.Contains("\n"+pools, "\n"+p+"\n") })
+			if len(left) == 0 { // danger: no pools would stand for all
+				return "\n"
+			}
+			return listed(left)
+		}
+	}
+	return pools
+}
+
+// listed are pools as a viewer names them.
+func listed(pools []string) string {
+	if len(pools) == 0 {
+		return ""
+	}
+	return strings.Join(slices.Sorted(slices.Values(pools)), "\n") + "\n"
+}
+
 func body(r *Resource) *anypb.Any {
 	b, _ := r.Body.(*anypb.Any)
 	return b
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -216,6 +216,27 @@
 	assert.True(t, late && kind == endpoints, "who acknowledges nothing is cut")
 }
 
+// What a node says of itself narrows what it is told, and no further than to what it may see.
+func TestSubsets(t *testing.T) {
+	k := open(t, written("[[control.subset]]\nnode = \"shop-*\"\nzone = \"a\"\npools = [\"q\"]\n")+two, 2)
+	k.mu.Lock()
+	k.sights["q"] = sight(2)
+	k.mu.Unlock()
+	k.see()
+	for _, c := range []struct {
+		id, zone string
+		pools    int
+	}{{"shop-1", "a", 1}, {"shop-1", "b", 2}, {"else", "a", 2}} {
+		s := k.subscribe(script{id: c.id, zone: c.zone, pools: []string{"p", "q"}})
+		s.until(3*time.Second, "holds all", s.whole)
+		s.mu.Lock()
+		assert.Len(t, s.holds[urls[clusters]], c.pools, "%+v", c)
+		assert.Contains(t, s.holds[urls[clusters]], "q")
+		s.mu.Unlock()
+	}
+	assert.Equal(t, "q\n", k.narrowed("q\nr\n", &core.Node{Id: "shop-1", Locality: &core.Locality{Zone: "a"}}))
+}
+
 // Weights and zones: what a pool's assignment says reaches each kind of subscriber.
 func TestZones(t *testing.T) {
 	k := open(t, written("local = true"), 4)
--- a/control/subscriber.go
+++ b/control/subscriber.go
@@ -123,7 +123,7 @@
 		return err
 	}
 	sub := &subscriber{s: s, delta: delta, since: time.Now(), kick: make(chan struct{}, 1), node: first.node,
-		viewer: viewer{zone: first.node.GetLocality().GetZone(), pools: pools}}
+		viewer: viewer{zone: first.node.GetLocality().GetZone(), pools: s.narrowed(pools, first.node)}}
 	if p, ok := peer.FromContext(ctx); ok {
 		sub.peer = p.Addr.String()
 	}
--- a/internal/operator/control.go
+++ b/internal/operator/control.go
@@ -7,15 +7,30 @@
 
 // Control is what a control service needs to know; see package control.
 type Control struct {
-	Address     string  `toml:"address"`     // where subscribers connect
-	Status      string  `toml:"status"`      // where staff ask who holds what; empty: nowhere
-	Local       bool    `toml:"local"`       // subscribers keep to their own zone while it has a healthy server
-	Memory      string  `toml:"memory"`      // the file of snapshots; empty: none
-	Subscribers int     `toml:"subscribers"` // at most; 0: the service's own bound
-	Certificate string  `toml:"certificate"` // PEM files, all or none
-	Key         string  `toml:"key"`
-	Authority   string  `toml:"authority"` // of the subscribers' certificates
-	Allow       []Allow `toml:"allow"`     // subscribers by the names in their certificates; none: all that have one
+	Address     string   `toml:"address"`     // where subscribers connect
+	Status      string   `toml:"status"`      // where staff ask who holds what; empty: nowhere
+	Local       bool     `toml:"local"`       // subscribers keep to their own zone while it has a healthy server
+	Memory      string   `toml:"memory"`      // the file of snapshots; empty: none
+	Subscribers int      `toml:"subscribers"` // at most; 0: the service's own bound
+	Certificate string   `toml:"certificate"` // PEM files, all or none
+	Key         string   `toml:"key"`
+	Authority   string   `toml:"authority"` // of the subscribers' certificates
+	Allow       []Allow  `toml:"allow"`     // subscribers by the names in their certificates; none: all that have one
+	Subsets     []Subset `toml:"subset"`    // what subscribers are told by what they say of themselves
+}
+
+// Subset narrows what some subscribers are told. It keeps nobody out: a node says of itself what it likes. Each of the first three may end
+// with a star; empty, it fits all.
+type Subset struct {
+	Node    string   `toml:"node"` // the node's id
+	Cluster string   `toml:"cluster"`
+	Zone    string   `toml:"zone"`
+	Pools   []string `toml:"pools"`
+}
+
+// Fits tells whether a node is meant.
+func (s *Subset) Fits(node, cluster, zone string) bool {
+	return (s.Node == "" || fits(s.Node, node)) && (s.Cluster == "" || fits(s.Cluster, cluster)) && (s.Zone == "" || fits(s.Zone, zone))
 }
 
 // Allow lets subscribers see pools.
@@ -25,11 +40,13 @@
 }
 
 // Fits tells whether a name in a certificate is meant.
-func (a *Allow) Fits(name string) bool {
-	if begin, all := strings.CutSuffix(a.Name, "*"); all {
+func (a *Allow) Fits(name string) bool { return fits(a.Name, name) }
+
+func fits(pattern, name string) bool {
+	if begin, all := strings.CutSuffix(pattern, "*"); all {
 		return strings.HasPrefix(name, begin)
 	}
-	return name == a.Name
+	return name == pattern
 }
 
 func (r *reader) control() {
@@ -66,4 +83,12 @@
 			r.known("control.allow", i+1, "pools", "pool", pool, r.poolNames())
 		}
 	}
+	for i, s := range c.Subsets {
+		if len(s.Pools) == 0 {
+			r.fault("control.subset", i+1, "pools", "missing")
+		}
+		for _, pool := range s.Pools {
+			r.known("control.subset", i+1, "pools", "pool", pool, r.poolNames())
+		}
+	}
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -126,6 +126,7 @@
 		{"address = \"127.0.0.1:1\"\n[[control.allow]]\nname = \"x\"", "control: allow: without certificates nobody has a name"},
 		{"address = \"127.0.0.1:1\"\n" + keys + "[[control.allow]]\npools = [\"q\"]", "f.toml:6:1: control.allow: name: missing"},
 		{"address = \"127.0.0.1:1\"\n" + keys + "[[control.allow]]\nname = \"x\"\npools = [\"q\"]", `f.toml:8:1: control.allow: pools: no pool "q"`},
+		{"address = \"127.0.0.1:1\"\n[[control.subset]]\nnode = \"x\"", "f.toml:3:1: control.subset: pools: missing"},
 		{`adress = "127.0.0.1:1"`, "f.toml:2:1: control.adress: no such field: address?"},
 	} {
 		_, faults := Read("f.toml", []byte("[control]\n"+c.table+"\n"+rest))
