Capture and replay: the owner's calls on the decisions recorded, replayed, told and cut down

Cause: after a bad night nobody could tell why the proxy chose as it did, and a past failure could not become a test.

--- a/balance/state.go
+++ b/balance/state.go
@@ -455,6 +455,48 @@
 	return any, trial
 }
 
+// Reason is what speaks for and against a backend for one lookup now, for those who ask why.
+type Reason struct {
+	Backend         int
+	State           State
+	Paused, Trial   bool // by its own row; and cooled down
+	Errors, Results int  // of that row
+	TariffPaused    bool // by the lookup's tariff's row there
+	TariffErrors    int  // and its counts
+	TariffResults   int
+	Harmless        bool // another leg there is
+	Cold            bool
+	Load, Bears     float64 // legs; as many as the limit lets
+	Payoff          float64
+	Score           float64 // of the last draw, if it was in it; greatest wins where there is room
+	Drawn           bool
+}
+
+// Reasons are those of all listed backends. It changes nothing. Scores are those of the draw that came last.
+func (l *Lookup) Reasons() (list []Reason) {
+	b := l.b
+	for _, s := range b.servers {
+		if s == nil {
+			continue
+		}
+		t := &s.tariffs[l.Tariff]
+		r := Reason{s.Index, s.State, s.paused, s.paused && b.admitted(&s.breaker), s.errCount, s.totalCount, !b.admitted(t), t.errCount,
+			t.totalCount, b.may(l, s), b.cold(s), b.load(s), b.bears(s), b.payNow(s, l.Tariff), 0, false}
+		for i := range b.cands {
+			if b.cands[i].s == s {
+				r.Score, r.Drawn = b.cands[i].score, b.cands[i].score != 0 // 0: there was no room to draw for
+			}
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
+// Room is what is out and what all bear, as of the last draw, how many lookups wait, and the places that a lookup of this priority may fill.
+func (l *Lookup) Room() (out int, space float64, held int) {
+	return l.b.out, l.b.space(l.priority), len(l.b.held)
+}
+
 // Belief is what the decisions hold of one backend, for those who ask why.
 type Belief struct {
 	Backend         int
@@ -467,8 +509,14 @@
 }
 
 // Beliefs are those of all listed backends.
-func (b *Balancer) Beliefs(now float64) []Belief {
-	b.begin(now)
+func (b *Balancer) Beliefs(now float64) []Belief { return b.begin(now).View() }
+
+// Deployment is what it was made of.
+func (b *Balancer) Deployment() Deployment { return b.d }
+
+// View is Beliefs as of the last call. It changes nothing.
+func (b *Balancer) View() []Belief {
+	now := b.now
 	var all []Belief
 	for _, s := range b.servers {
 		if s != nil {
--- /dev/null
+++ b/internal/capture/call.go
@@ -0,0 +1,338 @@
+// Package capture records what a proxy's owner tells its Balancers, and replays it: the decisions have no clock, no input or output and
+// seeded chance, so the same calls give the same orders. The proxy makes its calls through a Balancer of this package while it is
+// captured; the tools read the files. It decides nothing, and never makes the owner wait. The format is in docs/formats/capture.md.
+package capture
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+	"math/bits"
+
+	"lockloom/balance"
+)
+
+// Kind is which call it was.
+type Kind uint8
+
+const (
+	Take Kind = iota + 1
+	Ended
+	Left
+	Started
+	Whole
+	LookupWake
+	Wake
+	Listed
+	ListFailed
+	Probed
+	Heard
+	Reported
+	Part
+	Remember
+	Look // Beliefs, Admits or Recall: they change nothing but how far the clock has come
+	kinds
+)
+
+func (k Kind) String() string {
+	return [...]string{"", "take", "ended", "left", "started", "whole", "lookup-wake", "wake", "listed", "list-failed", "probed", "heard",
+		"reported", "part", "remember", "look"}[k]
+}
+
+// Call is one call on a Balancer, and a digest of the orders that it returned.
+type Call struct {
+	Kind    Kind
+	Pool    int
+	Now     float64
+	Digest  uint16
+	Lookup  uint64 // which, counted from 1 by pool; of Take and of calls on a handle
+	ID      uint32 // of Take: the hash of the id, see IDOf
+	Arrival balance.Arrival
+	Leg     int
+	Outcome balance.Outcome
+	Latency float64
+	Over    bool
+	Full    bool // of Listed
+	First   bool
+	List    []balance.Backend
+	Backend int // of Probed
+	OK      bool
+	Report  balance.Report
+	From    int // of Heard
+	Note    balance.Note
+	Results []balance.Results
+	Part    float64
+	Memory  balance.Memory
+}
+
+// IDOf is the hash under which a lookup's id is recorded.
+func IDOf(id string) uint32 {
+	h := uint32(2166136261)
+	for i := range len(id) {
+		h = (h ^ uint32(id[i])) * 16777619
+	}
+	return h
+}
+
+// Digest is a number that two sets of orders share if they say the same, but for one chance in 65,536.
+func Digest(o *balance.Orders) uint16 {
+	if o == nil {
+		return 0
+	}
+	h := uint64(14695981039346656037)
+	add := func(n uint64) { h = (h ^ n) * 1099511628211; h ^= h >> 29 }
+	for i := range o.Steps {
+		s := &o.Steps[i]
+		add(uint64(s.Ref)<<8 | uint64(s.Answer))
+		if s.Send {
+			add(uint64(s.Backend)<<1 | 1)
+			add(math.Float64bits(s.Until))
+		}
+		add(uint64(s.CallOff))
+		add(math.Float64bits(s.Advice))
+		add(math.Float64bits(s.Wake))
+	}
+	for _, i := range o.Probe {
+		add(uint64(i) + 1<<40)
+	}
+	for _, i := range o.HangUp {
+		add(uint64(i) + 1<<41)
+	}
+	if o.Tell != nil {
+		add(uint64(o.Peer) + 1<<42)
+		add(math.Float64bits(o.Tell.Rate))
+		for _, s := range o.Tell.Sights {
+			add(uint64(s.Mark) ^ math.Float64bits(s.Value) ^ uint64(s.Tariff)<<48)
+		}
+	}
+	if o.Subscribe {
+		add(1 << 43)
+	}
+	add(math.Float64bits(o.Wake))
+	return uint16(h ^ h>>16 ^ h>>32 ^ h>>48)
+}
+
+// coder writes calls, or reads them. Times are written as the distance of their bits to the last one's, which is small for times that are
+// near; other numbers so that round ones are short.
+type coder struct {
+	out  []byte
+	in   []byte
+	last uint64
+	bad  bool
+	read bool
+}
+
+func (c *coder) uint(n *uint64) {
+	if !c.read {
+		c.out = binary.AppendUvarint(c.out, *n)
+		return
+	}
+	v, size := binary.Uvarint(c.in)
+	if size <= 0 {
+		c.bad = true
+		*n = 0
+		return
+	}
+	c.in, *n = c.in[size:], v
+}
+
+func (c *coder) int(n *int) {
+	z := uint64(*n)<<1 ^ uint64(*n>>63)
+	c.uint(&z)
+	*n = int(z>>1) ^ -int(z&1)
+}
+
+func (c *coder) bool(b *bool) {
+	n := uint64(0)
+	if *b {
+		n = 1
+	}
+	c.uint(&n)
+	*b = n == 1
+}
+
+func (c *coder) u32(n *uint32) {
+	if !c.read {
+		c.out = binary.LittleEndian.AppendUint32(c.out, *n)
+	} else if len(c.in) < 4 {
+		c.bad = true
+	} else {
+		*n, c.in = binary.LittleEndian.Uint32(c.in), c.in[4:]
+	}
+}
+
+func (c *coder) u64(n *uint64) {
+	if !c.read {
+		c.out = binary.LittleEndian.AppendUint64(c.out, *n)
+	} else if len(c.in) < 8 {
+		c.bad = true
+	} else {
+		*n, c.in = binary.LittleEndian.Uint64(c.in), c.in[8:]
+	}
+}
+
+// time is one near the call's own; keep: the next are near this one.
+func (c *coder) time(t *float64, keep bool) {
+	now := math.Float64bits(*t)
+	z := int64(now - c.last)
+	n := uint64(z)<<1 ^ uint64(z>>63)
+	c.uint(&n)
+	now = c.last + (n>>1 ^ -(n & 1))
+	*t = math.Float64frombits(now)
+	if keep {
+		c.last = now
+	}
+}
+
+func (c *coder) float(f *float64) {
+	n := bits.ReverseBytes64(math.Float64bits(*f))
+	c.uint(&n)
+	*f = math.Float64frombits(bits.ReverseBytes64(n))
+}
+
+// some reads or writes how many there are, bounded by what is left to read.
+func (c *coder) some(n int) int {
+	m := uint64(n)
+	c.uint(&m)
+	if c.read && m > uint64(len(c.in)) {
+		c.bad = true
+		return 0
+	}
+	return int(m)
+}
+
+func all[T any](c *coder, list *[]T, one func(*T)) {
+	n := c.some(len(*list))
+	if c.read {
+		*list = make([]T, n)
+		if n == 0 {
+			*list = nil
+		}
+	}
+	for i := range *list {
+		one(&(*list)[i])
+	}
+}
+
+// call writes or reads one.
+func (c *coder) call(x *Call) {
+	kind, pool := uint64(x.Kind), uint64(x.Pool)
+	head := kind | pool<<4
+	c.uint(&head)
+	x.Kind, x.Pool = Kind(head&15), int(head>>4)
+	if x.Kind == 0 || x.Kind >= kinds {
+		c.bad = true
+		return
+	}
+	c.time(&x.Now, true)
+	lo, hi := x.Digest&0xff, x.Digest>>8
+	if c.read {
+		if len(c.in) < 2 {
+			c.bad = true
+			return
+		}
+		x.Digest, c.in = uint16(c.in[0])|uint16(c.in[1])<<8, c.in[2:]
+	} else {
+		c.out = append(c.out, byte(lo), byte(hi))
+	}
+	switch x.Kind {
+	case Take:
+		a := &x.Arrival
+		c.uint(&x.Lookup)
+		c.u32(&x.ID)
+		c.int(&a.Ref)
+		c.int(&a.Tariff)
+		c.int(&a.Customer)
+		keyed := a.Key != 0
+		c.bool(&keyed)
+		if keyed {
+			c.u64(&a.Key)
+		}
+		c.time(&a.HardStop, false)
+		c.float(&a.Work)
+		c.bool(&a.Again)
+		c.bool(&a.Flows)
+	case Ended:
+		c.uint(&x.Lookup)
+		c.int(&x.Leg)
+		o := uint64(x.Outcome)
+		if x.Over {
+			o |= 16
+		}
+		c.uint(&o)
+		x.Outcome, x.Over = balance.Outcome(o&15), o&16 != 0
+		c.float(&x.Latency)
+	case Left, Whole, LookupWake:
+		c.uint(&x.Lookup)
+	case Started:
+		c.uint(&x.Lookup)
+		c.int(&x.Leg)
+	case Listed:
+		c.bool(&x.Full)
+		c.bool(&x.First)
+		all(c, &x.List, func(b *balance.Backend) {
+			c.int(&b.Index)
+			c.u64(&b.Mark)
+			c.int(&b.Zone)
+			c.int(&b.Pod)
+			c.int(&b.Model)
+			s := uint64(b.State)
+			c.uint(&s)
+			b.State = balance.State(s)
+			c.float(&b.Size)
+			c.float(&b.UpSince)
+		})
+	case Probed:
+		c.int(&x.Backend)
+		c.bool(&x.OK)
+		c.float(&x.Report.Held)
+		c.float(&x.Report.Busy)
+	case Heard:
+		c.int(&x.From)
+		c.float(&x.Note.Rate)
+		all(c, &x.Note.Sights, func(s *balance.Sight) {
+			c.u32(&s.Mark)
+			c.int(&s.Tariff)
+			c.float(&s.Age)
+			c.float(&s.Value)
+		})
+	case Reported:
+		all(c, &x.Results, func(r *balance.Results) {
+			c.int(&r.Backend)
+			c.int(&r.Tariff)
+			c.int(&r.Honoured)
+			c.int(&r.Failed)
+		})
+	case Part:
+		c.float(&x.Part)
+	case Remember:
+		all(c, &x.Memory.Bases, c.float)
+		all(c, &x.Memory.Servers, func(l *balance.Learned) {
+			c.u64(&l.Mark)
+			for _, f := range []*float64{&l.UpSince, &l.Limit, &l.Pace, &l.Pay, &l.Sure, &l.Age, &l.PausedFor} {
+				c.float(f)
+			}
+			c.bool(&l.Paused)
+			c.int(&l.Errors)
+			c.int(&l.Results)
+		})
+	}
+}
+
+// errTorn is a block that does not hold whole calls.
+var errTorn = errors.New("a call that cannot be read")
+
+// calls reads a block's.
+func calls(text []byte, each func(*Call) error) error {
+	c := coder{in: text, read: true}
+	for len(c.in) > 0 {
+		var x Call
+		if c.call(&x); c.bad {
+			return errTorn
+		}
+		if err := each(&x); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/capture/story.go
@@ -0,0 +1,280 @@
+package capture
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+
+	"lockloom/balance"
+)
+
+// What an excerpt or a story may be asked for by.
+var Wanted = []string{"dismissed", "forfeited", "retried", "paused"}
+
+// seen shows one of Wanted, or the pause of one backend ("paused:3").
+type seen struct {
+	what    string
+	backend int
+	shown   bool
+	Lookup  uint64 // the first that showed it
+	number  map[int]uint64
+}
+
+// Seen makes what shows one of Wanted.
+func Seen(what string) (func() Shows, error) {
+	name, number, one := strings.Cut(what, ":")
+	backend := -1
+	if one {
+		n, err := strconv.Atoi(number)
+		if err != nil || name != "paused" {
+			return nil, fmt.Errorf("%q: it is one of %s, or paused:BACKEND", what, strings.Join(Wanted, ", "))
+		}
+		backend = n
+	}
+	if !slices.Contains(Wanted, name) {
+		return nil, fmt.Errorf("%q: it is one of %s, or paused:BACKEND", what, strings.Join(Wanted, ", "))
+	}
+	return func() Shows { return &seen{what: name, backend: backend, number: map[int]uint64{}} }, nil
+}
+
+func (s *seen) Shown() bool { return s.shown }
+
+func (s *seen) After(p *Pool, x *Call, o *balance.Orders) {
+	if s.shown {
+		return
+	}
+	if x.Kind == Take {
+		s.number[x.Arrival.Ref] = x.Lookup
+	}
+	if s.what == "paused" {
+		if x.Kind != Ended && x.Kind != LookupWake && x.Kind != Reported { // nothing else pauses
+			return
+		}
+		for _, b := range p.B.View() {
+			if b.Paused && (s.backend < 0 || s.backend == b.Backend) {
+				s.shown, s.Lookup = true, x.Lookup
+			}
+		}
+		return
+	}
+	if o == nil {
+		return
+	}
+	for i := range o.Steps {
+		step := &o.Steps[i]
+		switch s.what {
+		case "dismissed":
+			s.shown = step.Answer == balance.Dismissed
+		case "forfeited":
+			s.shown = step.Answer == balance.Forfeited
+		case "retried":
+			s.shown = step.Send && p.Last != nil && x.Kind != Take && x.Kind <= LookupWake && step.Ref == p.Last.Arrival.Ref
+		}
+		if s.shown {
+			s.Lookup = s.number[step.Ref]
+			return
+		}
+	}
+}
+
+// Story tells all that became of one lookup, as it is replayed. Give Tell to a Player as After.
+type Story struct {
+	W      io.Writer
+	Pool   string
+	Number uint64 // of the lookup in its pool; 0: by ID
+	ID     uint32
+	Found  bool
+
+	pool  int
+	l     *balance.Lookup
+	taken float64
+	legs  []string
+	done  bool
+}
+
+// Tell is told of each call.
+func (s *Story) Tell(p *Pool, x *Call, o *balance.Orders) {
+	if s.done || s.l != nil && p.state.Pool != s.pool || s.l == nil && s.Pool != "" && p.Name != s.Pool {
+		return
+	}
+	if s.l == nil {
+		if x.Kind != Take || !(s.Number > 0 && x.Lookup == s.Number || s.Number == 0 && x.ID == s.ID) {
+			return
+		}
+		s.Found, s.pool, s.l, s.taken, s.Number = true, p.state.Pool, p.Last, x.Now, x.Lookup
+		d := p.B.Deployment()
+		t := d.Tariffs[x.Arrival.Tariff]
+		fmt.Fprintf(s.W, "lookup %d of pool %q, id hash %08x, taken at %.6f\n", x.Lookup, p.Name, x.ID, x.Now)
+		fmt.Fprintf(s.W, "  tariff %s, value %g, due in %.0f ms, hard stop in %.0f ms", t.Name, t.Value, t.Due*1000, (x.Arrival.HardStop-x.Now)*1000)
+		if x.Arrival.Key != 0 {
+			fmt.Fprintf(s.W, ", key %016x", x.Arrival.Key)
+		}
+		fmt.Fprintln(s.W)
+	}
+	mine := p.Last == s.l && x.Kind >= Take && x.Kind <= LookupWake
+	if mine && x.Kind != Take {
+		what := map[Kind]string{Left: "its client has left", Whole: "its body has come whole", LookupWake: "its own timer: a leg is overdue, or the hard stop is near"}[x.Kind]
+		switch x.Kind {
+		case Ended:
+			what = fmt.Sprintf("leg %d ended after %.1f ms: %s", x.Leg+1, x.Latency*1000, x.Outcome)
+			if x.Leg < len(s.legs) {
+				what += ", at " + s.legs[x.Leg]
+			}
+		case Started:
+			what = fmt.Sprintf("leg %d began to answer", x.Leg+1)
+		}
+		fmt.Fprintf(s.W, "%+8.1f ms  %s\n", (x.Now-s.taken)*1000, what)
+	}
+	moved := false
+	if o != nil {
+		for i := range o.Steps {
+			step := &o.Steps[i]
+			if step.Ref != s.l.Arrival.Ref {
+				continue
+			}
+			var line string
+			switch {
+			case step.Send:
+				s.legs = append(s.legs, fmt.Sprint("backend ", step.Backend))
+				line = fmt.Sprintf("leg %d is sent to backend %d", len(s.legs), step.Backend)
+			case step.Answer == balance.Dismissed:
+				line = fmt.Sprintf("it is dismissed: trying again is harmless, after %.0f ms", step.Advice*1000)
+			case step.Answer == balance.Forfeited:
+				line = "it is forfeited: it may have run"
+			case step.CallOff > 0:
+				line = fmt.Sprintf("leg %d is called off", step.CallOff)
+			default:
+				continue
+			}
+			moved = true
+			fmt.Fprintf(s.W, "%+8.1f ms  %s", (x.Now-s.taken)*1000, line)
+			if !mine {
+				fmt.Fprintf(s.W, " (in a %s of another)", x.Kind)
+			}
+			fmt.Fprintln(s.W)
+		}
+	}
+	if mine && x.Kind == Take && !moved {
+		fmt.Fprintf(s.W, "%+8.1f ms  it is held: no backend has room for it\n", 0.0)
+	}
+	if moved || mine && x.Kind == Take {
+		s.reasons()
+	}
+	s.done = s.l.Done()
+}
+
+// reasons tells what spoke for and against each backend just then.
+func (s *Story) reasons() {
+	out, space, held := s.l.Room()
+	fmt.Fprintf(s.W, "             %d legs out, %.1f places for its value, %d held\n", out, space, held)
+	list := s.l.Reasons()
+	slices.SortStableFunc(list, func(a, b balance.Reason) int {
+		switch {
+		case a.Drawn != b.Drawn:
+			return map[bool]int{true: -1, false: 1}[a.Drawn]
+		case a.Score != b.Score:
+			return map[bool]int{true: -1, false: 1}[a.Score > b.Score]
+		}
+		return a.Backend - b.Backend
+	})
+	for _, r := range list {
+		var notes []string
+		add := func(when bool, format string, args ...any) {
+			if when {
+				notes = append(notes, fmt.Sprintf(format, args...))
+			}
+		}
+		add(r.State != balance.Ready, "%s", [...]string{"", "drains", "gone"}[r.State])
+		add(r.Paused && !r.Trial, "paused: %d of %d failed", r.Errors, r.Results)
+		add(r.Trial, "paused, cooled down: one leg may try")
+		add(r.TariffPaused, "paused for this tariff: %d of %d failed", r.TariffErrors, r.TariffResults)
+		add(!r.Harmless, "another leg there is not harmless, or was just tried")
+		add(r.Cold, "cold")
+		add(r.Load >= max(r.Bears, 1), "full")
+		line := fmt.Sprintf("             backend %-3d payoff %.2f  %.1f of %.1f legs", r.Backend, r.Payoff, r.Load, r.Bears)
+		if r.Drawn {
+			line += fmt.Sprintf("  weighed %.2f", r.Score)
+		}
+		if len(notes) > 0 {
+			line += "  " + strings.Join(notes, "; ")
+		}
+		fmt.Fprintln(s.W, line)
+	}
+}
+
+// Moment is what is believed of one backend at one time.
+type Moment struct {
+	Pool string
+	At   float64 // s since the first call
+	balance.Belief
+	Honoured, Failed, Turned int // legs that ended there since the moment before
+}
+
+// Line gathers moments as calls are replayed, every so often. Give Tell to a Player as After.
+type Line struct {
+	Every   float64 // s
+	Moments []Moment
+	begun   float64
+	next    map[string]float64
+	ends    map[string]map[int]*[3]int
+	legs    map[*balance.Lookup][]int
+}
+
+// Tell is told of each call.
+func (l *Line) Tell(p *Pool, x *Call, o *balance.Orders) {
+	if l.next == nil {
+		l.begun, l.next, l.ends, l.legs = x.Now, map[string]float64{}, map[string]map[int]*[3]int{}, map[*balance.Lookup][]int{}
+	}
+	if l.ends[p.Name] == nil {
+		l.ends[p.Name] = map[int]*[3]int{}
+	}
+	if x.Kind == Ended && p.Last != nil && x.Leg < len(l.legs[p.Last]) {
+		at := l.legs[p.Last][x.Leg]
+		n := l.ends[p.Name][at]
+		if n == nil {
+			n = &[3]int{}
+			l.ends[p.Name][at] = n
+		}
+		switch x.Outcome {
+		case balance.Honoured:
+			n[0]++
+		case balance.NoRoom:
+			n[2]++
+		case balance.CalledOff, balance.NeverSent:
+		default:
+			n[1]++
+		}
+	}
+	if o != nil && p.Last != nil {
+		for i := range o.Steps {
+			if o.Steps[i].Send && o.Steps[i].Ref == p.Last.Arrival.Ref {
+				l.legs[p.Last] = append(l.legs[p.Last], o.Steps[i].Backend)
+			}
+		}
+	}
+	if p.Last != nil && p.Last.Done() {
+		delete(l.legs, p.Last)
+	}
+	if x.Now < l.next[p.Name] {
+		return
+	}
+	l.next[p.Name] = x.Now + l.Every
+	for _, b := range p.B.View() {
+		m := Moment{Pool: p.Name, At: x.Now - l.begun, Belief: b}
+		if n := l.ends[p.Name][b.Backend]; n != nil {
+			m.Honoured, m.Failed, m.Turned = n[0], n[1], n[2]
+			*n = [3]int{}
+		}
+		l.Moments = append(l.Moments, m)
+	}
+}
+
+// ShownLookup is the lookup that showed it first; 0: none is known.
+func ShownLookup(s Shows) uint64 {
+	if x, ok := s.(*seen); ok {
+		return x.Lookup
+	}
+	return 0
+}
--- a/internal/command/balancer/serve.go
+++ b/internal/command/balancer/serve.go
@@ -88,19 +88,19 @@
 			defer ln.Close()
 			more = append(more, ln)
 		}
-		if err := p.Operate(s, more...); err != nil {
-			return fmt.Errorf("%s: %w", file, err)
-		}
 		switch {
-		case s.Control == nil:
+		case s.Control == nil && s.Capture == nil:
 		case front == nil:
-			return fmt.Errorf("%s: control: this program has no control service; loomd has", file)
+			return fmt.Errorf("%s: control, capture: this program has neither; loomd has", file)
 		default:
 			if beside, err = front(p, s, &l, log); err != nil {
 				return fmt.Errorf("%s: %w", file, err)
 			}
 			defer beside.Stop()
 		}
+		if err := p.Operate(s, more...); err != nil {
+			return fmt.Errorf("%s: %w", file, err)
+		}
 	}
 	ln, err := p.Listen(l.Listen)
 	if err != nil {
--- a/internal/command/daemon/daemon.go
+++ b/internal/command/daemon/daemon.go
@@ -6,56 +6,177 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/sirupsen/logrus"
 
 	"lockloom/assign"
+	"lockloom/balance"
 	"lockloom/control"
+	"lockloom/internal/capture"
 	"lockloom/internal/command"
 	"lockloom/internal/command/balancer"
+	"lockloom/internal/invariant"
 	"lockloom/proxy"
 )
 
+const (
+	brokenEvery = time.Second     // between looks whether an invariant was broken
+	headWait    = 2 * time.Second // for a call's head, where staff ask
+)
+
 // Run runs one command and returns what the program ends with.
 func Run(args []string, out, errs io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return command.Run(ctx, &ffcli.Command{Name: "loomd", Subcommands: append(balancer.Commands("loomd", steer, out, errs),
+	return command.Run(ctx, &ffcli.Command{Name: "loomd", Subcommands: append(balancer.Commands("loomd", begin, out, errs),
 		trying(out), calling(out))}, args, out, errs)
 }
 
-// steer is the control service as a front.
-func steer(p *proxy.Proxy, s *proxy.Setup, l *proxy.Launch, log logrus.FieldLogger) (balancer.Beside, error) {
-	service, err := control.New(s, assign.Terms{ColdShare: l.ColdShare, ColdFor: l.ColdFor, FallMultiple: l.FallMultiple, FallFor: l.FallFor}, log)
+// fronts are what runs beside a proxy.
+type fronts struct {
+	log     logrus.FieldLogger
+	control *control.Service
+	capture *capture.Recorder
+	quit    chan struct{}
+}
+
+// begin begins those that the operator file has tables for.
+func begin(p *proxy.Proxy, s *proxy.Setup, l *proxy.Launch, log logrus.FieldLogger) (balancer.Beside, error) {
+	f := &fronts{log: log, quit: make(chan struct{})}
+	if s.Capture != nil {
+		if err := f.record(p, s, l); err != nil {
+			return nil, err
+		}
+	}
+	if s.Control != nil {
+		if err := f.steer(p, s, l); err != nil {
+			f.Stop()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// Operate takes in another operator file. A capture changes with the next start, or by its address.
+func (f *fronts) Operate(s *proxy.Setup) error {
+	if f.control != nil {
+		return f.control.Operate(s)
+	}
+	return nil
+}
+
+// Stop ends them, once the proxy has ended.
+func (f *fronts) Stop() {
+	close(f.quit)
+	if f.control != nil {
+		f.control.Stop()
+	}
+	if f.capture != nil {
+		if err := f.capture.Close(); err != nil {
+			f.log.WithError(err).Error("capture")
+		}
+	}
+}
+
+// open serves at an address.
+func (f *fronts) open(table, what, addr string, serve func(net.Listener) error) error {
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, err
+		return fmt.Errorf("%s: %s: %w", table, what, err)
 	}
+	f.log.WithField(what, ln.Addr().String()).Info(table)
+	go func() {
+		if err := serve(ln); err != nil {
+			f.log.WithError(err).Error(table + ": " + what + " has ended")
+		}
+	}()
+	return nil
+}
+
+// steer is the control service.
+func (f *fronts) steer(p *proxy.Proxy, s *proxy.Setup, l *proxy.Launch) error {
+	service, err := control.New(s, assign.Terms{ColdShare: l.ColdShare, ColdFor: l.ColdFor, FallMultiple: l.FallMultiple, FallFor: l.FallFor}, f.log)
+	if err != nil {
+		return err
+	}
+	f.control = service
 	service.Reported = p.Reported
 	p.Opine(service.Update)
-	serve := func(what, addr string, serve func(net.Listener) error) error {
-		ln, err := net.Listen("tcp", addr)
-		if err != nil {
-			return fmt.Errorf("control: %s: %w", what, err)
+	if s.Control.Status != "" {
+		if err := f.open("control", "status", s.Control.Status, service.Status); err != nil {
+			return err
 		}
-		log.WithField(what, ln.Addr().String()).Info("control service")
+	}
+	return f.open("control", "address", s.Control.Address, service.Serve)
+}
+
+// captured are a pool's decisions through a recorder.
+type captured struct{ *capture.Balancer }
+
+func (c captured) Take(now float64, a balance.Arrival, id string) (proxy.Handle, *balance.Orders) {
+	return c.Balancer.Take(now, a, id)
+}
+
+// record captures the decisions of every pool.
+func (f *fronts) record(p *proxy.Proxy, s *proxy.Setup, l *proxy.Launch) error {
+	c := s.Capture
+	r, err := capture.Open(capture.Options{Dir: c.Dir, Name: l.Name, Program: command.Version(), Total: int64(c.TotalMB) << 20, Segment: int64(c.SegmentMB) << 20,
+		Age: time.Duration(c.Age * float64(time.Second)), Ring: int64(c.RingMB) << 20, On: c.On, Dismissed: c.Dismissed, Log: f.log})
+	if err != nil {
+		return fmt.Errorf("capture: %w", err)
+	}
+	f.capture = r
+	p.Capture(func(pool string, b *balance.Balancer) proxy.Decisions { return captured{r.Balancer(pool, b)} })
+	go f.triggers(r, c.RingMB > 0)
+	if c.Address == "" {
+		return nil
+	}
+	return f.open("capture", "address", c.Address, func(ln net.Listener) error {
+		server := &http.Server{Handler: r.Door(), ReadHeaderTimeout: headWait, IdleTimeout: headWait}
 		go func() {
-			if err := serve(ln); err != nil {
-				log.WithError(err).Error("control: " + what + " has ended")
-			}
+			<-f.quit
+			server.Close()
 		}()
+		if err := server.Serve(ln); err != http.ErrServerClosed {
+			return err
+		}
 		return nil
-	}
-	if s.Control.Status != "" {
-		if err := serve("status", s.Control.Status, service.Status); err != nil {
-			return nil, err
+	})
+}
+
+// triggers writes what is kept in memory when an invariant is broken, or on SIGUSR2; without a ring the signal turns a capture on or off.
+func (f *fronts) triggers(r *capture.Recorder, ring bool) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR2)
+	defer signal.Stop(signals)
+	look := time.NewTicker(brokenEvery)
+	defer look.Stop()
+	for seen := 0; ; {
+		select {
+		case <-f.quit:
+			return
+		case <-signals:
+			if ring {
+				r.Trigger("SIGUSR2")
+			} else {
+				r.Set(!r.On())
+				f.log.WithField("on", r.On()).Info("capture")
+			}
+		case <-look.C:
+			n := 0
+			for _, times := range invariant.Broken() {
+				n += times
+			}
+			if n > seen {
+				r.Trigger("a broken invariant")
+			}
+			seen = n
 		}
 	}
-	if err := serve("address", s.Control.Address, service.Serve); err != nil {
-		return nil, err
-	}
-	return service, nil
 }
--- a/internal/command/daemon/daemon_test.go
+++ b/internal/command/daemon/daemon_test.go
@@ -48,7 +48,6 @@
 	t       *testing.T
 	servers []*counted
 	env     map[string]string
-	log     string
 }
 
 func newYard(t *testing.T, n int) *yard {
@@ -66,33 +65,51 @@
 	}
 	dir := t.TempDir()
 	require.NoError(t, stand(dir, addrs))
-	text, err := os.ReadFile(filepath.Join(dir, "loomd.env"))
-	require.NoError(t, err)
+	run := y.start(build(t, dir), dir)
+	t.Cleanup(func() {
+		run.Process.Signal(syscall.SIGTERM)
+		assert.NoError(t, run.Wait())
+	})
+	return y
+}
+
+// build builds loomd into a folder.
+func build(t *testing.T, dir string) string {
 	program := filepath.Join(dir, "loomd")
 	out, err := exec.Command("go", "build", "-o", program, "lockloom/cmd/loomd").CombinedOutput()
 	require.NoError(t, err, string(out))
-	run := exec.Command(program, "serve", "-operator", filepath.Join(dir, "operator.toml"))
-	run.Env = append(os.Environ(), "TMPDIR="+dir)
+	return program
+}
+
+// variables are what stand wrote down for a program, beside this one's.
+func (y *yard) variables(dir string) []string {
+	text, err := os.ReadFile(filepath.Join(dir, "loomd.env"))
+	require.NoError(y.t, err)
+	all := append(os.Environ(), "TMPDIR="+dir)
 	for line := range strings.Lines(string(text)) {
 		name, value, _ := strings.Cut(strings.TrimSpace(line), "=")
 		y.env[name] = value
-		run.Env = append(run.Env, name+"="+value)
+		all = append(all, name+"="+value)
 	}
-	y.log = filepath.Join(dir, "log")
-	log, err := os.Create(y.log)
-	require.NoError(t, err)
+	return all
+}
+
+// start starts the program in a folder, and waits until it takes clients.
+func (y *yard) start(program, dir string) *exec.Cmd {
+	run := exec.Command(program, "serve", "-operator", filepath.Join(dir, "operator.toml"))
+	run.Env = y.variables(dir)
+	log, err := os.CreateTemp(dir, "log")
+	require.NoError(y.t, err)
 	defer log.Close()
 	run.Stderr = log
-	require.NoError(t, run.Start())
-	t.Cleanup(func() {
-		run.Process.Signal(syscall.SIGTERM)
-		assert.NoError(t, run.Wait())
-		if text, _ := os.ReadFile(y.log); t.Failed() {
-			t.Log(string(text))
+	require.NoError(y.t, run.Start())
+	y.t.Cleanup(func() {
+		if text, _ := os.ReadFile(log.Name()); y.t.Failed() {
+			y.t.Log(string(text))
 		}
 	})
-	require.Eventually(t, func() bool { return y.call("ready") == command.Done }, 10*time.Second, 10*time.Millisecond)
-	return y
+	require.Eventually(y.t, func() bool { return y.call("ready") == command.Done }, 10*time.Second, 10*time.Millisecond)
+	return run
 }
 
 // call makes an operators' call.
--- a/internal/command/tools/rehearse.go
+++ b/internal/command/tools/rehearse.go
@@ -6,9 +6,12 @@
 	"fmt"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"lockloom/balance"
+	"lockloom/internal/capture"
 	"lockloom/internal/command"
 	"lockloom/internal/rehearse"
 	"lockloom/internal/report"
@@ -24,6 +27,7 @@
 	policy := set.String("policy", "lockloom", "`name` of what decides, in virtual time: "+strings.Join(rehearse.PolicyNames(), ", "))
 	proxy := set.String("proxy", "", "the proxy's `program`, on sockets (default: lockloom beside this program)")
 	logs := set.String("logs", "", "put the proxies' logs in this `folder`")
+	folder := set.String("capture", "", "in virtual time: capture each proxy's calls on the decisions into this `folder`")
 	match := set.Bool("match", false, "on sockets: play it in virtual time too, and compare")
 	var to files
 	to.on(set, true)
@@ -38,6 +42,8 @@
 			}
 			var r *rehearse.Result
 			switch {
+			case *folder != "" && *clock == "sockets":
+				return command.Wrong("-capture: of the clock virtual; on sockets the operator file's capture table does it")
 			case *clock == "sockets" && *policy != "lockloom":
 				return command.Wrong("-policy: on sockets -proxy names what decides")
 			case *clock == "sockets":
@@ -54,7 +60,16 @@
 			case *match || *proxy != "" || *logs != "":
 				return command.Wrong("-match, -proxy and -logs are of the clock sockets")
 			default:
-				if r, err = s.Virtual(*policy, rehearse.Policies[*policy](), *seed); err != nil {
+				played := rehearse.Policies[*policy]()
+				shut := func() error { return nil }
+				if *folder != "" {
+					if *policy != "lockloom" {
+						return command.Wrong("-capture: of the policy lockloom")
+					}
+					played, shut = captured(*folder)
+				}
+				r, err = s.Virtual(*policy, played, *seed)
+				if err := errors.Join(err, shut()); err != nil {
 					return err
 				}
 			}
@@ -83,3 +98,36 @@
 			return nil
 		})
 }
+
+// captured is the policy lockloom with each proxy's calls captured, and what ends it.
+func captured(folder string) (rehearse.Policy, func() error) {
+	all := map[uint64]*capture.Recorder{}
+	policy := func(d balance.Deployment, now float64) (rehearse.Decider, error) {
+		number := d.Seed >> 32 // see rehearse's start
+		if all[number] == nil {
+			r, err := capture.Open(capture.Options{Dir: folder, Name: fmt.Sprint("n", number), Program: command.Version(), On: true, Wait: true, Segment: 1 << 30, Age: time.Hour})
+			if err != nil {
+				return nil, err
+			}
+			all[number] = r
+		}
+		b, err := balance.New(d, now)
+		if err != nil {
+			return nil, err
+		}
+		return recorded{all[number].Balancer("", b)}, nil
+	}
+	return policy, func() (err error) {
+		for _, r := range all {
+			err = errors.Join(err, r.Close())
+		}
+		return err
+	}
+}
+
+// recorded is a captured Balancer as what decides in a rehearsal.
+type recorded struct{ *capture.Balancer }
+
+func (r recorded) Take(now float64, a balance.Arrival) (rehearse.Handle, *balance.Orders) {
+	return r.Balancer.Take(now, a, "")
+}
--- a/internal/command/tools/tools.go
+++ b/internal/command/tools/tools.go
@@ -22,8 +22,8 @@
 func Run(args []string, out, errs io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return command.Run(ctx, &ffcli.Command{Name: "loomctl", Subcommands: []*ffcli.Command{rehearsing(out, errs), experimenting(out, errs),
-		loading(out), serving(out), subscribing(out), command.Versions("loomctl", out)}}, args, out, errs)
+	return command.Run(ctx, &ffcli.Command{Name: "loomctl", Subcommands: append([]*ffcli.Command{rehearsing(out, errs), experimenting(out, errs),
+		loading(out), serving(out), subscribing(out), command.Versions("loomctl", out)}, captures(out, errs)...)}, args, out, errs)
 }
 
 func flags(name string) *flag.FlagSet { return flag.NewFlagSet(name, flag.ContinueOnError) }
--- a/internal/command/version.go
+++ b/internal/command/version.go
@@ -17,13 +17,13 @@
 			if len(words) > 0 {
 				return Wrong("it takes no further words")
 			}
-			fmt.Fprintln(out, program, version())
+			fmt.Fprintln(out, program, Version())
 			return nil
 		})
 }
 
-// version is what the build says of itself.
-func version() string {
+// Version is what the build says of itself.
+func Version() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		return "unknown"
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -163,6 +163,22 @@
 	return in, true
 }
 
+// Source deals out lookups in order of time: a Plan, or given ones.
+type Source interface{ Next() (Intent, bool) }
+
+// Given deals out lookups that were written down.
+func Given(list []Intent) Source { return &given{list} }
+
+type given struct{ rest []Intent }
+
+func (g *given) Next() (in Intent, ok bool) {
+	if len(g.rest) == 0 {
+		return in, false
+	}
+	in, g.rest = g.rest[0], g.rest[1:]
+	return in, true
+}
+
 // Clients is how they take what they are told.
 type Clients struct {
 	Tries    int     // of one lookup, most
--- a/internal/operator/control.go
+++ b/internal/operator/control.go
@@ -49,24 +49,28 @@
 	return name == pattern
 }
 
+// loopback checks an address behind which nobody is asked who he is.
+func (r *reader) loopback(table, field, address string) {
+	host, _, err := net.SplitHostPort(address)
+	if ip := net.ParseIP(host); err != nil {
+		r.fault(table, 0, field, "%v", err)
+	} else if host != "localhost" && (ip == nil || !ip.IsLoopback()) {
+		r.fault(table, 0, field, "%s: it must be of the loopback: nobody is asked who he is there", address)
+	}
+}
+
 func (r *reader) control() {
 	c := r.Control
 	if c == nil {
 		return
 	}
-	here := func(field, address string) {
-		host, _, err := net.SplitHostPort(address)
-		switch ip := net.ParseIP(host); {
-		case err != nil:
-			r.fault("control", 0, field, "%v", err)
-		case field == "address" && c.Certificate != "":
-		case host != "localhost" && (ip == nil || !ip.IsLoopback()):
-			r.fault("control", 0, field, "%s: without certificates it must be of the loopback", address)
-		}
+	if c.Certificate == "" {
+		r.loopback("control", "address", c.Address)
+	} else if _, _, err := net.SplitHostPort(c.Address); err != nil {
+		r.fault("control", 0, "address", "%v", err)
 	}
-	here("address", c.Address)
 	if c.Status != "" {
-		here("status", c.Status)
+		r.loopback("control", "status", c.Status)
 	}
 	if n := len(strings.Fields(strings.Join([]string{c.Certificate, c.Key, c.Authority}, " "))); n != 0 && (c.Certificate == "" || c.Key == "" || c.Authority == "") {
 		r.fault("control", 0, "certificate", "certificate, key and authority go together")
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -29,6 +29,7 @@
 	Retries   []Retry    `toml:"retry"`
 	Routes    []Route    `toml:"route"`
 	Control   *Control   `toml:"control"` // only a program with a control service takes it
+	Capture   *Capture   `toml:"capture"` // only one that captures
 }
 
 // Listener is where clients connect.
@@ -176,6 +177,7 @@
 	r.limits()
 	r.retries()
 	r.control()
+	r.capture()
 	list, places := r.routes(r.Routes, "route")
 	if len(r.Routes) == 0 {
 		r.fault("route", 0, "", "there is none")
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -119,8 +119,8 @@
 		{`address = "[::1]:1"` + "\nstatus = \"localhost:2\"", ""},
 		{"address = \"0.0.0.0:1\"\n" + keys + "[[control.allow]]\nname = \"edge-*\"\npools = [\"p\"]", ""},
 		{`address = "1"`, "f.toml:2:1: control: address: address 1: missing port"},
-		{`address = "0.0.0.0:1"`, "f.toml:2:1: control: address: 0.0.0.0:1: without certificates"},
-		{"address = \"0.0.0.0:1\"\nstatus = \"0.0.0.0:2\"\n" + keys, "f.toml:3:1: control: status: 0.0.0.0:2: without certificates"},
+		{`address = "0.0.0.0:1"`, "f.toml:2:1: control: address: 0.0.0.0:1: it must be of the loopback"},
+		{"address = \"0.0.0.0:1\"\nstatus = \"0.0.0.0:2\"\n" + keys, "f.toml:3:1: control: status: 0.0.0.0:2: it must be of the loopback"},
 		{"address = \"127.0.0.1:1\"\nkey = \"k\"", "f.toml:1:1: control: certificate: certificate, key and authority go together"},
 		{"address = \"127.0.0.1:1\"\nsubscribers = -1", "f.toml:3:1: control: subscribers: -1"},
 		{"address = \"127.0.0.1:1\"\n[[control.allow]]\nname = \"x\"", "control: allow: without certificates nobody has a name"},
@@ -136,6 +136,21 @@
 			assert.Contains(t, faults[0].Error(), c.want, c.table)
 		}
 	}
+	for table, want := range map[string]string{
+		"dir = \"x\"\nring_mb = 9\ndismissed = 0.1\naddress = \"127.0.0.1:1\"": "",
+		"on = true":                             "f.toml:1:1: capture: dir: missing",
+		"dir = \"x\"\naddress = \"10.0.0.1:1\"": "f.toml:3:1: capture: address: 10.0.0.1:1: it must be of the loopback",
+		"dir = \"x\"\ndismissed = 0.1":          "f.toml:3:1: capture: dismissed: it is a trigger",
+		"dir = \"x\"\ntotal_mb = -1":            "f.toml:3:1: capture: total_mb: -1",
+		"dir = \"x\"\nring = 1":                 "f.toml:3:1: capture.ring: no such field: ring_mb?",
+	} {
+		_, faults := Read("f.toml", []byte("[capture]\n"+table+"\n"+rest))
+		if want == "" {
+			assert.Empty(t, faults, table)
+		} else if assert.NotEmpty(t, faults, table) {
+			assert.Contains(t, faults[0].Error(), want, table)
+		}
+	}
 	a := Allow{Name: "edge-*"}
 	assert.True(t, a.Fits("edge-1") && !a.Fits("core-1") && !a.Fits("edge"))
 	a.Name = "one"
--- a/internal/rehearse/virtual.go
+++ b/internal/rehearse/virtual.go
@@ -146,7 +146,7 @@
 	seed    uint64
 	now     float64
 	agenda  agenda
-	plan    *load.Plan
+	plan    load.Source
 	want    load.Intent
 	clients load.Clients
 	chance  *rand.Rand
@@ -170,9 +170,14 @@
 
 // Virtual plays a scenario in virtual time with one of the policies. The same seed gives the same run.
 func (s *Scenario) Virtual(name string, policy Policy, seed uint64) (*Result, error) {
+	return s.VirtualOf(name, policy, seed, load.NewPlan(s.Mix(), seed))
+}
+
+// VirtualOf plays it with other lookups than its own.
+func (s *Scenario) VirtualOf(name string, policy Policy, seed uint64, lookups load.Source) (*Result, error) {
 	began := time.Now()
 	f := s.Figures(seed)
-	v := &virtual{s: s, figures: f, policy: policy, seed: seed, now: epoch, plan: load.NewPlan(s.Mix(), seed),
+	v := &virtual{s: s, figures: f, policy: policy, seed: seed, now: epoch, plan: lookups,
 		clients: load.Clients(s.Clients), chance: rand.New(rand.NewPCG(seed, 4)), fleet: s.Fleet(seed, epoch), zones: map[string]int{},
 		models: map[string]int{}, audit: NewAudit(f.Tariffs, 2*wire+1e-6, s.Deployment.Grace, s.Deployment.CountsAfter),
 		tally: newTally(s, f.Tariffs, seed, name, "virtual")}
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -223,10 +223,7 @@
 // chart draws one plot of a run.
 func chart(i int, r *rehearse.Result) (string, error) {
 	c := &charts[i]
-	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = c.title, "s", c.unit
-	p.Legend.Top = true
-	p.Add(plotter.NewGrid())
+	p := framed(c.title, c.unit)
 	for _, l := range c.lines {
 		points, any := make(plotter.XYs, len(r.Seconds)), false
 		for k, s := range r.Seconds {
@@ -245,6 +242,19 @@
 		p.Legend.Add(l.name, curve)
 	}
 	p.Y.Min = 0
+	return drawn(p)
+}
+
+func framed(title, unit string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "s", unit
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	return p
+}
+
+// drawn is a plot as it stands in a page.
+func drawn(p *plot.Plot) (string, error) {
 	p.X.Max *= legendRoom // the legend stands beside the curves, not over them
 	p.Legend.TextStyle.Font.Size = vg.Points(9)
 	canvas := vgsvg.New(plotWide, plotHigh)
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"time"
 
 	"lockloom/balance"
@@ -13,9 +14,10 @@
 type lookup struct {
 	in         *branch
 	row        *balance.Tariff
-	handle     *balance.Lookup
+	handle     Handle
 	ref        int
 	id         string
+	trace      string // the id that its client and the backends know; empty: id
 	arrived    float64
 	hardStop   float64
 	head, body []byte // what goes to a backend, alike for all its legs
@@ -71,7 +73,7 @@
 	a.Ref = l.ref
 	p.timers.add(timer{at: l.hardStop - backstop, call: func() { p.expired(l) }})
 	p.decide(l.in, func(now float64) *balance.Orders {
-		handle, orders := l.in.b.Take(now, a)
+		handle, orders := l.in.b.Take(now, a, cmp.Or(l.trace, l.id))
 		l.handle = handle
 		return orders
 	})
--- a/proxy/bank_test.go
+++ b/proxy/bank_test.go
@@ -94,8 +94,8 @@
 	require.Empty(t, faults)
 	o, err := y.build(s, nil)
 	require.NoError(t, err)
-	for b, tells := range map[*balance.Balancer]bool{y.main.b: true, o.pools["first"].b: false} {
-		_, orders := b.Take(y.now(), balance.Arrival{HardStop: y.now() + 1})
+	for b, tells := range map[Decisions]bool{y.main.b: true, o.pools["first"].b: false} {
+		_, orders := b.Take(y.now(), balance.Arrival{HardStop: y.now() + 1}, "")
 		assert.Equal(t, tells, orders.Tell != nil)
 	}
 }
--- a/proxy/branch.go
+++ b/proxy/branch.go
@@ -12,10 +12,57 @@
 	"lockloom/routes"
 )
 
+// Decisions are what the owner calls: a Balancer, or one whose calls are captured. The owner makes all calls but none at once.
+type Decisions interface {
+	Take(now float64, a balance.Arrival, id string) (Handle, *balance.Orders)
+	Wake(now float64) *balance.Orders
+	Listed(now float64, full, first bool, list []balance.Backend) *balance.Orders
+	Probed(now float64, backend int, ok bool, r balance.Report) *balance.Orders
+	Heard(now float64, from int, n balance.Note) *balance.Orders
+	Reported(now float64, all []balance.Results)
+	Part(part float64)
+	Remember(now float64, m balance.Memory)
+	Recall(now float64) balance.Memory
+	Beliefs(now float64) []balance.Belief
+	Admits(now float64) (any, trial bool)
+	Keeps(index int) bool
+}
+
+// Handle is a lookup's.
+type Handle interface {
+	Ended(now float64, leg int, o balance.Outcome, latency float64, over bool) *balance.Orders
+	Left(now float64) *balance.Orders
+	Started(now float64, leg int) *balance.Orders
+	Whole(now float64) *balance.Orders
+	Wake(now float64) *balance.Orders
+	Done() bool
+}
+
+// bare is a Balancer whose calls nobody captures.
+type bare struct{ *balance.Balancer }
+
+func (b bare) Take(now float64, a balance.Arrival, _ string) (Handle, *balance.Orders) {
+	return b.Balancer.Take(now, a)
+}
+
+// Capture has the decisions of every pool made through what a call makes of its Balancer; the platform's has no name. Call it before
+// Operate. One that has a method Dropped is told when a reload has taken its pool away.
+func (p *Proxy) Capture(through func(pool string, b *balance.Balancer) Decisions) {
+	p.through = through
+	p.main.b = through("", p.main.b.(bare).Balancer)
+}
+
+func (p *Proxy) decisions(pool string, b *balance.Balancer) Decisions {
+	if p.through == nil {
+		return bare{b}
+	}
+	return p.through(pool, b)
+}
+
 // branch is a pool of servers with a Balancer of its own. The platform's lookups go to the main one, which has all that are
 // listed; an operator's pools have some of them, or those written out.
 type branch struct {
-	b    *balance.Balancer
+	b    Decisions
 	rows []balance.Tariff
 	has  func(*discovery.Entry) bool // whether a listed server is one of its; nil: all are
 
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -161,7 +161,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("pool %q: %w", w.Name, err)
 		}
-		o.pools[w.Name] = &branch{b: b, rows: d.Tariffs, name: w.Name, budgets: map[string]*limits.Budget{},
+		o.pools[w.Name] = &branch{b: p.decisions(w.Name, b), rows: d.Tariffs, name: w.Name, budgets: map[string]*limits.Budget{},
 			has: func(e *discovery.Entry) bool {
 				return (len(w.Kinds) == 0 || slices.Contains(w.Kinds, e.ModelName)) && (len(w.Zones) == 0 || slices.Contains(w.Zones, e.ZoneName))
 			}}
@@ -175,6 +175,9 @@
 		return
 	}
 	p.branches = slices.DeleteFunc(p.branches, func(b *branch) bool { return b == in })
+	if told, ok := in.b.(interface{ Dropped() }); ok {
+		told.Dropped()
+	}
 	for _, b := range in.first { // unless another pool has the same server written out
 		if !slices.ContainsFunc(p.branches, func(o *branch) bool {
 			return slices.ContainsFunc(o.first, func(x balance.Backend) bool { return x.Index == b.Index })
--- a/proxy/ordinary.go
+++ b/proxy/ordinary.go
@@ -121,6 +121,7 @@
 	if named == "" && host != "" {
 		l.head = heads.AppendField(l.head, "Host", host)
 	}
+	l.trace = string(h.Get("X-Trace-Id"))
 	if h.Get("X-Trace-Id") == nil {
 		l.head = heads.AppendField(l.head, "X-Trace-Id", l.id)
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -112,9 +112,10 @@
 	free     []int
 	open     map[string]bool // ids of the lookups in slots
 	ordinary atomic.Pointer[ordinary]
-	known    map[int]discovery.Entry // what is listed, by index, as discovery says
-	listed   bool                    // a list was taken in
-	gone     []string                // listed as gone, since opinions were told last
+	known    map[int]discovery.Entry                          // what is listed, by index, as discovery says
+	listed   bool                                             // a list was taken in
+	gone     []string                                         // listed as gone, since opinions were told last
+	through  func(pool string, b *balance.Balancer) Decisions // nil: nobody captures
 	opined   func(now float64, pools map[string]assign.Sight)
 	orders   duty.Orders  // those that were obeyed
 	written  map[int]bool // backends that an operator wrote out: no list takes them away
@@ -151,7 +152,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.main = &branch{b: b, rows: l.Tariffs}
+	p.main = &branch{b: bare{b}, rows: l.Tariffs}
 	p.branches = []*branch{p.main}
 	p.first = sync.OnceFunc(func() { close(p.heard) })
 	for _, t := range l.Tariffs {
