--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -327,7 +327,7 @@
 // BenchmarkReplay tells how many calls a second are replayed.
 func BenchmarkReplay(b *testing.B) {
 	dir := b.TempDir()
-	rec, err := Open(Options{Dir: dir, Name: "n0", On: true})
+	rec, err := Open(Options{Dir: dir, Name: "n0", On: true, Wait: true})
 	require.NoError(b, err)
 	v := begin(b, rec, "a", 5)
 	for range 200_000 {
