A first lookup of a tariff with a long due time no longer waits beside an idle server; nginx importer

Change: a guess of more than a second gives way to the median of all answers. The importer: internal/nginx (reader, verdicts, meaning), loomctl import nginx, a sample site, note and page with the table of directives made of the code.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -79,6 +79,7 @@
 	seenReserve     = 0.3   // of the room whose load is seen, for lookups of more than the usual priority
 	spend           = 0.004 // of the service, to pay for probes, and as much for notes
 	mostAsked       = 2.0   // probes a lookup, however cheap
+	guessMost       = 1.0   // s; of an answer unheard so far a longer guess is none: others' tell more
 	meanPart        = 0.02  // smoothing of fleet-wide means: about fifty results
 )
 
@@ -94,7 +95,7 @@
 		if t.Due == 0 { // no due time set: half of what the client waits
 			t.Due = t.HardStop / 2
 		}
-		b.rows = append(b.rows, row{Tariff: t, base: t.Due / 4})
+		b.rows = append(b.rows, row{Tariff: t, base: t.Due / 4, all: &b.all})
 	}
 	return b, nil
 }
@@ -520,6 +521,7 @@
 		m := l.row.alone.Quantile(0.5, l.row.Due/4)
 		s.pace += smoothing * (alone/m - s.pace)
 		l.row.times.Add(latency / max(l.heavy, 0.5))
+		b.all.Add(latency / max(l.heavy, 0.5))
 		if m > l.row.base {
 			l.row.base += baseRise * (m - l.row.base)
 		} else {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -856,3 +856,22 @@
 		}
 	}
 }
+
+// Danger: of a tariff unheard so far a quarter of a long due time is a bad guess: its first lookup waited for most of it beside idle servers.
+func TestFirstOfATariffWithALongDueTime(t *testing.T) {
+	d := deployment(Tariff{Name: "post", Kind: SingleUse}, Tariff{Name: "get"})
+	for i := range d.Tariffs {
+		d.Tariffs[i].Due, d.Tariffs[i].HardStop = 30, 60
+	}
+	k := open(t, d, 1)
+	for range 50 {
+		k.clock += .001
+		l, steps := k.take(Arrival{Tariff: 1, Customer: -1, HardStop: k.clock + 60})
+		require.Equal(t, 1, sends(steps))
+		k.clock += .0003
+		l.Ended(k.clock, 0, Honoured, .0003, true)
+	}
+	k.clock += .001
+	_, steps := k.take(Arrival{Tariff: 0, Customer: -1, HardStop: k.clock + 60})
+	assert.Equal(t, 1, sends(steps), "the only server is idle")
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -24,9 +24,10 @@
 	room            float64 // legs all admitted servers bear, as of the last pick
 	servable        float64 // servers admitted as of the last pick
 	keys            measure.Shares
-	usual           float64 // priority of lookups, smoothed
-	lookups         float64 // taken
-	gap, lastTake   float64 // s between lookups taken; the last one
+	all             measure.Times // what answers took, of all tariffs
+	usual           float64       // priority of lookups, smoothed
+	lookups         float64       // taken
+	gap, lastTake   float64       // s between lookups taken; the last one
 	fleet           *opinion
 	models          []*model
 	failShare       float64 // share of all results that were failures, smoothed
@@ -48,14 +49,22 @@
 type row struct {
 	Tariff
 	times measure.Times
-	alone measure.Times // the same over the crowd that shared the server
-	work  float64       // mean hint, s
-	base  float64       // the median when little waited, s
+	alone measure.Times  // the same over the crowd that shared the server
+	work  float64        // mean hint, s
+	base  float64        // the median when little waited, s
+	all   *measure.Times // of all tariffs
+}
+
+// median is what an answer of this tariff usually takes; while too little is known, a quarter of its due time. Danger: where that is long,
+// the first lookup of a tariff would count as slow beyond all others, and wait for as long.
+func (r *row) median() float64 {
+	guess := r.Due / 4
+	if guess > guessMost {
+		guess = min(r.all.Quantile(0.5, guess), guess)
+	}
+	return r.times.Quantile(0.5, guess)
 }
 
-// median is what an answer of this tariff usually takes.
-func (r *row) median() float64 { return r.times.Quantile(0.5, r.Due/4) }
-
 // typical is what an answer of this lookup usually takes.
 func (b *Balancer) typical(l *Lookup) float64 {
 	return l.row.median() * max(l.heavy, 0.5)
--- a/internal/command/tools/tools.go
+++ b/internal/command/tools/tools.go
@@ -23,7 +23,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return command.Run(ctx, &ffcli.Command{Name: "loomctl", Subcommands: append([]*ffcli.Command{rehearsing(out, errs), experimenting(out, errs),
-		loading(out), serving(out), subscribing(out), command.Versions("loomctl", out)}, captures(out, errs)...)}, args, out, errs)
+		loading(out), serving(out), subscribing(out), importing(out, errs), command.Versions("loomctl", out)}, captures(out, errs)...)}, args, out, errs)
 }
 
 func flags(name string) *flag.FlagSet { return flag.NewFlagSet(name, flag.ContinueOnError) }
--- /dev/null
+++ b/internal/nginx/reference_test.go
@@ -0,0 +1,287 @@
+package nginx
+
+import (
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// reference is a plain and slow router, written from nginx's documentation and apart from the importer. It knows what the samples use.
+func reference(list []*Node, q *request) outcome {
+	http := list
+	for _, n := range list {
+		if n.Name == "http" {
+			http = n.Block
+		}
+	}
+	r := &router{http: http, q: q}
+	server := r.server()
+	for _, d := range server.Block {
+		if d.Name == "return" {
+			return r.returns(d, nil)
+		}
+	}
+	loc, captures := r.location(server.Block)
+	if loc == nil {
+		return outcome{status: 404}
+	}
+	return r.handle(loc, captures)
+}
+
+type router struct {
+	http    []*Node
+	q       *request
+	current *Node
+}
+
+func named(list []*Node, name string) (out []*Node) {
+	for _, n := range list {
+		if n.Name == name {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// server: the exact name, the longest name that begins with an asterisk, the longest that ends with one, the default.
+func (r *router) server() *Node {
+	servers := named(r.http, "server")
+	def := servers[0]
+	for _, s := range servers {
+		for _, l := range named(s.Block, "listen") {
+			if slices.Contains(l.Args, "default_server") {
+				def = s
+			}
+		}
+	}
+	best, grade := def, 0
+	host := r.q.host
+	for _, s := range servers {
+		for _, d := range named(s.Block, "server_name") {
+			for _, name := range d.Args {
+				g := 0
+				switch {
+				case name == host || "."+host == name:
+					g = 3_000_000
+				case strings.HasPrefix(name, "*.") && strings.HasSuffix(host, name[1:]):
+					g = 2_000_000 + len(name)
+				case strings.HasPrefix(name, ".") && strings.HasSuffix(host, name):
+					g = 2_000_000 + len(name) + 1
+				case strings.HasSuffix(name, ".*") && strings.HasPrefix(host, name[:len(name)-1]):
+					g = 1_000_000 + len(name)
+				}
+				if g > grade {
+					best, grade = s, g
+				}
+			}
+		}
+	}
+	r.current = best
+	return best
+}
+
+func split(n *Node) (mod, path string) {
+	if len(n.Args) == 2 {
+		return n.Args[0], n.Args[1]
+	}
+	return "", n.Args[0]
+}
+
+func expression(mod, path string) *regexp.Regexp {
+	if mod == "~*" {
+		path = "(?i)" + path
+	}
+	return regexp.MustCompile(path)
+}
+
+// location: an exact one ends the search; else the longest prefix is remembered, and what is nested in it searched; then, unless it has ^~,
+// the expressions in their order; else the prefix.
+func (r *router) location(list []*Node) (*Node, []string) {
+	uri := r.q.path
+	var longest *Node
+	for _, n := range named(list, "location") {
+		mod, path := split(n)
+		switch {
+		case mod == "=" && uri == path:
+			return n, nil
+		case mod == "" || mod == "^~":
+			if strings.HasPrefix(uri, path) {
+				if longest == nil {
+					longest = n
+				} else if _, old := split(longest); len(path) > len(old) {
+					longest = n
+				}
+			}
+		}
+	}
+	var found *Node
+	var captures []string
+	final := false
+	if longest != nil {
+		mod, _ := split(longest)
+		final = mod == "^~"
+		if found, captures = r.location(longest.Block); found != nil && decided(found) {
+			return found, captures
+		}
+	}
+	if !final {
+		for _, n := range named(list, "location") {
+			mod, path := split(n)
+			if mod != "~" && mod != "~*" {
+				continue
+			}
+			if m := expression(mod, path).FindStringSubmatch(uri); m != nil {
+				if inner, c := r.location(n.Block); inner != nil {
+					return inner, c
+				}
+				return n, m
+			}
+		}
+	}
+	if found != nil {
+		return found, captures
+	}
+	return longest, nil
+}
+
+// decided tells whether a location ends the search: an exact one or an expression.
+func decided(n *Node) bool {
+	mod, _ := split(n)
+	return mod == "=" || mod == "~" || mod == "~*"
+}
+
+func (r *router) handle(loc *Node, captures []string) outcome {
+	uri := r.q.path
+	rewritten := false
+	for _, d := range loc.Block {
+		switch d.Name {
+		case "if":
+			if strings.Trim(d.Args[len(d.Args)-1], "()") == r.q.method {
+				return r.returns(d.Block[0], captures)
+			}
+		case "return":
+			return r.returns(d, captures)
+		}
+	}
+	for _, d := range named(loc.Block, "rewrite") {
+		m := regexp.MustCompile(d.Args[0]).FindStringSubmatch(uri)
+		if m == nil {
+			continue
+		}
+		to := d.Args[1]
+		for i, c := range m {
+			if i > 0 {
+				to = strings.ReplaceAll(to, "$"+string(rune('0'+i)), c)
+			}
+		}
+		if d.Args[2] == "permanent" {
+			return outcome{status: 301, location: strings.TrimSuffix(to, "?")}
+		}
+		uri, rewritten = to, true
+		break
+	}
+	pass := named(loc.Block, "proxy_pass")[0].Args[0]
+	pass = strings.TrimSuffix(strings.TrimPrefix(pass, "http://"), "$request_uri")
+	host, path, with := strings.Cut(pass, "/")
+	_, own := split(loc)
+	if with && !rewritten {
+		uri = "/" + path + strings.TrimPrefix(uri, own)
+	}
+	return outcome{servers: r.servers(host), path: uri}
+}
+
+func (r *router) servers(host string) (out []string) {
+	if strings.HasPrefix(host, "$") {
+		for _, m := range named(r.http, "map") {
+			if m.Args[1] == host {
+				return r.servers(r.mapped(m))
+			}
+		}
+		for _, s := range named(r.http, "split_clients") { // any of them: who has which is chance
+			if s.Args[1] == host {
+				for _, e := range s.Block {
+					out = append(out, r.servers(e.Args[0])...)
+				}
+			}
+		}
+		slices.Sort(out)
+		return out
+	}
+	for _, u := range named(r.http, "upstream") {
+		if u.Args[0] == host {
+			for _, s := range named(u.Block, "server") {
+				if !slices.Contains(s.Args, "backup") && !slices.Contains(s.Args, "down") {
+					out = append(out, s.Args[0])
+				}
+			}
+			slices.Sort(out)
+			return out
+		}
+	}
+	if !strings.Contains(host, ":") {
+		host += ":80"
+	}
+	return []string{host}
+}
+
+func (r *router) mapped(m *Node) string {
+	value := ""
+	switch source := m.Args[0]; {
+	case source == "$request_method":
+		value = r.q.method
+	case strings.HasPrefix(source, "$http_"):
+		value = r.q.fields[strings.ReplaceAll(strings.TrimPrefix(source, "$http_"), "_", "-")]
+	case strings.HasPrefix(source, "$arg_"):
+		for part := range strings.SplitSeq(r.q.query, "&") {
+			if name, v, _ := strings.Cut(part, "="); name == strings.TrimPrefix(source, "$arg_") {
+				value = v
+				break
+			}
+		}
+	}
+	def := ""
+	for _, e := range m.Block {
+		if strings.EqualFold(e.Name, value) && e.Name != "default" {
+			return e.Args[0]
+		}
+		if e.Name == "default" {
+			def = e.Args[0]
+		}
+	}
+	for _, e := range m.Block {
+		if expr, ok := strings.CutPrefix(e.Name, "~"); ok && regexp.MustCompile(expr).MatchString(value) {
+			return e.Args[0]
+		}
+	}
+	return def
+}
+
+func (r *router) returns(d *Node, captures []string) outcome {
+	text := ""
+	status := 302
+	if c := d.Args[0]; c[0] >= '0' && c[0] <= '9' {
+		status = int(c[0]-'0')*100 + int(c[1]-'0')*10 + int(c[2]-'0')
+		if len(d.Args) > 1 {
+			text = d.Args[1]
+		}
+	} else {
+		text = c
+	}
+	name := named(r.current.Block, "server_name")[0].Args[0]
+	whole := r.q.path
+	if r.q.query != "" {
+		whole += "?" + r.q.query
+	}
+	for from, to := range map[string]string{"$request_uri": whole, "$scheme": "http", "$host": r.q.host, "$server_name": name} {
+		text = strings.ReplaceAll(text, from, to)
+	}
+	for i, c := range captures {
+		if i > 0 {
+			text = strings.ReplaceAll(text, "$"+string(rune('0'+i)), c)
+		}
+	}
+	if status == 301 || status == 302 || status == 303 || status == 307 || status == 308 {
+		return outcome{status: status, location: text}
+	}
+	return outcome{status: status, body: text}
+}
