A service that has seen nothing yet tells nobody that endpoints are gone; captures' tests write without gaps

Cause: found in reading over: a subscriber that came back before the first sight was told that all it held of a pool was gone (differences: 'endpoints -p' in the new test). Each load report built a view of all endpoints to learn which pools its sender may see. Change: streams wait for the first sight; tests that replay all wait for the writer; one test of a viewer's pools, without a view. Seen: TestTellsNothingBeforeItSees fails without the wait; control passes with -race; six copies of capture's tests at once with -race pass.

--- a/control/reports.go
+++ b/control/reports.go
@@ -51,11 +51,8 @@
 		}
 		silent.Reset(reportsMost * reportEvery)
 		sends := map[string]sent{}
-		r.s.mu.Lock()
-		seen := r.s.sees(viewer{pools: pools})[clusters]
-		r.s.mu.Unlock()
 		for _, c := range in.ClusterStats {
-			if seen[c.ClusterName] == nil {
+			if !among(pools, c.ClusterName) {
 				continue
 			}
 			legs := map[string][2]int{}
--- a/control/scripted_test.go
+++ b/control/scripted_test.go
@@ -52,6 +52,13 @@
 
 // station opens a service whose pool p has so many servers.
 func open(t testing.TB, text string, servers int) *station {
+	k := begin(t, text, servers)
+	k.see()
+	return k
+}
+
+// begin opens one that has seen nothing yet.
+func begin(t testing.TB, text string, servers int) *station {
 	log, hook := test.NewNullLogger()
 	s, err := New(setupOf(t, text), assign.Terms{ColdShare: .2, ColdFor: 20, FallMultiple: 3}, log)
 	require.NoError(t, err)
@@ -60,7 +67,6 @@
 	k := &station{Service: s, t: t, log: hook, addr: ln.Addr().String(), sights: map[string]assign.Sight{"p": sight(servers)}}
 	go s.Serve(ln)
 	t.Cleanup(k.stop)
-	k.see()
 	return k
 }
 
--- a/control/service.go
+++ b/control/service.go
@@ -66,6 +66,7 @@
 	subscribers map[*subscriber]bool
 	loads       map[*reporter]bool
 
+	seen chan struct{} // closed by the first sight
 	quit chan struct{}
 	work sync.WaitGroup
 }
@@ -94,7 +95,7 @@
 	rand.Read(run)
 	t.Local = c.Local
 	out := &Service{log: log, run: hex.EncodeToString(run), terms: t, pools: map[string]*assign.Pool{}, views: map[viewer]*set{},
-		subscribers: map[*subscriber]bool{}, loads: map[*reporter]bool{}, quit: make(chan struct{}), inbox: inbox{kick: make(chan struct{}, 1)},
+		subscribers: map[*subscriber]bool{}, loads: map[*reporter]bool{}, seen: make(chan struct{}), quit: make(chan struct{}), inbox: inbox{kick: make(chan struct{}, 1)},
 		Reported: func(string, map[string][2]int) {}}
 	options := []grpc.ServerOption{
 		grpc.ReadBufferSize(bufferOf), grpc.WriteBufferSize(bufferOf), grpc.SharedWriteBuffer(true), // a thousand connections, most of them at rest
@@ -206,6 +207,11 @@
 func (s *Service) see(now float64, sights map[string]assign.Sight) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	select {
+	case <-s.seen:
+	default:
+		defer close(s.seen)
+	}
 	var changed []string
 	hurry := false
 	for _, name := range slices.Sorted(maps.Keys(sights)) {
@@ -352,7 +358,7 @@
 	defer s.mu.Unlock()
 	for _, sub := range s.setup.Control.Subsets {
 		if sub.Fits(n.GetId(), n.GetCluster(), n.GetLocality().GetZone()) {
-			left := slices.DeleteFunc(slices.Clone(sub.Pools), func(p string) bool { return pools != "" && !strings.Contains("\n"+pools, "\n"+p+"\n") })
+			left := slices.DeleteFunc(slices.Clone(sub.Pools), func(p string) bool { return !among(pools, p) })
 			if len(left) == 0 { // danger: no pools would stand for all
 				return "\n"
 			}
@@ -370,6 +376,11 @@
 	return strings.Join(slices.Sorted(slices.Values(pools)), "\n") + "\n"
 }
 
+// among tells whether a viewer's pools have one.
+func among(pools, name string) bool {
+	return pools == "" || strings.Contains("\n"+pools, "\n"+name+"\n")
+}
+
 func body(r *Resource) *anypb.Any {
 	b, _ := r.Body.(*anypb.Any)
 	return b
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -194,6 +194,27 @@
 	}
 }
 
+// Danger: a service that has not seen its pools yet knows of no endpoints; who comes back to it would be told that all are gone.
+func TestTellsNothingBeforeItSees(t *testing.T) {
+	k := open(t, written(""), 3)
+	for _, delta := range []bool{true, false} {
+		first := k.subscribe(script{id: "x", delta: delta})
+		first.until(3*time.Second, "holds all", first.whole)
+		time.Sleep(200 * time.Millisecond)
+		first.close()
+		next := begin(t, written(""), 3)
+		s := next.subscribe(script{id: "x", delta: delta, from: first})
+		require.Eventually(t, func() bool { return len(next.Subscribers()) == 1 }, 3*time.Second, 5*time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+		assert.Empty(t, s.history(), "delta %v", delta)
+		next.drain(0)
+		s.until(soon, "is told once it sees", s.is("s0", core.HealthStatus_DRAINING))
+		s.mu.Lock()
+		assert.NotContains(t, fmt.Sprint(s.came), "-p", "and never that they are gone")
+		s.mu.Unlock()
+	}
+}
+
 func TestBounds(t *testing.T) {
 	k := open(t, written("subscribers = 1"), 1)
 	s := k.subscribe(script{id: "x"})
--- a/control/subscriber.go
+++ b/control/subscriber.go
@@ -131,6 +131,13 @@
 		return status.Error(codes.ResourceExhausted, err.Error())
 	}
 	defer s.leave(sub)
+	select { // danger: before a pool was seen it has no endpoints, and a subscriber that holds some would be told that they are gone
+	case <-s.seen:
+	case <-ctx.Done():
+		return nil
+	case <-s.quit:
+		return status.Error(codes.Unavailable, "stopping")
+	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	asks, ended := make(chan *ask), make(chan error, 1)
@@ -252,7 +259,7 @@
 			sub.mu.Unlock()
 			continue
 		}
-		keep := kind < listeners && (sub.out(listeners) || sub.out(routeTables) || l != nil && sub.ahead(current))
+		keep := kind < listeners && (sub.out(listeners) || sub.out(routeTables) || sub.ahead(current))
 		a := l.Next(current[kind], urgent && kind == endpoints, keep)
 		version := ""
 		if a != nil {
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -125,7 +125,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		dir, err := os.MkdirTemp(t.TempDir(), "")
 		require.NoError(t, err)
-		rec, err := Open(Options{Dir: dir, Name: "n0", On: true, Segment: int64(rapid.IntRange(500, 20_000).Draw(r, "segment"))})
+		rec, err := Open(Options{Dir: dir, Name: "n0", On: true, Wait: true, Segment: int64(rapid.IntRange(500, 20_000).Draw(r, "segment"))})
 		require.NoError(t, err)
 		a := begin(t, rec, "a", rapid.Uint64().Draw(r, "seed"))
 		b := begin(t, rec, "b", 2)
@@ -139,7 +139,7 @@
 		assert.Zero(r, rec.Gaps.Load())
 		os.RemoveAll(dir)
 	})
-	rec, _, dir := record(t, 3000, Options{Segment: 20_000})
+	rec, _, dir := record(t, 3000, Options{Segment: 20_000, Wait: true})
 	require.NoError(t, rec.Close())
 	for range 10 {
 		assert.Equal(t, rec.Calls.Load(), replayed(t, dir).Played)
@@ -160,7 +160,7 @@
 
 // A file cut at any byte, as by a kill, is read to its last whole block; a flipped bit is named, and what cannot be proved is not replayed.
 func TestCutAndFlipped(t *testing.T) {
-	rec, _, dir := record(t, 800, Options{})
+	rec, _, dir := record(t, 800, Options{Wait: true})
 	require.NoError(t, rec.Close())
 	files, err := Files(dir)
 	require.NoError(t, err)
@@ -196,7 +196,7 @@
 
 // Other orders than those recorded stop a replay, with both sides.
 func TestDiffers(t *testing.T) {
-	rec, v, dir := record(t, 500, Options{})
+	rec, v, dir := record(t, 500, Options{Wait: true})
 	v.Balancer.Balancer.Take(v.now, balance.Arrival{Ref: 1 << 20, HardStop: v.now + 1, Customer: -1}) // past the recorder
 	for range 500 {
 		v.step()
@@ -255,7 +255,7 @@
 // What is kept in memory is the newest, stands alone, and is written when it is asked for or a trigger fires.
 func TestRing(t *testing.T) {
 	log, hook := test.NewNullLogger()
-	rec, v, dir := record(t, 20_000, Options{Ring: 60_000, Segment: 20_000, Log: log, Dismissed: .01})
+	rec, v, dir := record(t, 20_000, Options{Wait: true, Ring: 60_000, Segment: 20_000, Log: log, Dismissed: .01})
 	rec.Flush()
 	require.Eventually(t, func() bool { return len(rec.to.chunks) == 0 }, 5*time.Second, time.Millisecond)
 	n, err := rec.Dump()
--- a/internal/capture/story_test.go
+++ b/internal/capture/story_test.go
@@ -35,7 +35,7 @@
 
 // An excerpt is shorter, shows the same, and is a capture that replays.
 func TestExcerpt(t *testing.T) {
-	rec, _, dir := record(t, 2000, Options{Segment: 1 << 30})
+	rec, _, dir := record(t, 2000, Options{Segment: 1 << 30, Wait: true})
 	require.NoError(t, rec.Close())
 	files, _ := Files(dir)
 	for _, what := range []string{"dismissed", "forfeited", "retried"} { // pauses need a longer life
@@ -63,7 +63,7 @@
 
 // A lookup's story has its legs and how they ended, and what was weighed; asking changes nothing of the replay.
 func TestStory(t *testing.T) {
-	rec, _, dir := record(t, 3000, Options{})
+	rec, _, dir := record(t, 3000, Options{Wait: true})
 	require.NoError(t, rec.Close())
 	files, _ := Files(dir)
 	made, _ := Seen("retried")
