--- a/assign/assign.go
+++ b/assign/assign.go
@@ -210,9 +210,10 @@
 // how often it was paused lately, by a weight that grows from little. Where all would be paused none is: sent nowhere, nothing more
 // would be known of any.
 func (p *Pool) judge() (urgent bool) {
-	none := !slices.ContainsFunc(slices.Collect(maps.Values(p.told)), func(t *told) bool {
-		return !t.Draining && p.verdict(t) == Healthy
-	})
+	none := true
+	for _, t := range p.told {
+		none = none && p.verdict(t) != Healthy
+	}
 	for _, t := range p.told {
 		h := p.verdict(t)
 		if none && h == Unhealthy {
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -1,11 +1,13 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	core "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
@@ -35,6 +37,11 @@
 			all = append(all, k.subscribe(s))
 		}
 	}
+	thin, err := relay.Open(k.addr)
+	require.NoError(t, err)
+	t.Cleanup(thin.Close)
+	thin.Set(relay.Fault{Pace: 20_000, Delay: 20 * time.Millisecond})
+	all = append(all, k.subscribe(script{id: "trickle", addr: thin.Addr(), delta: true}))
 	refuser := k.subscribe(script{id: "refuser", delta: true, refuses: func(string, *anypb.Any) bool { return true }})
 	half := k.subscribe(script{id: "half open", addr: way.Addr()})
 	for _, s := range append(all, half) {
@@ -57,6 +64,18 @@
 	back.until(soon, "is told when it is back", back.is("s0", core.HealthStatus_DRAINING))
 }
 
+// Danger: a subscriber that does not read any more holds its stream, and what it should hear, for ever.
+func TestWhoDoesNotReadIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		began := time.Now()
+		err := within(ctx, func() error { <-ctx.Done(); return ctx.Err() })
+		assert.ErrorContains(t, err, "nothing read for 5s")
+		assert.Equal(t, sendFor, time.Since(began))
+	})
+}
+
 // A subscriber that comes back with what it held is told what differs and no more, also by another run that says the same.
 func TestComesBack(t *testing.T) {
 	for _, delta := range []bool{true, false} {
--- a/internal/capture/call.go
+++ b/internal/capture/call.go
@@ -6,6 +6,8 @@
 import (
 	"encoding/binary"
 	"errors"
+	"hash/fnv"
+	"io"
 	"math"
 	"math/bits"
 
@@ -67,11 +69,9 @@
 
 // IDOf is the hash under which a lookup's id is recorded.
 func IDOf(id string) uint32 {
-	h := uint32(2166136261)
-	for i := range len(id) {
-		h = (h ^ uint32(id[i])) * 16777619
-	}
-	return h
+	h := fnv.New32a()
+	io.WriteString(h, id)
+	return h.Sum32()
 }
 
 // Digest is a number that two sets of orders share if they say the same, but for one chance in 65,536.
--- a/internal/capture/excerpt.go
+++ b/internal/capture/excerpt.go
@@ -15,6 +15,7 @@
 type Shows interface {
 	After(p *Pool, x *Call, o *balance.Orders)
 	Shown() bool
+	Lookup() uint64 // that showed it; 0: none is known
 }
 
 const (
--- a/internal/capture/file.go
+++ b/internal/capture/file.go
@@ -54,7 +54,6 @@
 type chunk struct {
 	kind   uint8
 	begins bool // a segment
-	now    float64
 	texts  [][]byte
 	missed uint64
 }
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -159,7 +159,7 @@
 		}
 		texts = append(texts, text)
 	}
-	r.to.chunks <- chunk{kind: blockState, begins: true, now: now, texts: texts, missed: r.missed}
+	r.to.chunks <- chunk{kind: blockState, begins: true, texts: texts, missed: r.missed}
 	r.on, r.begun, r.bytes, r.missed = true, now, 0, 0
 	r.code.out = r.code.out[:0]
 }
--- a/internal/command/daemon/try.go
+++ b/internal/command/daemon/try.go
@@ -146,7 +146,7 @@
 			if len(words) != 1 || *at == "" || !(*rate > 0) {
 				return command.Wrong("it takes a target, -control and a rate above 0")
 			}
-			builder, err := Resolver(*at, "loomd-call", "")
+			builder, err := asksAt(*at, "loomd-call", "")
 			if err != nil {
 				return err
 			}
@@ -157,7 +157,7 @@
 			defer conn.Close()
 			ctx, stop := context.WithTimeout(ctx, *long)
 			defer stop()
-			answered, failed := Call(ctx, conn, *rate)
+			answered, failed := callAll(ctx, conn, *rate)
 			for _, name := range slices.Sorted(maps.Keys(answered)) {
 				fmt.Fprintf(out, "%-21s %6d answered %6d failed\n", name, answered[name], failed[name])
 			}
@@ -168,8 +168,8 @@
 		})
 }
 
-// Resolver has gRPC's own xDS client ask the control service at an address.
-func Resolver(addr, id, zone string) (resolver.Builder, error) {
+// asksAt has gRPC's own xDS client ask the control service at an address.
+func asksAt(addr, id, zone string) (resolver.Builder, error) {
 	text, err := json.Marshal(map[string]any{
 		"xds_servers": []any{map[string]any{"server_uri": addr, "channel_creds": []any{map[string]string{"type": "insecure"}}, "server_features": []string{"xds_v3"}}},
 		"node":        map[string]any{"id": id, "locality": map[string]string{"zone": zone}},
@@ -180,8 +180,8 @@
 	return xds.NewXDSResolverWithConfigForTesting(text)
 }
 
-// Call calls the health service at a rate until the context ends, and counts what was answered and failed by server; "" is none.
-func Call(ctx context.Context, conn *grpc.ClientConn, rate float64) (answered, failed map[string]int) {
+// callAll calls the health service at a rate until the context ends, and counts what was answered and failed by server; "" is none.
+func callAll(ctx context.Context, conn *grpc.ClientConn, rate float64) (answered, failed map[string]int) {
 	type end struct {
 		name string
 		ok   bool
--- a/internal/command/tools/capture.go
+++ b/internal/command/tools/capture.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -123,24 +124,21 @@
 				if err != nil {
 					return command.Wrong("-first: %w", err)
 				}
-				found := 0
-				for p := player(io.Discard); s.Number == 0; found++ {
-					shows := made()
-					p.After = func(pool *capture.Pool, x *capture.Call, o *balance.Orders) {
-						if s.Number > 0 || s.Pool != "" && s.Pool != pool.Name {
-							return
-						}
-						if shows.After(pool, x, o); shows.Shown() {
-							s.Pool, s.Number = pool.Name, capture.ShownLookup(shows)
-						}
+				shows, p := made(), player(io.Discard)
+				p.After = func(pool *capture.Pool, x *capture.Call, o *balance.Orders) {
+					if s.Number > 0 || s.Pool != "" && s.Pool != pool.Name {
+						return
 					}
-					if err := p.Play(files, openFile); err != nil {
-						return err
-					}
-					if s.Number == 0 {
-						return fmt.Errorf("none is %s", *first)
+					if shows.After(pool, x, o); shows.Shown() {
+						s.Pool, s.Number = pool.Name, shows.Lookup()
 					}
 				}
+				if err := p.Play(files, openFile); err != nil {
+					return err
+				}
+				if s.Number == 0 {
+					return fmt.Errorf("none is %s", *first)
+				}
 			case (*id == "") == (*number == 0):
 				return command.Wrong("it takes one of -lookup, -number and -first")
 			}
@@ -303,7 +301,7 @@
 					unknown[name]++
 					return
 				}
-				list = append(list, load.Intent{Number: len(list), At: x.Now - p.First, Tariff: tariff, Customer: -1, Key: x.Arrival.Key, Work: max(x.Arrival.Work, s.Tariffs[tariff].Work)})
+				list = append(list, load.Intent{Number: len(list), At: x.Now - p.First, Tariff: tariff, Customer: -1, Key: x.Arrival.Key, Work: cmp.Or(x.Arrival.Work, s.Tariffs[tariff].Work)})
 			}
 			if err := p.Play(files, openFile); err != nil {
 				return err
--- a/internal/nginx/import.go
+++ b/internal/nginx/import.go
@@ -75,7 +75,6 @@
 	read       float64
 	tries      int
 	off        bool
-	unsafe     bool
 	kind       string
 	reqs       []*Node
 	conns      []*Node
@@ -88,7 +87,6 @@
 type mapping struct {
 	*Node
 	source string
-	used   bool
 }
 
 type importer struct {
@@ -148,7 +146,7 @@
 // be passed over in silence.
 func (m *importer) gather(im *Import, list []*Node, in where) {
 	for _, n := range list {
-		if slices.ContainsFunc(append([]string{n.Name}, n.Args...), func(w string) bool { return !utf8.ValidString(w) }) {
+		if !utf8.ValidString(n.Name) || slices.ContainsFunc(n.Args, func(w string) bool { return !utf8.ValidString(w) }) {
 			m.say(n, Refused, "bytes that are no UTF-8")
 		}
 		v, ok := m.said[n]
@@ -226,8 +224,8 @@
 				m.say(d, Refused, "no time: %s", strings.Join(d.Args, " "))
 			}
 		case "proxy_next_upstream":
-			lv.off, lv.unsafe = slices.Contains(d.Args, "off"), slices.Contains(d.Args, "non_idempotent")
-			if lv.unsafe {
+			lv.off = slices.Contains(d.Args, "off")
+			if slices.Contains(d.Args, "non_idempotent") {
 				m.say(d, Differs, "non_idempotent is not carried: what may have run is not sent again, whatever is lost by it")
 			}
 		case "proxy_next_upstream_tries":
@@ -330,11 +328,8 @@
 	}
 	p, backup := &pool{name: n.Args[0], from: n.Place}, &pool{name: n.Args[0] + "-backup", from: n.Place}
 	for _, d := range n.Block {
-		switch d.Name {
-		case "server":
+		if d.Name == "server" {
 			m.member(d, p, backup)
-		case "ip_hash", "hash", "sticky":
-		case "keepalive", "zone", "least_conn", "random", "keepalive_requests", "keepalive_timeout", "keepalive_time":
 		}
 	}
 	if len(p.servers) == 0 {
@@ -710,7 +705,7 @@
 	if s.def {
 		hosts = append(slices.Clone(hosts), "*")
 	}
-	c := &context{importer: m, site: s, hosts: hosts}
+	c := &context{importer: m, site: s}
 	for _, d := range s.Block {
 		if d.Name == "return" {
 			if r := c.answers(d, lv, &out{how: "prefix", path: "/", from: d.Place, hosts: hosts}, nil); r != nil {
@@ -727,7 +722,7 @@
 			m.say(d, Refused, "only within a location")
 		}
 	}
-	for _, r := range c.locations(s.Block, lv, nil, "") {
+	for _, r := range c.locations(s.Block, lv, nil, false) {
 		r.hosts = hosts
 		m.add(r)
 	}
@@ -738,8 +733,7 @@
 // context is a server block while its locations are read.
 type context struct {
 	*importer
-	site  *site
-	hosts []string
+	site *site
 }
 
 // normal tells whether a path is as requests' are once they are matched.
@@ -754,8 +748,8 @@
 	final     bool
 }
 
-// locations are the routes of a block's.
-func (c *context) locations(list []*Node, lv level, parent *spot, outer string) (routes []*out) {
+// locations are the routes of a block's; regexes: there are expressions further out.
+func (c *context) locations(list []*Node, lv level, parent *spot, regexes bool) (routes []*out) {
 	seen := map[string]bool{}
 	var spots []*spot
 	for _, n := range list {
@@ -774,10 +768,7 @@
 		}
 		spots = append(spots, s)
 	}
-	regexes := outer
-	if slices.ContainsFunc(spots, func(s *spot) bool { return s.how == "regex" }) {
-		regexes += "here "
-	}
+	regexes = regexes || slices.ContainsFunc(spots, func(s *spot) bool { return s.how == "regex" })
 	for _, s := range spots {
 		routes = append(routes, c.location(s, lv, parent, regexes)...)
 	}
@@ -846,9 +837,9 @@
 }
 
 // location is a location's routes: those that its conditions and rewrites make, and its own.
-func (c *context) location(s *spot, lv level, parent *spot, regexes string) []*out {
+func (c *context) location(s *spot, lv level, parent *spot, regexes bool) []*out {
 	lv = c.inherit(s.Block, lv)
-	if parent != nil && s.how == "prefix" && s.final != parent.final && regexes != "" {
+	if parent != nil && s.how == "prefix" && s.final != parent.final && regexes {
 		c.say(s.Node, Refused, "within %s, with expressions beside: which of them are asked is not the same here", parent.path)
 		return nil
 	}
@@ -1192,7 +1183,7 @@
 }
 
 // rewrites makes nested routes of rewrite directives, the first that matches first.
-func (c *context) rewrites(list []*Node, routes []*out, s *spot, regexes string) bool {
+func (c *context) rewrites(list []*Node, routes []*out, s *spot, regexes bool) bool {
 	refuse := func(d *Node, format string, args ...any) bool {
 		c.say(d, Refused, format, args...)
 		c.say(s.Node, Refused, "a rewrite in it could not be carried")
@@ -1205,7 +1196,7 @@
 	if r.rewrite != "" {
 		return refuse(list[0], "beside a path in proxy_pass")
 	}
-	if s.how == "prefix" && (s.final || regexes != "") {
+	if s.how == "prefix" && (s.final || regexes) {
 		return refuse(list[0], "with ^~ or expressions beside, an expression of its own would be asked in another order: write it as location ~")
 	}
 	for _, d := range list {
--- a/proxy/branch.go
+++ b/proxy/branch.go
@@ -76,10 +76,10 @@
 	fair    *limits.Fair   // its room, shared between routes; nil: no bound
 	shares  map[string]int // a route's number in fair
 	live    int            // lookups in hand
+	retired bool           // a reload has taken it away
 
 	admitted, opined int     // lookups so far; as of when opinions were told last
 	rate, opinedAt   float64 // of them a second, then
-	retired          bool    // a reload has taken it away
 }
 
 // listed tells a branch what of a list concerns it. In list are the list's entries, numbered.
--- a/proxy/life.go
+++ b/proxy/life.go
@@ -164,8 +164,9 @@
 	if len(changed.Entries) > 0 {
 		changed.Version = p.version
 		p.list(changed, false)
+	} else {
+		p.opine()
 	}
-	p.opine()
 }
 
 // ruled is an entry of the list as operators' orders leave it, and since when its backend is banned, if it is.
--- a/proxy/opine.go
+++ b/proxy/opine.go
@@ -70,10 +70,11 @@
 			Paused: b.Paused, Trial: b.Trial, Payoff: b.Payoff, Size: e.Size, UpSince: e.UpSince})
 	}
 	if in.written {
-		for _, b := range p.ruledOut(in.first) {
+		for _, b := range in.first {
 			var e discovery.Entry
 			e.Name, e.State, e.UpSince = p.names.Name(b.Index), b.State, b.UpSince
 			e.Addr = strings.TrimPrefix(e.Name, in.name+"/")
+			e, _ = p.ruled(e)
 			add(e, b.Index)
 		}
 		return s
