--- a/balance/balance.go
+++ b/balance/balance.go
@@ -90,7 +90,7 @@
 	}
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, askPause: askFirst,
-		part: 1, fleet: &opinion{lasts: forget}, askAt: math.Inf(1), lastSend: now, lastTake: now}
+		part: 1, slack: 1, fleet: &opinion{lasts: forget}, askAt: math.Inf(1), lastSend: now, lastTake: now}
 	for _, t := range d.Tariffs {
 		if t.Due == 0 { // no due time set: half of what the client waits
 			t.Due = t.HardStop / 2
@@ -269,7 +269,7 @@
 		b.pace += paceSmoothing * (b.now - b.lastSend - b.pace)
 	}
 	b.lastSend = b.now
-	b.unload(&l.legs[len(l.legs)-1], l.Flows) // danger: clients that send slowly would fill a limit with legs at rest
+	b.unload(&l.legs[len(l.legs)-1], l.Flows) // danger: slow clients would fill a limit with legs at rest
 	b.step(Step{Ref: l.Ref, Send: true, Backend: s.Index, Until: l.HardStop,
 		Wake: min(b.now+b.patience(l), l.HardStop-answerEarly)})
 }
@@ -319,7 +319,7 @@
 
 // patience is the age at which a leg of this lookup is overdue.
 func (b *Balancer) patience(l *Lookup) float64 {
-	return patienceFactor * l.row.times.Quantile(0.9, l.row.Due/2) * max(l.heavy, 1)
+	return patienceFactor*l.row.times.Quantile(0.9, l.row.Due/2)*max(l.heavy, 1) + b.lag
 }
 
 // worthHolding says whether a lookup with n held before it can still be answered in time.
@@ -732,7 +732,7 @@
 // of its due time, else this proxy's limit there.
 func (b *Balancer) bears(s *server) float64 {
 	if !b.loads() {
-		return s.limit * b.uneven()
+		return s.limit * b.uneven() * b.slack // danger: what waits for our own core is no load of its server
 	}
 	return s.like.cores() * max(seenShare*b.ease/s.pace, 1)
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -43,6 +43,7 @@
 	note            Note    // scratch
 	tidyAt          float64 // when to look for connections to close next
 	part            float64 // of the proxy's own, while two of its processes decide
+	slack, lag      float64 // see Slack
 }
 
 // row holds what differs by tariff.
@@ -338,6 +339,10 @@
 // with a whole budget each would push them over together.
 func (b *Balancer) Part(part float64) { b.part = part }
 
+// Slack sets how many times longer legs are out than their servers have them, and by how many seconds at the most in all likelihood:
+// where this proxy's own core is behind, answers wait here. No server is taken to be overdue, or full, for that.
+func (b *Balancer) Slack(times, lag float64) { b.slack, b.lag = max(times, 1), max(lag, 0) }
+
 // Memory is what a balancer learned, for the one of the same proxy that comes after it.
 type Memory struct {
 	Bases   []float64 // by tariff: what an answer takes when little waited, s
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -11,8 +11,11 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lockloom/balance"
 	"lockloom/internal/heads"
+	"lockloom/internal/stamped"
 )
 
 const (
@@ -39,15 +42,19 @@
 	off, begun       bool          // called off; being written; under conn.mu
 	flows            bool          // its answer has begun to flow; likewise
 	wrote            chan struct{}
-	whole            bool // its last byte is written; read after wrote is closed
-	some             bool // a byte may have gone out; likewise
+	opening          time.Duration // its connection's
+	sent             time.Time     // read after wrote is closed
+	whole            bool          // its last byte is written; read after wrote is closed
+	some             bool          // a byte may have gone out; likewise
 	conn             *conn
 }
 
 // Result is what came of an exchange.
 type Result struct {
 	Outcome balance.Outcome
-	At      time.Time
+	Sent    time.Time      // when it was written, or for one that opened its connection as much earlier as that took; zero: it was not
+	At      time.Time      // when the answer's end had come, or what else ended it
+	Waited  time.Duration  // for this program, until it read the answer
 	Err     error          // of an answer that did not come whole
 	Status  int            // of an answer; 0: none came
 	Length  int            // of its body, or of the one that it would have; -1: not told
@@ -66,12 +73,21 @@
 	since time.Time // idle since; the owner's
 	jobs  chan *Exchange
 
+	pending func() bool // see Pending
+
 	mu   sync.Mutex
 	nc   net.Conn
 	ex   *Exchange // the one in work
+	by   time.Time // its read deadline
 	dead bool      // takes no more
 }
 
+// until sets when reading ends without a byte; the caller holds the lock.
+func (c *conn) until(t time.Time) {
+	c.by = t
+	c.nc.SetReadDeadline(t)
+}
+
 // begin hands over an exchange, unless the connection was found closed.
 func (c *conn) begin(ex *Exchange) bool {
 	c.mu.Lock()
@@ -80,7 +96,7 @@
 		return false
 	}
 	ex.conn, c.ex = c, ex
-	c.nc.SetReadDeadline(ex.Until)
+	c.until(ex.Until)
 	c.jobs <- ex // never blocks: the last one was taken before its answer came
 	return true
 }
@@ -98,9 +114,21 @@
 	}
 }
 
+// Off tells whether it was called off, or withheld. Danger: nothing of it may be written any more then.
+func (ex *Exchange) Off() bool { return ex.conn.isOff(ex) }
+
+func (c *conn) withhold(ex *Exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ex == ex && !ex.begun {
+		ex.off = true
+	}
+}
+
 // run opens the connection for its first exchange and writes.
 func (c *conn) run(ex *Exchange, addr string) {
 	ctx, cancel := context.WithTimeout(context.Background(), min(c.pool.Connect, time.Until(ex.Until)))
+	began := time.Now()
 	nc, err := c.pool.dial(ctx, addr)
 	cancel()
 	if err != nil {
@@ -117,13 +145,14 @@
 		})
 		return
 	}
+	ex.opening = opened(nc, time.Since(began))
 	c.mu.Lock()
-	c.nc = nc
+	c.nc, c.pending = nc, pending(nc)
 	off := ex.off || !ex.Before.IsZero() && time.Now().After(ex.Before)
 	if off {
 		c.ex = nil // the connection is good for another
 	} else {
-		nc.SetReadDeadline(ex.Until)
+		c.until(ex.Until)
 	}
 	c.mu.Unlock()
 	go c.read()
@@ -145,11 +174,13 @@
 // as the answer to this request, and one written to a connection that the backend has closed may seem to have run.
 func (c *conn) write(ex *Exchange) {
 	c.mu.Lock()
-	ex.begun = !c.dead && !Pending(c.nc) && !c.to.shut()
+	late := !ex.Before.IsZero() && time.Now().After(ex.Before) // danger: this goroutine may have waited for its core since the order
+	ex.begun = !ex.off && !late && !c.dead && !c.pending() && !c.to.shut()
 	c.mu.Unlock()
 	err := errUnasked
 	if ex.begun {
 		c.nc.SetWriteDeadline(ex.Until)
+		ex.sent = time.Now().Add(-ex.opening)
 		var n int64
 		n, err = heads.WriteSome(c.nc, ex.Head, ex.Tail, ex.Body)
 		if ex.some = n > 0; err == nil && ex.Upload != nil {
@@ -165,12 +196,31 @@
 	}
 }
 
+// opened is how long a connection took to open. Danger: this program may have been too busy to see it open, which is no fault of the
+// other side's; the system knows better, unless it had to ask twice.
+func opened(nc net.Conn, took time.Duration) time.Duration {
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return took
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return took
+	}
+	raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.Total_retrans == 0 && info.Rtt > 0 {
+			took = min(took, time.Duration(info.Rtt)*time.Microsecond)
+		}
+	})
+	return took
+}
+
 // due sets when an exchange that is still in work is to have its answer, unless that flows already.
 func (c *conn) due(ex *Exchange, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ex == ex && !ex.flows {
-		c.nc.SetReadDeadline(at)
+		c.until(at)
 	}
 }
 
@@ -178,28 +228,54 @@
 
 // Pending tells whether bytes or the end wait to be read, as far as a connection can tell. The reader that waits for
 // them may not have run yet.
-func Pending(nc net.Conn) bool {
+func Pending(nc net.Conn) bool { return pending(nc)() }
+
+func pending(nc net.Conn) func() bool {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return false
+		return func() bool { return false }
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return true
+		return func() bool { return true }
 	}
-	waits := false
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	waits, one := false, make([]byte, 1)
+	look := func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), one, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		waits = err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return waits || err != nil
+	}
+	return func() bool {
+		err := raw.Control(look)
+		return waits || err != nil
+	}
+}
+
+// wait blocks until a byte of an answer has come, or the time for it is over. Danger: the read deadline is an exchange's, and is not
+// taken back when that is over; it may pass while the connection is idle, or just as the next exchange begins.
+func (c *conn) wait(r *heads.Reader) error {
+	for {
+		err := r.Wait()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		c.mu.Lock()
+		idle, early := c.ex == nil, time.Now().Before(c.by)
+		if idle {
+			c.until(time.Time{})
+		}
+		c.mu.Unlock()
+		if !idle && !early {
+			return err
+		}
+	}
 }
 
 // read reads answers, and notices while none is due that the backend closes.
 func (c *conn) read() {
-	r := heads.NewReader(c.nc)
+	in := stamped.NewReader(c.nc)
+	r := heads.NewReader(in)
 	for {
-		err := r.Wait()
+		err := c.wait(r)
 		c.mu.Lock()
 		ex := c.ex
 		unasked := ex == nil || !ex.begun
@@ -214,11 +290,14 @@
 			res.At = time.Now()
 		} else {
 			res, keep = c.answer(r, ex, err)
+			if at := in.Received(); res.Status > 0 && !at.IsZero() && at.After(ex.sent) {
+				res.Waited = max(res.At.Sub(at), 0)
+				res.At = res.At.Add(-res.Waited)
+			}
+			res.Sent = ex.sent
 		}
 		keep = keep && !c.pool.shut.Load()
-		if keep {
-			c.nc.SetReadDeadline(time.Time{})
-		} else {
+		if !keep {
 			c.nc.Close()
 		}
 		c.mu.Lock()
@@ -290,7 +369,11 @@
 	}
 	// Danger: the writer may not have run on since its last byte went, which must not cost the connection; or it
 	// is at a long body that the backend answered without reading, which must not keep the answer.
-	c.nc.SetWriteDeadline(res.At.Add(writeOn))
+	select {
+	case <-ex.wrote:
+	default:
+		c.nc.SetWriteDeadline(res.At.Add(writeOn))
+	}
 	ex.written()
 	return res, !h.Close && ex.whole && !r.Buffered()
 }
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -119,6 +119,9 @@
 // CallOff gives an exchange up. It is still reported.
 func (p *Pool) CallOff(ex *Exchange) { ex.conn.callOff(ex) }
 
+// Withhold has an exchange that is not being written yet end as never sent; any other goes on.
+func (p *Pool) Withhold(ex *Exchange) { ex.conn.withhold(ex) }
+
 // Sweep closes what was idle for too long.
 func (p *Pool) Sweep() {
 	now := time.Now()
--- a/internal/capture/call.go
+++ b/internal/capture/call.go
@@ -18,7 +18,8 @@
 type Kind uint8
 
 const (
-	Take Kind = iota + 1
+	Slack Kind = iota // the last that was added: four bits hold no more
+	Take
 	Ended
 	Left
 	Started
@@ -33,11 +34,10 @@
 	Part
 	Remember
 	Look // Beliefs, Admits or Recall: they change nothing but how far the clock has come
-	kinds
 )
 
 func (k Kind) String() string {
-	return [...]string{"", "take", "ended", "left", "started", "whole", "lookup-wake", "wake", "listed", "list-failed", "probed", "heard",
+	return [...]string{"slack", "take", "ended", "left", "started", "whole", "lookup-wake", "wake", "listed", "list-failed", "probed", "heard",
 		"reported", "part", "remember", "look"}[k]
 }
 
@@ -64,6 +64,8 @@
 	Note    balance.Note
 	Results []balance.Results
 	Part    float64
+	Slack   float64
+	Lag     float64
 	Memory  balance.Memory
 }
 
@@ -220,10 +222,6 @@
 	head := kind | pool<<4
 	c.uint(&head)
 	x.Kind, x.Pool = Kind(head&15), int(head>>4)
-	if x.Kind == 0 || x.Kind >= kinds {
-		c.bad = true
-		return
-	}
 	c.time(&x.Now, true)
 	lo, hi := x.Digest&0xff, x.Digest>>8
 	if c.read {
@@ -305,6 +303,9 @@
 		})
 	case Part:
 		c.float(&x.Part)
+	case Slack:
+		c.float(&x.Slack)
+		c.float(&x.Lag)
 	case Remember:
 		all(c, &x.Memory.Bases, c.float)
 		all(c, &x.Memory.Servers, func(l *balance.Learned) {
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -131,6 +131,9 @@
 		b := begin(t, rec, "b", 2)
 		for i := range rapid.IntRange(1, 150).Draw(r, "calls") {
 			[]*live{a, b}[i%2].step()
+			if i%20 == 7 {
+				a.Slack(1+float64(i%3), float64(i%5)/100)
+			}
 		}
 		require.NoError(t, rec.Close())
 		for range 2 {
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -280,6 +280,12 @@
 	b.did(Call{Kind: Part, Now: b.rec.begun, Part: part}, nil)
 }
 
+func (b *Balancer) Slack(times, lag float64) {
+	b.rec.ready(b.rec.begun)
+	b.Balancer.Slack(times, lag)
+	b.did(Call{Kind: Slack, Now: b.rec.begun, Slack: times, Lag: lag}, nil)
+}
+
 func (b *Balancer) Remember(now float64, m balance.Memory) {
 	b.rec.ready(now)
 	b.Balancer.Remember(now, m)
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -240,6 +240,8 @@
 		b.Reported(x.Now, x.Results)
 	case Part:
 		b.Part(x.Part)
+	case Slack:
+		b.Slack(x.Slack, x.Lag)
 	case Remember:
 		b.Remember(x.Now, x.Memory)
 	case Look:
--- a/internal/command/balancer/upgrade_test.go
+++ b/internal/command/balancer/upgrade_test.go
@@ -44,6 +44,7 @@
 	env    []string
 	addr   string
 	dir    string
+	addrs  []string // of the servers
 	mu     sync.Mutex
 	served map[string]int // by server's id
 	ids    map[string]int // by lookup's
@@ -75,6 +76,7 @@
 		})}
 		go server.Serve(ln)
 		t.Cleanup(func() { server.Close() })
+		s.addrs = append(s.addrs, ln.Addr().String())
 		rows = append(rows, fmt.Sprintf(`{"id":%q,"addr":%q,"state":"active","started_ms":0}`, id, ln.Addr().String()))
 	}
 	file := filepath.Join(s.dir, "launch.json")
--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -108,6 +108,35 @@
 	r.most = bytes
 }
 
+// Reset has a reader read another connection, as a new one would.
+func (r *Reader) Reset(conn io.Reader) {
+	buf := r.R
+	if buf.Size() > firstBytes {
+		buf = bufio.NewReaderSize(r.src, firstBytes)
+	}
+	*r.src = budget{LimitedReader: io.LimitedReader{R: conn}}
+	buf.Reset(r.src)
+	*r = Reader{src: r.src, head: Head{Fields: r.head.Fields[:0]}}
+	r.R = buf
+}
+
+// Ready tells whether the next head has come whole, so that reading it waits for nobody.
+func (r *Reader) Ready() bool {
+	buf, _ := r.R.Peek(r.R.Buffered())
+	return headEnd(bytes.TrimLeft(buf, "\r\n"), 0) > 0
+}
+
+// Watch blocks until the connection ends or no more bytes fit; what comes stays for the next message.
+func (r *Reader) Watch() error {
+	r.renew()
+	for r.R.Buffered() < r.R.Size() {
+		if _, err := r.R.Peek(r.R.Buffered() + 1); err != nil && err != bufio.ErrBufferFull {
+			return err
+		}
+	}
+	return nil
+}
+
 // Wait blocks until a byte of the next message has come, and leaves it there. A buffer that grew with a large head is
 // given back first.
 func (r *Reader) Wait() error {
@@ -119,18 +148,6 @@
 	return err
 }
 
-// More blocks until further bytes have come behind those that are buffered, or until no more fit.
-func (r *Reader) More() error {
-	_, err := r.R.Peek(r.R.Buffered() + 1)
-	if err == bufio.ErrBufferFull {
-		return nil
-	}
-	return err
-}
-
-// Room tells whether the buffer can hold more bytes.
-func (r *Reader) Room() bool { return r.R.Buffered() < r.R.Size() }
-
 // Buffered tells whether bytes have come that were not read yet.
 func (r *Reader) Buffered() bool { return r.R.Buffered() > 0 }
 
--- a/internal/heads/write.go
+++ b/internal/heads/write.go
@@ -3,8 +3,14 @@
 import (
 	"net"
 	"strconv"
+	"sync"
 )
 
+// gatherMost is the bytes of a message whose parts are copied into one buffer: cheaper than having the system gather them.
+const gatherMost = 4 << 10
+
+var gathered = sync.Pool{New: func() any { b := make([]byte, 0, gatherMost); return &b }}
+
 // reasons are the words after a status that this project sends; they mean nothing to a program.
 var reasons = map[int]string{100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
 	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 417: "Expectation Failed",
@@ -22,6 +28,20 @@
 
 // WriteSome is Write that tells how many bytes may have gone out.
 func WriteSome(conn net.Conn, parts ...[]byte) (int64, error) {
+	size := 0
+	for _, part := range parts {
+		size += len(part)
+	}
+	if size > 0 && size <= gatherMost {
+		buf := gathered.Get().(*[]byte)
+		defer gathered.Put(buf)
+		out := (*buf)[:0]
+		for _, part := range parts {
+			out = append(out, part...)
+		}
+		n, err := conn.Write(out)
+		return int64(n), err
+	}
 	bufs := make(net.Buffers, 0, len(parts))
 	for _, part := range parts {
 		if len(part) > 0 { // an empty one is a write of its own where there is no gathering
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -15,6 +15,7 @@
 	in         *branch
 	row        *balance.Tariff
 	handle     Handle
+	alarm      alarm // of its module's wakes and its backstop
 	ref        int
 	id         string
 	trace      string // the id that its client and the backends know; empty: id
@@ -71,7 +72,8 @@
 		p.slots = append(p.slots, l)
 	}
 	a.Ref = l.ref
-	p.timers.add(timer{at: l.hardStop - backstop, call: func() { p.expired(l) }})
+	l.alarm.call = func() { p.due(l) }
+	p.timers.add(&l.alarm, l.hardStop-backstop)
 	p.decide(l.in, func(now float64) *balance.Orders {
 		handle, orders := l.in.b.Take(now, a, cmp.Or(l.trace, l.id))
 		l.handle = handle
@@ -89,12 +91,25 @@
 	if last := p.last.Load(); last != nil {
 		l.hardStop = min(l.hardStop, p.stamp(*last))
 	}
-	p.timers.add(timer{at: l.hardStop - backstop, call: func() { p.expired(l) }})
+	if l.alarm.call != nil {
+		p.timers.add(&l.alarm, l.hardStop-backstop)
+	}
 	if l.handle != nil && !l.released {
 		p.tell(l, l.handle.Whole)
 	}
 }
 
+// due looks at a lookup when it asked for that, or its time is up.
+func (p *Proxy) due(l *lookup) {
+	// Danger: a client that sends a large body slowly would have its leg taken for overdue, and the server blamed.
+	if !l.released && !(l.upload != nil && l.upload.Begun() && l.wholeAt == 0) {
+		p.tell(l, l.handle.Wake)
+	}
+	if p.now() >= l.hardStop-backstop {
+		p.expired(l)
+	}
+}
+
 // expired answers a lookup that the decisions have not. Danger: one without an answer breaks rule 1.
 func (p *Proxy) expired(l *lookup) {
 	if !invariant.Holds(l.answered, "every lookup is answered before its hard stop") {
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -26,16 +26,24 @@
 	if r.Outcome == balance.Honoured && !l.answered {
 		l.answered = true
 		p.counts.Honoured++
-		l.answer <- reply{status: r.Status, fields: r.Fields, body: r.Body, held: r.Held, bare: l.bare, length: r.Length}
+		p.withhold(l)
+		defer func() { // once its other legs are called off, see decide
+			l.answer <- reply{status: r.Status, fields: r.Fields, body: r.Body, held: r.Held, bare: l.bare, length: r.Length}
+		}()
 	} else {
 		if r.Outcome == balance.Fault && l.plain && r.Held == 0 {
 			l.failed = &reply{status: r.Status, fields: r.Fields, body: r.Body, bare: l.bare, length: r.Length}
 		}
 		p.held.Add(-r.Held)
 	}
-	over := l.answered
+	over, sent := l.answered, g.sent
+	if !r.Sent.IsZero() { // danger: what waited here to be written or read would be taken for the server's time
+		sent = p.stamp(r.Sent)
+		now := p.now()
+		p.strained.ended(now-g.sent, p.stamp(r.At)-sent)
+	}
 	p.tell(l, func(now float64) *balance.Orders {
-		return l.handle.Ended(now, g.number, r.Outcome, l.took(g.sent, p.stamp(r.At)), over)
+		return l.handle.Ended(now, g.number, r.Outcome, l.took(sent, p.stamp(r.At)), over)
 	})
 }
 
@@ -60,8 +68,9 @@
 	}
 	l.answered = true
 	p.counts.Honoured++
-	l.answer <- reply{status: r.Status, fields: r.Fields, body: r.Body, bare: l.bare, length: r.Length, flow: r.Flow}
+	p.withhold(l)
 	p.tell(l, func(now float64) *balance.Orders { return l.handle.Started(now, g.number) })
+	l.answer <- reply{status: r.Status, fields: r.Fields, body: r.Body, bare: l.bare, length: r.Length, flow: r.Flow}
 }
 
 // counted returns what logs the counts as they are now.
@@ -81,6 +90,7 @@
 		fields["told"], fields["heard"], fields["unheard"] = p.link.Sent.Load(), p.link.Heard.Load(), p.link.Dropped.Load()
 	}
 	fields["clients"], fields["crowded"] = p.door.counted()
+	p.strained.note(p.now(), fields)
 	line, broken := p.log.WithFields(fields), invariant.Broken()
 	return func() {
 		if len(broken) > 0 {
--- a/proxy/branch.go
+++ b/proxy/branch.go
@@ -21,6 +21,7 @@
 	Heard(now float64, from int, n balance.Note) *balance.Orders
 	Reported(now float64, all []balance.Results)
 	Part(part float64)
+	Slack(times, lag float64)
 	Remember(now float64, m balance.Memory)
 	Recall(now float64) balance.Memory
 	Beliefs(now float64) []balance.Belief
@@ -66,6 +67,7 @@
 	rows []balance.Tariff
 	has  func(*discovery.Entry) bool // whether a listed server is one of its; nil: all are
 
+	alarm   alarm // of its Balancer's wakes
 	name    string
 	written bool // its servers are written out, in first; no list is told to it
 	first   []balance.Backend
--- a/proxy/door.go
+++ b/proxy/door.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -10,44 +9,110 @@
 	"lockloom/internal/backends"
 )
 
-// door knows the clients' connections, and which wait for a request, those for longest first.
+// door knows the clients' connections, and which wait for a request.
 type door struct {
 	mu   sync.Mutex
 	room sync.Cond
 	bounds
 	whole   bounds // where no other process of this proxy has a part
-	kept    int    // idle between requests
 	all     map[*client]bool
-	idle    []*client
-	crowded int // connections taken over the bound
+	quiet   line // no request has come whole yet, or none will: turned away, read on
+	kept    line // idle between requests, but not for long
+	stale   line // the same for long
+	crowded int  // connections taken over the bound
 	closed  bool
 }
 
+// line is connections in the order of the time since when they wait, linked through themselves.
+type line struct {
+	first, last *client
+	n           int
+}
+
+func (l *line) append(c *client) { l.insert(c, l.last) }
+
+// insert puts a connection behind another, or first.
+func (l *line) insert(c, behind *client) {
+	c.line, c.before, c.after = l, behind, l.first
+	if behind != nil {
+		c.after = behind.after
+		behind.after = c
+	} else {
+		l.first = c
+	}
+	if c.after != nil {
+		c.after.before = c
+	} else {
+		l.last = c
+	}
+	l.n++
+}
+
+func (l *line) remove(c *client) {
+	if c.before != nil {
+		c.before.after = c.after
+	} else {
+		l.first = c.after
+	}
+	if c.after != nil {
+		c.after.before = c.before
+	} else {
+		l.last = c.before
+	}
+	c.line, c.before, c.after = nil, nil, nil
+	l.n--
+}
+
 // bounds are how many connections are served, how many further ones dismissed at once, and how many kept idle between requests.
 type bounds struct{ most, over, keep int }
 
-// wait blocks while there is room for no connection at all and none is idle, unless the door was woken to stop.
+// wait blocks while there is room for no connection at all and none is idle, unless the door was woken to stop. Where the core is
+// behind there is none past the bound. Danger: a connection that is taken in to be dismissed costs as much as three lookups.
 // One that was idle then may be so no more when the next comes: there is one more than the bound at most.
-func (d *door) wait(stops func() bool) {
+func (d *door) wait(stops, behind func() bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for len(d.all) >= d.most+d.over && d.idlest() < 0 && !stops() {
+	var looked time.Time
+	for (len(d.all) >= d.most+d.over || len(d.all) >= d.most && behind()) && !stops() {
+		if now := time.Now(); now.Sub(looked) >= lookEach { // danger: it is woken by every connection that rests or goes
+			if looked = now; d.idlest() != nil {
+				return
+			}
+		}
 		look := time.AfterFunc(freshFor, d.wake) // fresh ones may turn out to be idle
 		d.room.Wait()
 		look.Stop()
 	}
 }
 
-// idlest is the place of a connection that may go, idle for longest, or -1. Danger: a new one looks idle while its
-// first request is on the way; but one that never sends it, or sends a part only, must not keep others out. One whose
-// request has come and was not read yet, because the core is busy, would be lost.
-func (d *door) idlest() int {
-	for i, c := range d.idle {
-		if (!c.fresh || time.Since(c.since) >= freshFor) && !backends.Pending(c.nc) {
-			return i
+// idlest is a connection that may go, idle for longest, or nil. Danger: a new one looks idle while its first request is on the
+// way; but one that never sends it, or sends a part only, must not keep others out. One whose request has come and was not read
+// yet, because the core is busy, would be lost, as would one that crosses the close: so one that was served goes only when it
+// seems to be used no more. No more than a few are looked at: each look is a system call, and there is one for every connection
+// that comes while there is no room.
+func (d *door) idlest() *client {
+	d.age()
+	looks := looksMost
+	for _, l := range []*line{&d.quiet, &d.stale} {
+		for c := l.first; c != nil && looks > 0; c = c.after {
+			if c.fresh && time.Since(c.since) < freshFor {
+				break
+			}
+			if !backends.Pending(c.nc) {
+				return c
+			}
+			looks--
 		}
 	}
-	return -1
+	return nil
+}
+
+// age moves what has been idle for long to the stale ones.
+func (d *door) age() {
+	for c := d.kept.first; c != nil && time.Since(c.since) >= staleAfter; c = d.kept.first {
+		d.kept.remove(c)
+		d.stale.append(c)
+	}
 }
 
 func (d *door) wake() { d.room.Broadcast() }
@@ -62,8 +127,7 @@
 	if len(d.all) <= d.most {
 		return false
 	}
-	if i := d.idlest(); i >= 0 {
-		idle := d.idle[i]
+	if idle := d.idlest(); idle != nil {
 		idle.end()
 		d.unrest(idle)
 		return false
@@ -88,10 +152,17 @@
 		c.end()
 		return
 	}
-	c.begun, c.fresh, c.kept, c.since = false, fresh, kept, time.Now()
-	d.idle = append(d.idle, c)
-	if kept {
-		d.kept++
+	c.begun, c.fresh, c.since = false, fresh, time.Now()
+	c.goes = c.since.Add(clientIdle)
+	switch {
+	case kept:
+		d.kept.append(c)
+		d.thin()
+	case fresh:
+		c.goes = c.met.Add(firstBegun)
+		d.quiet.append(c)
+	default: // nothing is lost with it
+		d.quiet.insert(c, nil)
 	}
 	d.room.Signal()
 }
@@ -102,8 +173,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c.begun, c.fresh, c.since = true, true, time.Now()
-	if !first {
-		d.unrest(c)
+	d.unrest(c)
+	if first {
+		d.quiet.append(c)
 	}
 	return !c.closed
 }
@@ -117,30 +189,48 @@
 }
 
 func (d *door) unrest(c *client) {
-	if i := slices.Index(d.idle, c); i >= 0 {
-		d.idle = slices.Delete(d.idle, i, i+1)
-		if c.kept {
-			d.kept--
-		}
+	if c.line != nil {
+		c.line.remove(c)
 	}
 }
 
-// full tells whether as many connections are idle between requests as are kept. Danger: clients that ask once and stay
-// take up all that their side may open, and nobody can ask any more.
+// full tells whether as many connections are idle between requests as are kept, and seem to be used no more. Danger: clients that
+// ask once and stay take up all that their side may open, and nobody can ask any more; so further ones close with their first answer.
+// One that was used again stays: closing it costs its client and this core more than its next request does.
 func (d *door) full() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.kept >= d.keep
+	d.age()
+	return d.stale.n >= d.keep
 }
 
 // thin closes, where there are so many, those that have been idle for long.
 func (d *door) thin() {
-	for i := 0; i < len(d.idle) && d.kept >= d.keep && time.Since(d.idle[i].since) >= keptIdle; {
-		if c := d.idle[i]; c.kept && !c.begun && !backends.Pending(c.nc) {
+	d.age()
+	looks := looksMost
+	for c := d.stale.first; c != nil && d.stale.n >= d.keep && looks > 0 && time.Since(c.since) >= keptIdle; looks-- {
+		next := c.after
+		if !backends.Pending(c.nc) {
 			c.end()
 			d.unrest(c)
-		} else {
-			i++
+		}
+		c = next
+	}
+}
+
+// expire closes those whose time is over.
+func (d *door) expire() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, l := range []*line{&d.stale, &d.kept, &d.quiet} {
+		for c := l.first; c != nil && (l == &d.quiet || !c.goes.After(now)); {
+			next := c.after
+			if !c.begun && !c.goes.After(now) && !backends.Pending(c.nc) {
+				c.end()
+				d.unrest(c)
+			}
+			c = next
 		}
 	}
 }
@@ -159,16 +249,18 @@
 func (d *door) empty(share float64, fresh bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n := int(math.Ceil(share * float64(len(d.idle))))
-	for i := 0; i < len(d.idle) && n > 0; {
-		c := d.idle[i]
-		if c.begun || backends.Pending(c.nc) || c.fresh && (!fresh || time.Since(c.since) < seconds(duty.Fresh)) {
-			i++
-			continue
+	d.age()
+	n := int(math.Ceil(share * float64(d.quiet.n+d.kept.n+d.stale.n)))
+	for _, l := range []*line{&d.stale, &d.kept, &d.quiet} {
+		for c := l.first; c != nil && n > 0; {
+			next := c.after
+			if !c.begun && !backends.Pending(c.nc) && !(c.fresh && (!fresh || time.Since(c.since) < seconds(duty.Fresh))) {
+				c.end()
+				d.unrest(c)
+				n--
+			}
+			c = next
 		}
-		c.end()
-		d.unrest(c)
-		n--
 	}
 }
 
@@ -188,9 +280,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.closed = true
-	for _, c := range d.idle {
-		if !c.begun {
-			c.end()
+	for _, l := range []*line{&d.quiet, &d.kept, &d.stale} {
+		for c := l.first; c != nil; c = c.after {
+			if !c.begun {
+				c.end()
+			}
 		}
 	}
 }
@@ -215,4 +309,5 @@
 func (c *client) end() {
 	c.closed = true
 	c.nc.Close()
+	c.rouse()
 }
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -118,6 +118,7 @@
 		}
 		p.branches = append(p.branches, in)
 		in.b.Part(p.part())
+		in.b.Slack(p.strained.slack, p.strained.lag)
 		if len(w.Servers) > 0 {
 			in.written = true
 			p.writeOut(in, w.Servers)
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -20,6 +20,8 @@
 	defer wake.Stop()
 	p.every(sweepEvery, p.pool.Sweep)
 	p.every(sweepEvery, p.rush)
+	p.every(sweepEvery, p.slacken)
+	p.every(sweepEvery, p.door.expire)
 	p.every(reportEvery, func() { go p.counted()() }) // danger: who reads the log may be slow; the owner waits for nobody
 	if p.ordinary.Load() != nil {
 		p.every(sweepEvery, p.standbys)
@@ -30,13 +32,14 @@
 	if p.traces() {
 		p.every(traceEvery, p.trace)
 	}
-	for {
+	for set := 0.0; ; {
 		select {
 		case f := <-p.events:
 			p.guard(f)
 		case <-p.life.news:
 			p.guard(p.obey)
 		case <-wake.C:
+			set = 0
 		case <-p.quit:
 			p.watched.end()
 			p.sought.end()
@@ -45,10 +48,24 @@
 			close(p.ended)
 			return
 		}
-		for p.timers[0].at <= p.now() { // never empty: what is done every so often is always in it
-			p.guard(heap.Pop(&p.timers).(timer).call)
+		// Danger: where this core is behind, what has come due would be taken for servers' lateness before their answers, which wait
+		// here, are seen.
+		for range eventsFirst {
+			select {
+			case f := <-p.events:
+				p.guard(f)
+				continue
+			default:
+			}
+			break
+		}
+		for p.timers[0].times[0] <= p.now() { // never empty: what is done every so often is always in it
+			p.guard(p.timers.fire(p.now()))
+		}
+		if next := p.timers[0].times[0]; next != set {
+			set = next
+			wake.Reset(seconds(next - p.now()))
 		}
-		wake.Reset(seconds(p.timers[0].at - p.now()))
 	}
 }
 
@@ -91,8 +108,18 @@
 	for i := range o.Steps {
 		p.route(&o.Steps[i])
 	}
+	// Danger: this goroutine may be held up at any place. A leg that is only called off after its lookup's answer has been let go might
+	// be written after it.
+	for i := range o.Steps {
+		if s := &o.Steps[i]; s.Answer != balance.NoAnswer {
+			p.finish(p.slots[s.Ref], s.Answer, s.Advice)
+		}
+	}
 	if o.Wake > 0 {
-		p.timers.add(timer{at: o.Wake, call: func() { p.decide(in, in.b.Wake) }})
+		if in.alarm.call == nil {
+			in.alarm.call = func() { p.decide(in, in.b.Wake) }
+		}
+		p.timers.add(&in.alarm, o.Wake)
 	}
 	// Orders to subscribe need no act: on sockets the watch is always held.
 	for i := range o.Steps {
@@ -110,6 +137,7 @@
 func (p *Proxy) release(l *lookup) {
 	if l != nil && !l.released && l.handle != nil && l.handle.Done() {
 		l.released = true
+		p.timers.drop(&l.alarm)
 		l.giveBack()
 		if l.upload != nil {
 			l.upload.Stop()
@@ -120,7 +148,6 @@
 		invariant.Holds(l.answered, "a lookup is done only once answered")
 		p.slots[l.ref] = nil
 		delete(p.open, l.id)
-		l.head, l.body, l.legs = nil, nil, nil // danger: the timer of its hard stop holds it for long
 		p.free = append(p.free, l.ref)
 	}
 }
@@ -259,30 +286,83 @@
 
 // every has a call made every so often. The next is set before this one is made, so that a panic does not end it.
 func (p *Proxy) every(pause time.Duration, call func()) {
-	p.timers.add(timer{at: p.now() + pause.Seconds(), call: func() {
-		p.every(pause, call)
+	a := &alarm{}
+	a.call = func() {
+		p.timers.add(a, p.now()+pause.Seconds())
 		call()
-	}})
+	}
+	p.timers.add(a, p.now()+pause.Seconds())
+}
+
+// alarm is a call that is made at several times.
+type alarm struct {
+	call  func()
+	times []float64 // the earliest first
+	place int       // among the timers
+	room  [4]float64
 }
 
-// timers is a heap of what will come due.
-type timers []timer
+// timers is a heap of alarms by their next time. An alarm has one place in it however many its times. Danger: a place for each time,
+// kept until then, held every lookup for as long as its hard stop, which the collector went through again and again.
+type timers []*alarm
 
-type timer struct {
-	at   float64
-	call func()
+// add has an alarm go off at a further time.
+func (t *timers) add(a *alarm, at float64) {
+	if a.times == nil {
+		a.times = a.room[:0]
+	}
+	i, there := slices.BinarySearch(a.times, at)
+	if there {
+		return
+	}
+	a.times = slices.Insert(a.times, i, at)
+	switch {
+	case len(a.times) == 1:
+		heap.Push(t, a)
+	case i == 0:
+		heap.Fix(t, a.place)
+	}
+}
+
+// drop has an alarm go off no more.
+func (t *timers) drop(a *alarm) {
+	if len(a.times) > 0 {
+		heap.Remove(t, a.place)
+		a.times = a.times[:0]
+	}
+}
+
+// fire takes what has come due from the first alarm, once for all its times, and returns its call.
+func (t *timers) fire(now float64) func() {
+	a := (*t)[0]
+	n := 1
+	for n < len(a.times) && a.times[n] <= now {
+		n++
+	}
+	if a.times = slices.Delete(a.times, 0, n); len(a.times) > 0 {
+		heap.Fix(t, 0)
+	} else {
+		heap.Pop(t)
+	}
+	return a.call
 }
 
-func (t *timers) add(x timer)       { heap.Push(t, x) }
 func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t timers) Less(i, j int) bool { return t[i].times[0] < t[j].times[0] }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].place, t[j].place = i, j
+}
+func (t *timers) Push(x any) {
+	a := x.(*alarm)
+	a.place = len(*t)
+	*t = append(*t, a)
+}
 func (t *timers) Pop() any {
 	old := *t
 	n := len(old) - 1
-	x := old[n]
-	old[n] = timer{}
+	a := old[n]
+	old[n] = nil
 	*t = old[:n]
-	return x
+	return a
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"lockloom/internal/backends"
 	"lockloom/internal/discovery"
 	"lockloom/internal/figures"
+	"lockloom/internal/idle"
 	"lockloom/internal/invariant"
 	"lockloom/internal/launch"
 	"lockloom/internal/peers"
@@ -42,6 +43,7 @@
 // Every constant of the network code but those of a package's own wire.
 const (
 	eventsKept  = 1024                    // events not yet taken by the owner; then connections wait
+	eventsFirst = 256                     // of them, taken before what has come due
 	socketsFor  = 1024                    // descriptors where the limit is not told
 	reserve     = 64                      // descriptors for files, listener, discovery and what is just closing
 	clientPart  = 0.75                    // of the other descriptors: a lookup may wait longer than its legs take
@@ -57,6 +59,9 @@
 	firstList   = 300 * time.Millisecond  // to wait for discovery before being ready with the known list
 	clientIdle  = 75 * time.Second        // a client's connection between requests
 	keptIdle    = 2 * time.Second         // the same where there are as many idle as are kept
+	staleAfter  = 250 * time.Millisecond  // from its answer a connection seems to be used no more: busy clients come back at once
+	lookEach    = 20 * time.Millisecond   // between looks for such a one while no connection may be accepted
+	looksMost   = 8                       // connections looked at for one that may go
 	firstBegun  = 2100 * time.Millisecond // from a connection's start to its first request's first byte
 	firstHead   = 2700 * time.Millisecond // and to its head's end: who says nothing, or trickles, is told or closed within 3 s
 	headFor     = 2500 * time.Millisecond // for any head: some clients take 2 s
@@ -69,6 +74,8 @@
 	bodyEnd     = 15 * time.Millisecond   // from when the leg of a flowing request is given up to its hard stop
 	freshFor    = 100 * time.Millisecond  // for the first request of a connection, where others wait to be accepted
 	headGuess   = 512                     // bytes of a head that goes on; a longer one grows
+	watchAfter  = 10 * time.Millisecond   // from a lookup's taking in: until then nobody looks whether its client has gone
+	outMost     = 2 << 10                 // bytes of an answer's head that a connection keeps for the next
 	clientSlow  = 5 * time.Second         // for an answer to be taken
 	flowBytes   = 16 << 10                // of an answer that flows, between reading and writing
 	flowSlow    = 30 * time.Second        // for a piece of it to be taken
@@ -82,6 +89,10 @@
 	lastServe   = 350 * time.Millisecond  // before that: connections close between requests, and with their answers
 	lastAnswer  = 150 * time.Millisecond  // before that: the hard stop of whatever is in hand
 	lastCut     = 75 * time.Millisecond   // before that: what a client has not taken is cut
+	workBytes   = 32 << 10                // of a body cost this core as much as all else of its lookup
+	handsEach   = 8                       // lookups in the hands of each core, from reading to sending
+	slackStep   = 1.1                     // times a change of the slack, to tell the decisions
+	lagStep     = 0.001                   // s; the same of the lag
 	lateEvent   = 0.02                    // s from an event to the owner's call: more is counted
 )
 
@@ -138,6 +149,9 @@
 
 	link *peers.Link // to the bank's other proxies; nil: they are told nothing
 
+	strained strained
+	idle     idle.Set // clients' connections without a request
+
 	held      atomic.Int64 // bytes kept: to be sent to backends, and of large answers
 	heldMost  atomic.Int64
 	heldWhole float64 // bytes, where no other process of this proxy has a part
@@ -181,6 +195,7 @@
 		p.heldWhole = math.MaxInt64 / 2
 	}
 	p.heldMost.Store(int64(p.heldWhole))
+	p.strained.begin(p)
 	p.open, p.written = map[string]bool{}, map[int]bool{}
 	p.door.all = map[*client]bool{}
 	p.door.room.L = &p.door.mu
@@ -210,6 +225,7 @@
 	p.follow(p.launch.Discovery)
 	p.shares()
 	go p.own()
+	go p.turns()
 	go func() {
 		if p.life.state == nil || !p.life.state.Listed {
 			select {
@@ -258,6 +274,7 @@
 	p.life.leave()
 	close(p.quit)
 	<-p.ended
+	p.idle.Close()
 	if p.link != nil {
 		p.link.Close()
 	}
@@ -311,6 +328,11 @@
 
 // post has the owner run a function soon. Only the owner itself must not call it: it would wait for itself.
 func (p *Proxy) post(f func()) {
+	select {
+	case p.events <- f:
+		return
+	default: // a choice of two costs as much again
+	}
 	select {
 	case p.events <- f:
 	case <-p.quit:
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -24,7 +24,7 @@
 
 // relay writes an answer to its client, who may be slow to take it but not for ever.
 func (c *client) relay(a reply, closing bool) error {
-	head := heads.AppendStatus(make([]byte, 0, 256), a.status)
+	head := heads.AppendStatus(c.out[:0], a.status)
 	head = append(head, a.fields...)
 	switch {
 	case a.status == 204 || a.status == 304: // they have no body, and a length would be taken for one
@@ -51,6 +51,9 @@
 		head = heads.AppendField(head, "Connection", "close")
 	}
 	head = append(head, "\r\n"...)
+	if c.out = head; cap(head) > outMost {
+		c.out = nil
+	}
 	c.nc.SetWriteDeadline(time.Now().Add(clientSlow))
 	if a.flow == nil {
 		return heads.Write(c.nc, head, a.body)
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -7,7 +7,7 @@
 	"lockloom/internal/invariant"
 )
 
-// route carries out one step that the decisions order.
+// route carries out one step that the decisions order, all but its answer.
 func (p *Proxy) route(s *balance.Step) {
 	l := p.slots[s.Ref]
 	if s.Send {
@@ -18,16 +18,17 @@
 			p.pool.CallOff(&g.ex)
 		}
 	}
-	if s.Answer != balance.NoAnswer {
-		p.finish(l, s.Answer, s.Advice)
-	}
 	if s.Wake > 0 {
-		p.timers.add(timer{at: s.Wake, call: func() {
-			// Danger: a client that sends a large body slowly would have its leg taken for overdue, and the server blamed.
-			if !l.released && !(l.upload != nil && l.upload.Begun() && l.wholeAt == 0) {
-				p.tell(l, l.handle.Wake)
-			}
-		}})
+		p.timers.add(&l.alarm, s.Wake)
+	}
+}
+
+// withhold has nothing more written for a lookup that has its answer, wherever its legs are not written yet.
+func (p *Proxy) withhold(l *lookup) {
+	for _, g := range l.legs {
+		if g.begun && !g.ended {
+			p.pool.Withhold(&g.ex)
+		}
 	}
 }
 
@@ -51,6 +52,7 @@
 		answer = balance.Forfeited
 	}
 	l.answered = true
+	p.withhold(l)
 	if p.traces() {
 		p.log.WithFields(p.traced(l)).Debug("given up")
 	}
--- /dev/null
+++ b/proxy/strained.go
@@ -0,0 +1,132 @@
+package proxy
+
+import (
+	"math"
+	"runtime"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"lockloom/balance"
+	"lockloom/internal/idle"
+	"lockloom/limits"
+)
+
+// strained is how far this proxy's own core is behind, told by all its connections and asked by them.
+type strained struct {
+	mu sync.Mutex
+	*limits.Strain
+	slack float64 // as the decisions were told last, and the lag in s
+	lag   float64
+	more  chan struct{} // some wait for their turn
+}
+
+// begin is called before the proxy serves.
+func (s *strained) begin(p *Proxy) {
+	s.more = make(chan struct{}, 1)
+	s.Strain, s.slack = limits.NewStrain(handsEach*runtime.GOMAXPROCS(0), len(p.launch.Customers)), 1
+}
+
+// dueOf is a tariff's due time; where none is set, half of what its client waits.
+func dueOf(t *balance.Tariff) float64 {
+	if t.Due > 0 {
+		return t.Due
+	}
+	return t.HardStop / 2
+}
+
+// turn waits until it is the turn of the lookup that has come last, and tells whether it is taken on by this core. It is in its hands
+// then, until done.
+func (c *client) turn(row *balance.Tariff, customer, bytes int) bool {
+	s := &c.p.strained
+	worth := max(row.Value, 1e-3) / (1 + float64(max(bytes, 0))/workBytes)
+	s.mu.Lock()
+	passes, waits := s.Come(c.p.now(), c.p.stamp(c.came()), dueOf(row), worth, customer, c)
+	s.mu.Unlock()
+	if waits != nil {
+		s.kick()
+		passes = <-c.passes
+	}
+	c.inHand = true
+	return passes
+}
+
+// done tells that a lookup is out of this core's hands.
+func (p *Proxy) done() {
+	s := &p.strained
+	s.mu.Lock()
+	more := s.Done()
+	s.mu.Unlock()
+	if more {
+		s.kick()
+	}
+}
+
+// behind tells whether lookups wait for this core for longer than a burst.
+func (p *Proxy) behind() bool {
+	s := &p.strained
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, stands := s.Standing(p.now())
+	return stands
+}
+
+// kick has turns given, if that goroutine waits.
+func (s *strained) kick() {
+	select {
+	case s.more <- struct{}{}:
+	default:
+	}
+}
+
+// turns gives lookups their turns, some in each round, until the proxy ends.
+func (p *Proxy) turns() {
+	s := &p.strained
+	round := idle.NewRound()
+	defer round.Close()
+	tell := func(t *limits.Turn, passes bool) { t.Of.(*client).passes <- passes }
+	for {
+		select {
+		case <-s.more:
+		case <-p.quit:
+			return
+		}
+		for more := true; more; {
+			round.Next()
+			s.mu.Lock()
+			more = s.Give(p.now(), tell)
+			s.mu.Unlock()
+		}
+	}
+}
+
+// ended notes a leg that was out for so long and at its server for so long.
+func (s *strained) ended(out, away float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Leg(out, away)
+}
+
+// slacken tells the decisions how much longer legs are out than their servers have them, where that has changed.
+func (p *Proxy) slacken() {
+	s := &p.strained
+	s.mu.Lock()
+	slack, lag := s.Slack(), s.Lag()
+	s.mu.Unlock()
+	if slack < s.slack*slackStep && slack > s.slack/slackStep && math.Abs(lag-s.lag) < lagStep {
+		return
+	}
+	s.slack, s.lag = slack, lag
+	for _, in := range p.branches {
+		in.b.Slack(slack, lag)
+	}
+}
+
+// note says how it stands, for the log.
+func (s *strained) note(now float64, fields logrus.Fields) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waited, stands := s.Standing(now)
+	fields["queued"], fields["strained"], fields["behind"] = s.Queued, s.Refused, stands
+	fields["waited_ms"], fields["slack"] = math.Round(waited*10000)/10, math.Round(s.slack*10)/10
+}
--- /dev/null
+++ b/proxy/strained_test.go
@@ -0,0 +1,147 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"lockloom/balance"
+	"lockloom/internal/backends"
+	"lockloom/limits"
+)
+
+// busy takes all hands of the proxy's core; what it returns gives them back.
+func (y *yard) busy(n int) func() {
+	y.strained.mu.Lock()
+	y.strained.Strain = limits.NewStrain(n, 0)
+	for range n {
+		y.strained.Come(y.now(), y.now(), 1, 1, -1, nil)
+	}
+	y.strained.mu.Unlock()
+	return func() {
+		for range n {
+			y.done()
+		}
+	}
+}
+
+func TestTurnsAtTheCore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := serve(t, map[string][]string{"b1": {ok}}, nil)
+		free := y.busy(1)
+		late, worth := y.client(), y.client()
+		go io.WriteString(late, look)
+		time.Sleep(210 * time.Millisecond) // of 300 that are its due time
+		go io.WriteString(worth, sms)
+		time.Sleep(30 * time.Millisecond)
+		synctest.Wait()
+		assert.Empty(t, y.got, "neither is sent")
+		free()
+		status, h, _, err := answer(late)
+		assert.NoError(t, err)
+		assert.Equal(t, 503, status)
+		assert.Equal(t, "1.000", string(h.Get("Retry-After")))
+		assert.False(t, h.Close, "a connection costs more than the answer")
+		status, _, _, err = answer(worth)
+		assert.NoError(t, err)
+		assert.Equal(t, 200, status)
+		go io.WriteString(late, strings.Replace(look, "t1", "t9", 1))
+		status, _, _, err = answer(late)
+		assert.NoError(t, err)
+		assert.Equal(t, 200, status, "nobody waits any more")
+		assert.Equal(t, 1, y.strained.Refused)
+		y.end()
+	})
+}
+
+// Danger: a client that writes its head slowly would be late before it has asked.
+func TestSlowHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := serve(t, map[string][]string{"b1": {silent}}, nil)
+		c := y.client()
+		io.WriteString(c, look[:30])
+		time.Sleep(2 * time.Second)
+		began := time.Now()
+		go io.WriteString(c, look[30:])
+		status, _, _, err := answer(c)
+		assert.NoError(t, err)
+		assert.NotEqual(t, 200, status)
+		assert.InDelta(t, 0.5, time.Since(began).Seconds(), 0.02, "its time counts from its last byte")
+		synctest.Wait()
+		assert.Len(t, y.got, 1)
+		y.end()
+	})
+}
+
+// heard is a lookup's handle that keeps what it is told of a leg.
+type heard struct {
+	Handle
+	latency float64
+}
+
+func (h *heard) Ended(_ float64, _ int, _ balance.Outcome, latency float64, _ bool) *balance.Orders {
+	h.latency = latency
+	return &balance.Orders{}
+}
+func (h *heard) Done() bool { return false }
+
+// Danger: where this core is behind, its servers would look slow, and their limits and payoffs fall.
+func TestServersAreNotBlamedForThisCore(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		ordered, sent, came time.Duration // ago
+		want                float64       // s
+		slack               bool
+	}{
+		{"prompt", 5 * time.Millisecond, 5 * time.Millisecond, 0, 0.005, false},
+		{"the server is slow", 200 * time.Millisecond, 200 * time.Millisecond, 0, 0.2, false},
+		{"the order waited to be written", 200 * time.Millisecond, 10 * time.Millisecond, 0, 0.01, true},
+		{"the answer waited to be read", 200 * time.Millisecond, 200 * time.Millisecond, 190 * time.Millisecond, 0.01, true},
+		{"the owner was held up", 250 * time.Millisecond, 200 * time.Millisecond, 150 * time.Millisecond, 0.05, true},
+	} {
+		y := made(t, nil, nil)
+		now := time.Now()
+		h := &heard{}
+		l := &lookup{in: y.main, row: &y.launch.Tariffs[0], handle: h, answer: make(chan reply, 1)}
+		g := &leg{sent: y.stamp(now.Add(-c.ordered))}
+		l.legs = []*leg{g}
+		y.book(l, g, backends.Result{Outcome: balance.Honoured, Status: 200, Sent: now.Add(-c.sent), At: now.Add(-c.came)})
+		assert.InDelta(t, c.want, h.latency, 1e-6, c.name)
+		assert.Equal(t, c.slack, y.strained.Slack() > 1.5, c.name)
+		assert.Equal(t, 200, (<-l.answer).status)
+	}
+}
+
+// Danger: a leg called off behind its lookup's answer may be written in between, if this goroutine is held up there.
+func TestCalledOffBeforeTheAnswer(t *testing.T) {
+	y := made(t, nil, nil)
+	dialled := make(chan net.Conn, 2)
+	y.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		ours, theirs := net.Pipe()
+		dialled <- theirs
+		return ours, nil
+	}
+	b := y.names.Backend(entry("b1", balance.Ready, 0).Entry)
+	y.pool.Place(b.Index, "b1", 0)
+	y.told(b.Index, balance.Ready, 0)
+	l := &lookup{in: y.main, row: &y.launch.Tariffs[0], handle: &heard{}, answer: make(chan reply), hardStop: y.now() + 1}
+	y.slots = append(y.slots, l)
+	y.send(l, b.Index, y.now()+1)
+	<-dialled
+	done := make(chan struct{})
+	go func() { // the owner
+		defer close(done)
+		y.decide(y.main, func(float64) *balance.Orders {
+			return &balance.Orders{Steps: []balance.Step{{Answer: balance.Dismissed}, {CallOff: 1}}}
+		})
+	}()
+	<-l.answer
+	assert.True(t, l.legs[0].ex.Off(), "before anybody hears the answer")
+	<-done
+}
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -9,6 +9,8 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"lockloom/balance"
@@ -16,6 +18,8 @@
 	"lockloom/internal/backends"
 	"lockloom/internal/figures"
 	"lockloom/internal/heads"
+	"lockloom/internal/idle"
+	"lockloom/internal/stamped"
 )
 
 // client is a client's connection.
@@ -23,22 +27,35 @@
 	p    *Proxy
 	open bool // by the ordinary door
 	nc   net.Conn
-	r    *heads.Reader
-	met  time.Time
-	over bool // taken over the bound
+	*reader
+	met    time.Time
+	by     time.Time   // its present read deadline
+	slow   *time.Timer // of a lookup that takes long; nil: none did yet
+	out    []byte      // the head of its last answer
+	fed    bool        // a body flowed
+	passes chan bool   // its lookup's turn has come, or is not to come
+	inHand bool        // its lookup is in this core's hands
+	ahead  bool        // its present request was sent before the answer to the last
+	over   bool        // taken over the bound
+
+	idle  *idle.Wait    // nil: reading waits
+	ended atomic.Bool   // its client sends nothing more than has come
+	wake  chan struct{} // its next request has come, or it is closed
 
 	// Under door.mu.
-	begun  bool      // its request has, and has not come whole
-	kept   bool      // idle between requests
-	fresh  bool      // new, or begun: gets time to go on
-	since  time.Time // waits since
-	closed bool      // by the door
+	begun         bool      // its request has, and has not come whole
+	fresh         bool      // new, or begun: gets time to go on
+	since         time.Time // waits since
+	goes          time.Time // unless its request has begun to come, it is closed then
+	closed        bool      // by the door
+	line          *line     // the one that it stands in; nil: none
+	before, after *client   // there
 }
 
 // accept takes connections until the listener ends.
 func (p *Proxy) accept(ln net.Listener, open bool) error {
 	for {
-		p.door.wait(p.stopping)
+		p.door.wait(p.stopping, p.behind)
 		nc, err := ln.Accept()
 		if err != nil {
 			if p.stopping() && errors.Is(err, net.ErrClosed) {
@@ -56,76 +73,124 @@
 			}
 			return err
 		}
-		c := &client{p: p, open: open, nc: nc, r: heads.NewReader(nc), met: time.Now()}
-		c.r.Any = true
+		r := readers.Get().(*reader)
+		r.from.Reset(nc)
+		r.Reset(r.from)
+		r.Any = true
+		c := &client{p: p, open: open, nc: nc, reader: r, met: time.Now(), passes: make(chan bool, 1), wake: make(chan struct{}, 1)}
+		c.idle = p.idle.Add(nc, func(ended bool) {
+			c.ended.Store(ended)
+			c.rouse()
+		})
 		c.over = p.door.enter(c)
 		p.work.Add(1)
 		go c.serve()
 	}
 }
 
+// reader reads a connection, for as long as that lasts.
+type reader struct {
+	*heads.Reader
+	from *stamped.Reader
+}
+
+// readers are of connections that have ended.
+var readers = sync.Pool{New: func() any { return &reader{heads.NewReader(nil), stamped.NewReader(nil)} }}
+
+// until sets when reading ends without a byte.
+func (c *client) until(t time.Time) {
+	c.by = t
+	c.nc.SetReadDeadline(t)
+}
+
 // serve takes in the requests of one connection, one after the other.
 func (c *client) serve() {
 	defer c.p.work.Done()
+	defer func() {
+		if !c.fed { // else somebody may still read
+			c.from.Reset(nil)
+			readers.Put(c.reader)
+		}
+	}()
 	defer c.p.door.leave(c)
 	defer c.nc.Close()
+	defer c.idle.Forget()
 	defer c.p.rescue()
-	came := make(chan error, 1)
-	c.nc.SetReadDeadline(c.met.Add(firstBegun))
-	go func() { came <- c.r.Wait() }()
 	for first := true; ; first = false {
 		c.p.door.rest(c, first, !first)
-		if err := <-came; err != nil || !c.p.door.begin(c, first) || !c.one(came, first) {
+		if c.ahead = c.Buffered(); !c.ahead && c.idle != nil && c.idle.Begin() == nil {
+			<-c.wake
+			if c.ended.Load() && c.p.behind() { // danger: requests whose clients have given up would take the turns of those who wait
+				return
+			}
+		}
+		if err := c.Wait(); err != nil || !c.p.door.begin(c, first) || !c.one(first) {
 			return
 		}
 	}
 }
 
-// one takes in a request, has it answered, and tells whether the connection stays. When it returns, what
-// comes next is being waited for.
-func (c *client) one(came chan error, first bool) bool {
-	arrived := time.Now()
-	whole := arrived.Add(headFor)
-	if last := c.met.Add(firstHead); first && last.Before(whole) {
-		whole = last
-	}
-	c.nc.SetReadDeadline(whole)
-	h, err := c.r.Request()
+// rouse has it read on.
+func (c *client) rouse() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// one takes in a request, has it answered, and tells whether the connection stays.
+func (c *client) one(first bool) bool {
+	defer func() {
+		if c.inHand {
+			c.inHand = false
+			c.p.done()
+		}
+	}()
+	if !c.Ready() {
+		whole := time.Now().Add(headFor)
+		if last := c.met.Add(firstHead); first && last.Before(whole) {
+			whole = last
+		}
+		c.until(whole)
+	}
+	h, err := c.Request()
 	if err != nil {
 		return c.turnAway(err)
 	}
+	arrived := c.came() // it may have waited for this core; but the time in which a client writes slowly is none of its lookup's
 	closing := h.Close
 	head, old := string(h.Method) == "HEAD", h.Old
 	l, a, told, err := c.read(h, arrived, first)
 	if err != nil {
 		return c.turnAway(err)
 	}
-	if !c.p.door.rouse(c) { // only now: a request that does not come whole is no reason to stay
+	closing = closing || h.Close // danger: a body that nobody wants is left unread, and would be taken for a request
+	if !c.p.door.rouse(c) {      // only now: a request that does not come whole is no reason to stay
 		return false
 	}
-	c.nc.SetReadDeadline(time.Time{})
-	go func() { // ends too when the client goes
-		if l != nil && l.upload != nil {
-			if err := c.feed(l); err != nil {
-				came <- err
-				return
-			}
-		}
-		came <- c.r.Wait()
-	}()
 	answer := reply{}
 	if told != nil {
 		answer = *told
 	}
+	var fed chan error // of a body that flows
 	if l != nil {
+		if l.upload != nil {
+			c.until(time.Time{})
+			fed, c.fed = make(chan error, 1), true
+			go func() { fed <- c.feed(l) }()
+		}
 		size := int64(len(l.head) + len(l.body))
 		room := c.p.hold(size)
 		if room {
 			defer c.p.held.Add(-size)
 		}
 		over := !room || c.over || !c.p.takes()
-		c.p.post(func() { c.p.admit(l, a, over) })
-		if answer, err = c.await(l, came); err != nil {
+		c.inHand = false
+		c.p.post(func() {
+			c.p.admit(l, a, over)
+			c.p.done()
+		})
+		if answer, err = c.await(l, fed); err != nil {
 			c.p.post(func() { c.p.left(l) })
 			return c.turnAway(err)
 		}
@@ -136,19 +201,21 @@
 	}
 	defer c.p.held.Add(-answer.held)
 	answer.bare, answer.old = answer.bare || head && c.open, old
-	closing = closing || c.over || c.p.closes() || c.p.door.full() || answer.flow != nil && old && answer.length < 0
+	closing = closing || c.over || c.p.closes() || first && c.p.door.full() || answer.flow != nil && old && answer.length < 0
 	err = c.relay(answer, closing)
-	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && err == nil && l != nil && l.upload != nil {
+	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && err == nil && fed != nil {
 		half.CloseWrite()
 		select {
-		case <-came:
+		case <-fed:
 		case <-time.After(lingerFor):
 		}
 	}
 	if err != nil || closing {
 		return false
 	}
-	c.nc.SetReadDeadline(time.Now().Add(clientIdle))
+	if !c.by.IsZero() {
+		c.until(time.Time{}) // the door closes it
+	}
 	return true
 }
 
@@ -202,43 +269,56 @@
 	return n, err
 }
 
-// await waits for a lookup's answer, and for its client to go. What a client sends before it has its answer stays
-// in the buffer, and is watched in turn.
-func (c *client) await(l *lookup, came chan error) (reply, error) {
+// await waits for a lookup's answer, and for its client to go: a body that flows tells that first. Else the connection is watched
+// only where the answer takes long: a watch costs a goroutine and two turns of the scheduler. What a client sends before it has its
+// answer stays in the buffer.
+func (c *client) await(l *lookup, fed chan error) (reply, error) {
+	if c.slow == nil {
+		c.slow = time.NewTimer(watchAfter)
+	} else {
+		c.slow.Reset(watchAfter)
+	}
+	late := c.slow.C
+	if fed != nil {
+		late = nil
+	}
 	select {
 	case answer := <-l.answer:
+		c.slow.Stop()
 		return answer, nil
-	case err := <-came:
+	case err := <-fed:
 		if errors.Is(err, backends.ErrStopped) || errors.Is(err, io.ErrClosedPipe) { // the client has not gone
 			return <-l.answer, nil
 		}
 		if err != nil {
 			return reply{}, err
 		}
+	case <-late:
 	}
+	c.until(time.Time{})
 	gone := make(chan error, 1)
-	go func() {
-		err := c.r.More()
-		for err == nil && c.r.Room() {
-			err = c.r.More()
-		}
-		gone <- err
-	}()
+	go func() { gone <- c.Watch() }()
 	select {
 	case answer := <-l.answer:
-		c.nc.SetReadDeadline(time.Unix(1, 0)) // ends the watch
+		c.until(time.Unix(1, 0)) // ends the watch
 		<-gone
-		came <- nil
 		return answer, nil
 	case err := <-gone:
 		if err != nil {
 			return reply{}, err
 		}
-		came <- nil
 		return <-l.answer, nil
 	}
 }
 
+// came is when what was read last came to this machine, as far as that is known.
+func (c *client) came() time.Time {
+	if at := c.from.Received(); !at.IsZero() && !c.ahead {
+		return at
+	}
+	return time.Now()
+}
+
 // read reads the rest of a request and what it says of its lookup; there is none in a question of readiness.
 func (c *client) read(h *heads.Head, arrived time.Time, first bool) (*lookup, balance.Arrival, *reply, error) {
 	var l *lookup
@@ -248,11 +328,15 @@
 	if !c.open {
 		h.Target = origin(h.Target)
 	}
+	body := h.Chunked || h.Length != 0
 	path, query, _ := bytes.Cut(h.Target, []byte{'?'})
 	if c.open {
 		if l, a, told, err = c.routed(h, arrived); err != nil {
 			return nil, a, nil, err
 		}
+		if l != nil && !body && !c.turn(l.row, a.Customer, 0) {
+			l, told = nil, c.p.tired()
+		}
 	} else if string(path) == "/up" {
 		up := c.p.up()
 		told = &up
@@ -260,13 +344,17 @@
 		if a, err = c.p.arrival(h, path, query, arrived); err != nil {
 			return nil, a, nil, err
 		}
-		l = &lookup{in: c.p.main, row: &c.p.launch.Tariffs[a.Tariff], arrived: c.p.stamp(arrived), hardStop: a.HardStop,
-			id: string(h.Get("X-Trace-Id")), answer: make(chan reply, 1)}
-		l.head = heads.AppendRequest(make([]byte, 0, headGuess), h.Method, h.Target)
-		l.head = heads.AppendOnward(l.head, h, "X-Expires-In")
+		row := &c.p.launch.Tariffs[a.Tariff]
+		if !body && !c.turn(row, a.Customer, 0) {
+			told = c.p.tired()
+		} else {
+			l = &lookup{in: c.p.main, row: row, arrived: c.p.stamp(arrived), hardStop: a.HardStop, id: string(h.Get("X-Trace-Id")), answer: make(chan reply, 1)}
+			l.head = heads.AppendRequest(make([]byte, 0, headGuess), h.Method, h.Target)
+			l.head = heads.AppendOnward(l.head, h, "X-Expires-In")
+		}
 	}
 	get := string(h.Method) == "GET" || string(h.Method) == "HEAD" // reading the body moves the head
-	if h.Continue && !c.r.Buffered() {
+	if h.Continue && !c.Buffered() {
 		c.nc.SetWriteDeadline(time.Now().Add(clientSlow))
 		c.nc.Write(append(heads.AppendStatus(nil, 100), "\r\n"...))
 	}
@@ -279,28 +367,34 @@
 		return l, a, told, nil
 	}
 	length, chunked := h.Length, h.Chunked
-	from := &paced{nc: c.nc, r: c.r.Flow(length, chunked), grace: bodyGrace}
+	if length == 0 && !chunked {
+		if l != nil {
+			c.kept(l, &a, nil, get, arrived)
+		}
+		return l, a, told, nil
+	}
+	c.by = time.Time{} // each read of the body sets its own
+	from := &paced{nc: c.nc, r: c.Flow(length, chunked), grace: bodyGrace}
 	if first {
 		from.grace = min(max(time.Until(c.met.Add(firstBody)), bodyLeast), bodyGrace)
 	}
 	if !c.open {
 		from.most = bodyMost
 	}
-	var body []byte
+	var came []byte
 	if !flows {
 		var err error
-		body, err = io.ReadAll(io.LimitReader(from, heads.Most+1))
+		came, err = io.ReadAll(io.LimitReader(from, heads.Most+1))
 		if err != nil {
 			return l, a, told, err
 		}
-		flows = len(body) > heads.Most // chunks that have not ended: what has come of them goes first
+		flows = len(came) > heads.Most // chunks that have not ended: what has come of them goes first
 	}
 	if l == nil {
 		return l, a, told, nil
 	}
-	l.body = body
-	switch {
-	case flows:
+	if flows {
+		l.body = came
 		l.upload, l.from = backends.NewUpload(chunked), from
 		l.wait, a.Flows = a.HardStop-l.arrived, true
 		a.HardStop = l.arrived + bodyFor.Seconds() // until it has come whole
@@ -309,19 +403,36 @@
 		} else {
 			l.head = heads.AppendLength(l.head, length)
 		}
-	case !get || len(body) > 0:
+		l.hardStop = a.HardStop
+		return l, a, told, nil
+	}
+	if !c.turn(l.row, a.Customer, len(came)) {
+		return nil, a, c.p.tired(), nil
+	}
+	c.kept(l, &a, came, get, arrived)
+	return l, a, told, nil
+}
+
+// tired is the answer to a lookup that this core does not take on.
+func (p *Proxy) tired() *reply {
+	return &reply{status: 503, advice: p.launch.MaxAdvice, body: []byte("dismissed\n")}
+}
+
+// kept is a lookup whose body came whole, or that has none.
+func (c *client) kept(l *lookup, a *balance.Arrival, body []byte, get bool, arrived time.Time) {
+	l.body = body
+	if !get || len(body) > 0 {
 		l.head = heads.AppendLength(l.head, len(body))
-		fallthrough
-	default:
-		late := time.Since(arrived).Seconds() // its time counts from its last byte
+	}
+	if body != nil {
+		late := c.came().Sub(arrived).Seconds() // its time counts from its last byte
 		l.arrived += late
 		a.HardStop += late
 	}
-	if last := c.p.last.Load(); last != nil && !flows {
+	if last := c.p.last.Load(); last != nil {
 		a.HardStop = min(a.HardStop, c.p.stamp(*last))
 	}
 	l.hardStop = a.HardStop
-	return l, a, told, nil
 }
 
 // origin is a target without scheme and host, which a client may write too.
