A set of idle connections is relied on only once it has woken somebody; rounds end by themselves

Change: Set.Works; until it has woken somebody a connection is waited for in the runtime's poller as before, and armed in the set too, which proves it where it works. A round of which the runtime never tells ends after 2 ms.

--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -25,8 +26,13 @@
 	all   map[int32]*Wait
 	took  [atOnce]unix.EpollEvent
 	n     int
+	works atomic.Bool // it has woken somebody
 }
 
+// Works tells whether the set has ever woken a connection. Danger: where the system under a program is an imitation it may know no set
+// within the runtime's own, and whoever relied on it would wait for ever; until it works, whoever waits is to wait elsewhere too.
+func (s *Set) Works() bool { return s.works.Load() }
+
 // Wait is one connection's.
 type Wait struct {
 	set   *Set
@@ -132,6 +138,7 @@
 			w := s.all[e.Fd]
 			s.mu.Unlock()
 			if w != nil {
+				s.works.Store(true)
 				w.wake(e.Events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0)
 			}
 		}
--- a/internal/idle/idle_test.go
+++ b/internal/idle/idle_test.go
@@ -51,10 +51,12 @@
 			woken <- 2
 		}
 	})
+	assert.False(t, s.Works(), "nobody was woken yet")
 	io.WriteString(theirs, "early") // before it waits
 	assert.NoError(t, w.Begin())
 	_, ok := told(woken)
 	require.True(t, ok)
+	assert.True(t, s.Works())
 	io.WriteString(theirs, "more")
 	time.Sleep(20 * time.Millisecond)
 	assert.Empty(t, woken, "once for each time that it waits")
@@ -161,6 +163,21 @@
 	assert.LessOrEqual(t, most.Load(), int64(3*atOnce))
 }
 
+// Danger: where the runtime never says that a round has begun, whoever waits for it would wait for ever.
+func TestRoundsEnd(t *testing.T) {
+	r := NewRound()
+	for range 3 {
+		r.Next()
+	}
+	r.take = func(uintptr) bool { return false } // nothing ever comes
+	began := time.Now()
+	r.Next()
+	assert.GreaterOrEqual(t, time.Since(began), roundMost)
+	r.Close()
+	r.Next()
+	(&Round{}).Next()
+}
+
 func TestNoSocket(t *testing.T) {
 	s, _ := begin(t)
 	ours, _ := net.Pipe()
--- a/internal/idle/round.go
+++ b/internal/idle/round.go
@@ -5,10 +5,14 @@
 	"os"
 	"runtime"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+// roundMost is how long a round may last.
+const roundMost = 2 * time.Millisecond
+
 // Round lets a goroutine go on only when the runtime has looked for what is ready on all connections again. Danger: on a core that is
 // behind, it looks when nobody else can go on, or every 10 ms; work that always begets more work has it look seldom, and what has come
 // by then waits behind that work. It belongs to one goroutine.
@@ -53,6 +57,7 @@
 		return
 	}
 	r.first = true
+	r.file.SetReadDeadline(time.Now().Add(roundMost)) // danger: see Set.Works
 	if r.raw.Read(r.take) != nil {
 		runtime.Gosched()
 	}
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -118,7 +118,7 @@
 	defer c.p.rescue()
 	for first := true; ; first = false {
 		c.p.door.rest(c, first, !first)
-		if c.ahead = c.Buffered(); !c.ahead && c.idle != nil && c.idle.Begin() == nil {
+		if c.ahead = c.Buffered(); !c.ahead && c.waits() {
 			<-c.wake
 			if c.ended.Load() && c.p.behind() { // danger: requests whose clients have given up would take the turns of those who wait
 				return
@@ -130,6 +130,15 @@
 	}
 }
 
+// waits has a connection wait with all others, if that is known to work.
+func (c *client) waits() bool {
+	select {
+	case <-c.wake: // from before
+	default:
+	}
+	return c.idle != nil && c.idle.Begin() == nil && c.p.idle.Works()
+}
+
 // rouse has it read on.
 func (c *client) rouse() {
 	select {
