The door's lines stay whole; each is looked through on its own; late turns are found cheaply

A connection that is turned away before its request has come whole was put into a line while it stood in another (rest, door.go), which broke both; those behind it were found no more, the door filled and 419 lookups were dismissed unseen. Change: rest takes it out first (TestLines fails without).

--- a/limits/strain.go
+++ b/limits/strain.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 )
 
 // Every constant of the strain, times in seconds.
@@ -10,6 +11,7 @@
 	strainBurst  = 0.75  // of its due time: a lookup that waited longer for its turn would be late
 	strainStands = 0.1   // a queue that has not been empty for so long is told as one that stands
 	strainTurns  = 2     // of so many turns one is for who is to be turned away, where there is somebody
+	lineSlack    = 64    // turns that are over and still stand in the line of all that came, beside as many as wait
 	strainSmooth = 0.02  // of the mean times of legs replaced by one
 	strainIdle   = 0.001 // of a leg's time that is spent here in any case
 	lagDevs      = 4.0   // mean deviations over the mean of a leg's time that is spent here
@@ -123,8 +125,8 @@
 	for s.line[n].place < 0 {
 		n++
 	}
-	if s.line = s.line[n:]; cap(s.line) > 4*len(s.queue) { // what it began with is kept alive by its end
-		s.line = append(make([]*Turn, 0, 2*len(s.queue)), s.line...)
+	if s.line = s.line[n:]; len(s.line) > lineSlack+2*len(s.queue) {
+		s.line = slices.DeleteFunc(s.line, func(t *Turn) bool { return t.place < 0 })
 	}
 	return s.line[0]
 }
--- a/proxy/door.go
+++ b/proxy/door.go
@@ -92,8 +92,8 @@
 // that comes while there is no room.
 func (d *door) idlest() *client {
 	d.age()
-	looks := looksMost
-	for _, l := range []*line{&d.quiet, &d.stale} {
+	for _, l := range []*line{&d.quiet, &d.stale} { // danger: those that send on what nobody reads must not hide those that say nothing
+		looks := looksMost
 		for c := l.first; c != nil && looks > 0; c = c.after {
 			if c.fresh && time.Since(c.since) < freshFor {
 				break
@@ -152,6 +152,7 @@
 		c.end()
 		return
 	}
+	d.unrest(c) // danger: one that is turned away may still stand among those whose first request is on the way
 	c.begun, c.fresh, c.since = false, fresh, time.Now()
 	c.goes = c.since.Add(clientIdle)
 	switch {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -997,6 +997,49 @@
 	assert.True(t, clients[1].closed)
 }
 
+// Danger: a connection that stands in two lines at once breaks both; those behind it are found no more and fill the door.
+func TestLines(t *testing.T) {
+	d := &door{bounds: bounds{most: 1000, keep: 1000}, all: map[*client]bool{}}
+	d.room.L = &d.mu
+	var all []*client
+	for i := range 20 {
+		ours, _ := net.Pipe()
+		c := &client{nc: ours, wake: make(chan struct{}, 1)}
+		all = append(all, c)
+		d.all[c] = true
+		d.rest(c, true, false)
+		d.begin(c, true)
+		switch i % 4 {
+		case 0: // turned away before its request has come whole
+			d.rest(c, false, false)
+		case 1:
+			d.rouse(c)
+			d.rest(c, false, true)
+		case 2:
+			d.rouse(c)
+		}
+	}
+	for i, c := range all {
+		if i%3 == 0 {
+			d.leave(c)
+		}
+	}
+	for _, l := range []*line{&d.quiet, &d.kept, &d.stale} {
+		n := 0
+		var before *client
+		for c := l.first; c != nil && n <= l.n; c = c.after {
+			assert.Same(t, l, c.line)
+			assert.Same(t, before, c.before)
+			before = c
+			n++
+		}
+		assert.Equal(t, l.n, n)
+		assert.Same(t, before, l.last)
+	}
+	assert.Equal(t, 10-4, d.quiet.n) // those turned away and those whose request has begun, but for those that left
+	assert.Equal(t, 4, d.kept.n)
+}
+
 // Danger: clients that ask once and keep their connections leave no connection for those that still ask.
 func TestKeptConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
