Tests' free addresses are each on a loopback address of its own; a panic costs the core no hand

Change: freeAddr gives each address on its own 127.x.y.z, none twice; the place is given back by a deferred call.

--- a/internal/command/balancer/upgrade_test.go
+++ b/internal/command/balancer/upgrade_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -89,8 +90,13 @@
 	return s
 }
 
+var addrs atomic.Int64 // given out
+
+// freeAddr is an address where nobody listens. Danger: a port that was free on an address that others use too may be another's by the
+// time a process listens there, or the same port be given out twice; so each is on a loopback address of its own.
 func freeAddr(t testing.TB) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addrs.Add(1)
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%64, n/250%250, 1+n%250))
 	assert.NoError(t, err)
 	defer ln.Close()
 	return ln.Addr().String()
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -196,8 +196,8 @@
 		over := !room || c.over || !c.p.takes()
 		c.inHand = false
 		c.p.post(func() {
+			defer c.p.done() // danger: a panic that costs one lookup must not cost the core a hand
 			c.p.admit(l, a, over)
-			c.p.done()
 		})
 		if answer, err = c.await(l, fed); err != nil {
 			c.p.post(func() { c.p.left(l) })
