--- a/internal/command/balancer/upgrade_test.go
+++ b/internal/command/balancer/upgrade_test.go
@@ -163,7 +163,7 @@
 	all                            sync.WaitGroup
 	mu                             sync.Mutex
 	asked, served, refused, unread int
-	dismissed                      int // told to come again, which is no loss: a busy machine makes some lookups late
+	dismissed                      int      // told to come again, which is no loss: a busy machine makes some lookups late
 	seen                           []string // what went wrong, at first
 }
 
