Read over: a test that could not fail, a field nobody read, a method for a test alone; fewer lines of tests

Cause: TestCalledOffBeforeTheAnswer passed with the fix taken out: the leg was withheld, or called off just after. Result.Waited was written and read by nobody; Exchange.Off was exported for that test; BenchmarkCost spoke of turning away, which it does not do, and wrote out again what ask does. Behaviour as it is.

--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -54,7 +54,6 @@
 	Outcome balance.Outcome
 	Sent    time.Time      // when it was written, or for one that opened its connection as much earlier as that took; zero: it was not
 	At      time.Time      // when the answer's end had come, or what else ended it
-	Waited  time.Duration  // for this program, until it read the answer
 	Err     error          // of an answer that did not come whole
 	Status  int            // of an answer; 0: none came
 	Length  int            // of its body, or of the one that it would have; -1: not told
@@ -114,9 +113,6 @@
 	}
 }
 
-// Off tells whether it was called off, or withheld. Danger: nothing of it may be written any more then.
-func (ex *Exchange) Off() bool { return ex.conn.isOff(ex) }
-
 func (c *conn) withhold(ex *Exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -290,9 +286,8 @@
 			res.At = time.Now()
 		} else {
 			res, keep = c.answer(r, ex, err)
-			if at := in.Received(); res.Status > 0 && !at.IsZero() && at.After(ex.sent) {
-				res.Waited = max(res.At.Sub(at), 0)
-				res.At = res.At.Add(-res.Waited)
+			if at := in.Received(); res.Status > 0 && at.After(ex.sent) && at.Before(res.At) { // it waited here to be read
+				res.At = at
 			}
 			res.Sent = ex.sent
 		}
--- a/internal/command/balancer/cost_test.go
+++ b/internal/command/balancer/cost_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -17,8 +16,6 @@
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
-
-	"lockloom/internal/heads"
 )
 
 // plainTo, in the environment, makes the test's program a plain reverse proxy to that address, which says on which it listens.
@@ -39,7 +36,7 @@
 }
 
 // BenchmarkCost tells the processor time that a program on one core takes for a lookup, beside that of a plain reverse proxy of the
-// standard library: on kept connections, on a connection each, and turned away.
+// standard library: on kept connections, and on a connection each.
 func BenchmarkCost(b *testing.B) {
 	s := newSite(b, 128)
 	r := s.start()
@@ -51,17 +48,15 @@
 	defer func() { plain.Process.Kill(); plain.Wait() }()
 	var at string
 	fmt.Fscanln(out, &at)
-	look := "GET /look HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %d\r\nX-Qos: look\r\nX-Expires-In: 4\r\n"
 	for _, way := range []struct {
-		name, addr, request string
-		pid                 int
-		kept                bool
-		status              int
+		name, addr string
+		pid        int
+		kept       bool
 	}{
-		{"httputil/kept", at, look, plain.Process.Pid, true, 200},
-		{"lockloom/kept", s.addr, look, r.Process.Pid, true, 200},
-		{"httputil/new", at, look, plain.Process.Pid, false, 200},
-		{"lockloom/new", s.addr, look, r.Process.Pid, false, 200},
+		{"httputil/kept", at, plain.Process.Pid, true},
+		{"lockloom/kept", s.addr, r.Process.Pid, true},
+		{"httputil/new", at, plain.Process.Pid, false},
+		{"lockloom/new", s.addr, r.Process.Pid, false},
 	} {
 		pin(b, way.pid)
 		b.Run(way.name, func(b *testing.B) {
@@ -72,7 +67,6 @@
 			for k := range clients {
 				work.Go(func() {
 					var nc net.Conn
-					var in *heads.Reader
 					for i := range each {
 						if nc == nil {
 							var err error
@@ -80,20 +74,13 @@
 								b.Error(err)
 								return
 							}
-							in = heads.NewReader(nc)
-						}
-						io.WriteString(nc, fmt.Sprintf(way.request, k*1_000_000_000+i)+"\r\n")
-						h, err := in.Response()
-						if err != nil || h.Status != way.status {
-							b.Error(err, h)
-							return
 						}
-						closes := h.Close || !way.kept
-						if _, err := in.Body(h.Length, h.Chunked); err != nil {
-							b.Error(err)
+						status, _, closes, err := ask(nc, fmt.Sprint(k, "-", i))
+						if err != nil || status != 200 {
+							b.Error(status, err)
 							return
 						}
-						if closes {
+						if closes || !way.kept {
 							nc.Close()
 							nc = nil
 						}
--- a/limits/strain_test.go
+++ b/limits/strain_test.go
@@ -19,6 +19,13 @@
 	return all
 }
 
+// come has so many lookups alike come.
+func (s *Strain) come(n int, now, due float64, customer int, of any) {
+	for range n {
+		s.Come(now, now, due, 1, customer, of)
+	}
+}
+
 func TestTurns(t *testing.T) {
 	s := NewStrain(2, 3)
 	for range 2 {
@@ -54,13 +61,9 @@
 // tell them; with all of them told at once, they would come again and take up the core.
 func TestLateHaveTurns(t *testing.T) {
 	s := NewStrain(1, 0)
-	s.Come(0, 0, 0.1, 1, -1, "first")
-	for range 4 {
-		s.Come(0, 0, 0.1, 1, -1, "late")
-	}
-	for range 8 {
-		s.Come(0.07, 0.07, 0.1, 1, -1, "new")
-	}
+	s.come(1, 0, 0.1, -1, "first")
+	s.come(4, 0, 0.1, -1, "late")
+	s.come(8, 0.07, 0.1, -1, "new")
 	now, late, passed := 0.08, 0, 0
 	for range 8 {
 		s.Done()
@@ -81,13 +84,9 @@
 // A customer that floods has its part and no more, as long as others ask.
 func TestCustomersInTurn(t *testing.T) {
 	s := NewStrain(1, 2)
-	s.Come(0, 0, 10, 1, 1, nil)
-	for range 90 {
-		s.Come(0, 0, 10, 1, 0, "flood")
-	}
-	for range 10 {
-		s.Come(0, 0, 10, 1, 1, "few")
-	}
+	s.come(1, 0, 10, 1, nil)
+	s.come(90, 0, 10, 0, "flood")
+	s.come(10, 0, 10, 1, "few")
 	few := 0
 	for range 24 {
 		s.Done()
--- a/proxy/strained_test.go
+++ b/proxy/strained_test.go
@@ -120,28 +120,27 @@
 
 // Danger: a leg called off behind its lookup's answer may be written in between, if this goroutine is held up there.
 func TestCalledOffBeforeTheAnswer(t *testing.T) {
-	y := made(t, nil, nil)
-	dialled := make(chan net.Conn, 2)
-	y.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
-		ours, theirs := net.Pipe()
-		dialled <- theirs
-		return ours, nil
-	}
-	b := y.names.Backend(entry("b1", balance.Ready, 0).Entry)
-	y.pool.Place(b.Index, "b1", 0)
-	y.told(b.Index, balance.Ready, 0)
-	l := &lookup{in: y.main, row: &y.launch.Tariffs[0], handle: &heard{}, answer: make(chan reply), hardStop: y.now() + 1}
-	y.slots = append(y.slots, l)
-	y.send(l, b.Index, y.now()+1)
-	<-dialled
-	done := make(chan struct{})
-	go func() { // the owner
-		defer close(done)
-		y.decide(y.main, func(float64) *balance.Orders {
+	synctest.Test(t, func(t *testing.T) {
+		y := made(t, nil, nil)
+		var end net.Conn
+		y.Dial = func(ctx context.Context, addr string) (ours net.Conn, _ error) {
+			ours, end = net.Pipe()
+			return ours, nil
+		}
+		b := y.names.Backend(entry("b1", balance.Ready, 0).Entry)
+		y.pool.Place(b.Index, "b1", 0)
+		y.told(b.Index, balance.Ready, 0)
+		l := &lookup{in: y.main, row: &y.launch.Tariffs[0], handle: &heard{}, answer: make(chan reply), hardStop: y.now() + 1}
+		y.slots = append(y.slots, l)
+		y.send(l, b.Index, y.now()+1)
+		synctest.Wait()
+		end.Read(make([]byte, 1)) // it is being written: only calling it off stops it
+		go y.decide(y.main, func(float64) *balance.Orders {
 			return &balance.Orders{Steps: []balance.Step{{Answer: balance.Dismissed}, {CallOff: 1}}}
 		})
-	}()
-	<-l.answer
-	assert.True(t, l.legs[0].ex.Off(), "before anybody hears the answer")
-	<-done
+		synctest.Wait() // held up at the answer, which nobody takes
+		_, err := end.Read(make([]byte, 1000))
+		assert.Error(t, err, "called off before anybody hears the answer")
+		<-l.answer
+	})
 }
