--- a/internal/discovery/hearing.go
+++ b/internal/discovery/hearing.go
@@ -6,7 +6,7 @@
 // silent watch misses 6 s after it fell silent; from then on a drain's grace runs (the platform's page on proxies at full size).
 const (
 	silentFor  = 3.0  // without a word a watch is broken: its beat comes every 2 s
-	besideFor  = 3.0  // a call without its first word is held, and another is made beside it: it may be dead, as a silent watch is
+	besideFor  = 2.0  // a call without its first word is held, and another made beside it: it may be dead, as a silent watch is
 	answerFor  = 10.0 // a call is held for so long: one that is given up loses its place where discovery lets calls wait
 	pauseFirst = 0.1  // between the beginnings of two calls to an agent that nobody else asks
 	pauseMost  = 0.5  // the same after several that failed: well within a drain's grace
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"time"
 
 	"lockloom/balance"
 	"lockloom/internal/figures"
@@ -13,7 +14,8 @@
 // List is a list of backends, or the changes of one.
 type List struct {
 	Version int64
-	Full    bool // what is missing is gone
+	Full    bool      // what is missing is gone
+	Told    time.Time // when it may have counted as told at the earliest; zero: when it is taken in
 	Entries []Entry
 }
 
--- a/proxy/life.go
+++ b/proxy/life.go
@@ -191,7 +191,7 @@
 		e.Name, e.State, e.UpSince = p.names.Name(b.Index), b.State, b.UpSince
 		e, banned := p.ruled(e)
 		b.State, b.UpSince = e.State, e.UpSince
-		p.told(b.Index, b.State, banned)
+		p.told(b.Index, b.State, p.now(), banned)
 	}
 	return out
 }
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -206,7 +206,7 @@
 	for i, addr := range addrs {
 		b := p.names.Backend(figures.Entry{Name: in.name + "/" + addr, ModelName: in.name, Backend: balance.Backend{Pod: i}})
 		p.pool.Place(b.Index, addr, 0)
-		p.told(b.Index, balance.Ready, 0)
+		p.told(b.Index, balance.Ready, p.now(), 0)
 		p.written[b.Index] = true
 		list = append(list, b)
 		p.life.listed(in.name + "/" + addr)
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -204,6 +204,10 @@
 // list takes in a list of backends.
 func (p *Proxy) list(l List, first bool) {
 	p.version, p.listed = l.Version, true
+	since := p.now()
+	if !l.Told.IsZero() { // danger: it may have counted as told long before the owner, or this process, came to hear of it
+		since = min(since, p.stamp(l.Told))
+	}
 	raw := l.Entries
 	l.Entries = slices.Clone(raw)
 	list := make([]balance.Backend, len(l.Entries))
@@ -215,7 +219,18 @@
 		if b.State != balance.Gone || !p.kept(b.Index) {
 			p.pool.Place(b.Index, e.Addr, b.UpSince)
 		}
-		p.told(b.Index, b.State, banned)
+		p.told(b.Index, b.State, since, banned)
+	}
+	if l.Full { // danger: who is left out is gone, and a leg to it may be on a connection that is still being opened
+		there := map[int]bool{}
+		for _, b := range list {
+			there[b.Index] = true
+		}
+		for index := range p.known {
+			if !there[index] && !p.written[index] {
+				p.told(index, balance.Gone, since, 0)
+			}
+		}
 	}
 	p.note(l.Full, raw)
 	for _, in := range p.branches {
@@ -262,13 +277,12 @@
 	p.names.Forget(index)
 }
 
-// told notes from when on nothing may be sent to a backend, and closes what is idle to it then. One that operators have banned, since
-// this time (0: it is not), drains whatever its state.
-func (p *Proxy) told(index int, state balance.State, banned float64) {
+// told notes from when on nothing may be sent to a backend, and closes what is idle to it then. Its state counts as told since a time;
+// one that operators have banned, since a time (0: it is not), drains whatever its state.
+func (p *Proxy) told(index int, state balance.State, since, banned float64) {
 	for len(p.stopSend) <= index {
 		p.stopSend = append(p.stopSend, math.Inf(1))
 	}
-	since := p.now()
 	switch {
 	case banned > 0: // danger: the order may be older than the owner's hearing of it
 		since = banned
