--- a/internal/rehearse/alone.go
+++ b/internal/rehearse/alone.go
@@ -98,6 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
+	yard.Indent = s.Deployment.Indented
 	st := &Standing{s: s, yard: yard}
 	addrs, err := yard.Ports(s.Bank.Proxies)
 	for i := 0; err == nil && i < len(addrs); i++ {
@@ -136,15 +137,10 @@
 			if err := st.yard.Do(h.Act); err != nil {
 				return err
 			}
-		case ListLate, ListSilent:
+		default:
 			for i := range st.s.Bank.Proxies {
-				if h.Who >= 0 && h.Who != i {
-					continue
-				}
-				if h.Proxy == ListLate {
-					st.yard.Agent(i).Delay(seconds(h.Late), seconds(h.Value))
-				} else {
-					st.yard.Agent(i).Silence(seconds(h.Value))
+				if h.Who < 0 || h.Who == i {
+					h.listed(st.yard.Agent(i))
 				}
 			}
 		}
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -65,6 +65,7 @@
 	MaxAdvice    float64 `toml:"max_advice"`
 	Grace        float64 `toml:"grace"`
 	CountsAfter  float64 `toml:"counts_as_told_after"`
+	Indented     bool    `toml:"indented"` // lists come over several lines
 	ConnectFor   float64 `toml:"connect_for"`
 	IdleFor      float64 `toml:"idle_for"`
 	ColdShare    float64 `toml:"cold_share"`
@@ -404,21 +405,24 @@
 	factor, lasts  bool // needs a factor, ends after For
 	proxies, lists bool // not of servers
 	bans           bool // of servers at proxies
+	once           bool // lasts for no time, or for one that may be left out
 }{
 	"slow":          {deed: emulator.SetSlow, factor: true, lasts: true},
 	"pause":         {deed: emulator.SetPause},
 	"errors":        {deed: emulator.SetFail, factor: true, lasts: true},
 	"hang":          {deed: emulator.SetHang, lasts: true},
 	"silence":       {deed: emulator.SetCut, lasts: true},
-	"crash":         {deed: emulator.SetCrash},
-	"drain":         {deed: emulator.SetDrain},
-	"replace":       {deed: emulator.SetRenew},
-	"replace-there": {deed: emulator.SetRenewAt},
+	"crash":         {deed: emulator.SetCrash, once: true},
+	"drain":         {deed: emulator.SetDrain, once: true},
+	"replace":       {deed: emulator.SetRenew, once: true},
+	"replace-there": {deed: emulator.SetRenewAt, once: true},
 	"list-late":     {lists: true, factor: true},
 	"list-silent":   {lists: true},
+	"list-reset":    {lists: true, once: true},
+	"list-mute":     {lists: true, once: true},
 	"proxy-kill":    {proxies: true},
 	"proxy-restart": {proxies: true},
-	"proxy-upgrade": {proxies: true},
+	"proxy-upgrade": {proxies: true, once: true},
 	"proxy-drain":   {proxies: true},
 	"ban":           {bans: true},
 }
@@ -452,7 +456,7 @@
 			return s.file.At("trouble", n, "tariff", "%s is of no one tariff", t.Kind)
 		case kind.factor && t.Factor <= 0 || !kind.factor && t.Factor != 0:
 			return s.file.At("trouble", n, "factor", "%v: %s", t.Factor, map[bool]string{true: "more than nothing", false: "not of " + t.Kind}[kind.factor])
-		case t.For <= 0 && t.Kind != "drain" && t.Kind != "replace" && t.Kind != "replace-there" && t.Kind != "crash" && t.Kind != "proxy-upgrade":
+		case t.For <= 0 && !kind.once:
 			return s.file.At("trouble", n, "for", "%s lasts for a time", t.Kind)
 		}
 		if err := s.within("trouble", n, bounds{"at", t.At, 0, s.Seconds}, bounds{"for", t.For, 0, secondsMost},
--- a/internal/rehearse/sockets.go
+++ b/internal/rehearse/sockets.go
@@ -101,7 +101,7 @@
 		return nil, err
 	}
 	defer yard.Close()
-	yard.Late = st.score.slow.note
+	yard.Late, yard.Indent = st.score.slow.note, s.Deployment.Indented
 	st.yard = yard
 	if st.addrs, err = yard.Ports(s.Bank.Proxies); err != nil {
 		return nil, err
@@ -274,10 +274,8 @@
 			work.Go(func() { st.try(st.drain(i, seconds(h.Value))) })
 		case Ban:
 			work.Go(func() { st.try(st.ban(i, h.Act.Seat, seconds(h.Value))) })
-		case ListLate:
-			st.yard.Agent(i).Delay(seconds(h.Late), seconds(h.Value))
-		case ListSilent:
-			st.yard.Agent(i).Silence(seconds(h.Value))
+		default:
+			h.listed(st.yard.Agent(i))
 		case Kill, Restart:
 			work.Go(func() {
 				if h.Proxy == Kill {
@@ -297,6 +295,20 @@
 	}
 }
 
+// listed carries out what happens to a proxy's list, if it is that.
+func (h Happening) listed(a *standin.Agent) {
+	switch h.Proxy {
+	case ListLate:
+		a.Delay(seconds(h.Late), seconds(h.Value))
+	case ListSilent:
+		a.Silence(seconds(h.Value))
+	case ListReset:
+		a.Cut()
+	case ListMute:
+		a.Mute()
+	}
+}
+
 // start starts a proxy's program anew.
 func (st *stage) start(i int) error {
 	p := st.proxy(i)
--- a/internal/rehearse/timeline.go
+++ b/internal/rehearse/timeline.go
@@ -28,14 +28,16 @@
 	Kill            // at once; it is started again Value later
 	Restart         // told to stop, and started again when it has
 	ListLate        // for Value, what is told comes Late later
-	ListSilent      // for Value, nothing is told
+	ListSilent      // for Value, nothing is told or learnt: discovery is down
+	ListReset       // every open watch is reset
+	ListMute        // every open watch falls silent, for good
 	Upgrade         // a second process starts beside it, and the first is told to stop once it serves
 	Drain           // by a call at its operators' door, and back to work Value later
 	Ban             // the same of the server in Act's seat
 )
 
 func (t Turn) String() string {
-	return [...]string{"", "killed", "restarted", "list late", "list silent", "upgraded", "drained", "bans"}[t]
+	return [...]string{"", "killed", "restarted", "list late", "list silent", "watches reset", "watches muted", "upgraded", "drained", "bans"}[t]
 }
 
 func (h Happening) String() string {
@@ -56,7 +58,7 @@
 	var all []Happening
 	for _, t := range s.Troubles {
 		turn := map[string]Turn{"proxy-kill": Kill, "proxy-restart": Restart, "list-late": ListLate, "list-silent": ListSilent,
-			"proxy-upgrade": Upgrade, "proxy-drain": Drain}[t.Kind]
+			"list-reset": ListReset, "list-mute": ListMute, "proxy-upgrade": Upgrade, "proxy-drain": Drain}[t.Kind]
 		if turn != NoTurn {
 			all = append(all, s.turns(t, turn)...)
 			continue
@@ -95,7 +97,7 @@
 // turns is what a trouble does to proxies, one after the other.
 func (s *Scenario) turns(t Trouble, turn Turn) []Happening {
 	h := Happening{At: t.At, Proxy: turn, Who: t.Proxy - 1, Value: t.For, Late: t.Factor}
-	if h.Who >= 0 || turn == ListLate || turn == ListSilent {
+	if h.Who >= 0 || troubles[t.Kind].lists {
 		return []Happening{h}
 	}
 	var all []Happening
--- a/internal/rehearse/virtual.go
+++ b/internal/rehearse/virtual.go
@@ -18,6 +18,7 @@
 	epoch      = 1000.0 // the clock at the start: a server that starts then has not been up for long
 	wire       = 0.0001 // s one way between proxy and server, or client
 	listLag    = 0.02   // s from a change of the list to a proxy's being told
+	muteFor    = 3.1    // s until a proxy has a watch again that fell silent
 	tryElse    = 0.05   // s until a client that found no proxy looks again
 	killMargin = 0.7    // s past the longest hard stop that a proxy has, once told to stop
 	startUp    = 0.2    // s until a started proxy serves
@@ -628,7 +629,9 @@
 		case ListLate:
 			p.late, p.lateTo = h.Late, v.now+h.Value
 		case ListSilent:
-			p.silent = v.now + h.Value
+			p.silent = max(p.silent, v.now+h.Value)
+		case ListMute:
+			p.silent = max(p.silent, v.now+muteFor)
 		case Kill:
 			v.kill(i)
 			v.agenda.add(event{at: v.now + h.Value, what: evStart, a: int32(i)})
--- a/internal/standin/agent.go
+++ b/internal/standin/agent.go
@@ -15,7 +15,10 @@
 	"lockloom/internal/heads"
 )
 
-const beat = 2 * time.Second // between empty lines of a watch in which nothing changes
+const (
+	beat     = 2 * time.Second // between empty lines of a watch in which nothing changes
+	muteTold = 6 * time.Second // from a watch's falling silent to when what it misses counts as told
+)
 
 // Agent tells one proxy the list, over discovery's protocol.
 type Agent struct {
@@ -27,10 +30,11 @@
 	version int64
 	due     time.Time // when the last change may be told
 	silent  time.Time // nothing is told until then
+	muted   time.Time // what open watches missed counts as told from then on
 	late    time.Duration
 	lateTo  time.Time
-	news    chan struct{} // closed when there is something new
-	conns   map[net.Conn]bool
+	news    chan struct{}     // closed when there is something new
+	conns   map[net.Conn]bool // whether it is silent for good
 	closed  bool
 }
 
@@ -62,6 +66,16 @@
 	a.late, a.lateTo = d, time.Now().Add(within)
 }
 
+// Mute has every open watch say nothing more, for good.
+func (a *Agent) Mute() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.muted = time.Now().Add(muteTold)
+	for nc := range a.conns {
+		a.conns[nc] = true
+	}
+}
+
 // Cut ends every watch, as a network does that loses them.
 func (a *Agent) Cut() {
 	a.mu.Lock()
@@ -93,6 +107,29 @@
 	}
 	close(a.news)
 	a.news = make(chan struct{})
+	time.AfterFunc(time.Until(a.due), func() { a.has(version) })
+}
+
+// has notes that what the list said at a version counts as told: the agent has it, whether or not anybody watches. While it is silent
+// it learns nothing.
+func (a *Agent) has(version int64) {
+	a.mu.Lock()
+	wait, closed := max(time.Until(a.silent), time.Until(a.muted)), a.closed
+	a.mu.Unlock()
+	switch {
+	case closed:
+	case wait > 0:
+		time.AfterFunc(wait, func() { a.has(version) })
+	default:
+		a.y.mu.Lock()
+		defer a.y.mu.Unlock()
+		now := a.y.Now()
+		for i, m := range a.y.Fleet.Members[:len(a.y.owners)] {
+			if m.State != balance.Ready && !m.Changed(version) {
+				a.y.sight.Told(now, a.proxy, i)
+			}
+		}
+	}
 }
 
 func (a *Agent) accept() {
@@ -106,7 +143,7 @@
 		if a.closed {
 			nc.Close()
 		}
-		a.conns[nc] = true
+		a.conns[nc] = false
 		a.mu.Unlock()
 		a.y.work.Add(1)
 		go a.serve(nc)
@@ -167,6 +204,13 @@
 				line, from = text+"\n", now
 			}
 		}
+		a.mu.Lock()
+		mute := a.conns[nc]
+		a.mu.Unlock()
+		if mute {
+			<-gone
+			return
+		}
 		if _, err := fmt.Fprintf(nc, "%x\r\n%s\r\n", len(line), line); err != nil {
 			return
 		}
@@ -247,6 +291,9 @@
 		return "", from
 	}
 	text, err := json.Marshal(out)
+	if err == nil && y.Indent {
+		text, err = json.MarshalIndent(json.RawMessage(text), "", "  ")
+	}
 	if err != nil {
 		panic(err) // of plain numbers and strings
 	}
--- a/internal/standin/yard.go
+++ b/internal/standin/yard.go
@@ -51,6 +51,7 @@
 type Yard struct {
 	Fleet   *emulator.Fleet
 	Late    func(seconds float64) // how late an end was acted on
+	Indent  bool                  // lists are told indented, over several lines; set before anybody watches
 	mu      sync.Mutex
 	sight   Sight
 	lookups map[string]Lookup
--- a/internal/standin/yard_test.go
+++ b/internal/standin/yard_test.go
@@ -231,7 +231,7 @@
 	assert.Equal(t, map[string]balance.State{"s": balance.Gone, "s.2": balance.Ready}, states)
 	assert.Equal(t, "200 5", dial(t, y, 1, 0).ask("page", "5", ""))
 	assert.Contains(t, n.seen(), "1 told of 0")
-	assert.NotContains(t, n.seen(), "0 told of 0", "the other proxy does not watch")
+	assert.Contains(t, n.seen(), "0 told of 0", "what an agent has counts as told, though nobody watches")
 
 	y.Agent(1).Delay(300*time.Millisecond, time.Minute)
 	began := time.Now()
@@ -240,10 +240,26 @@
 	assert.Greater(t, time.Since(began), 300*time.Millisecond)
 	y.Agent(1).Delay(0, 0)
 	y.Agent(1).Silence(400 * time.Millisecond)
+	y.Agent(1).Cut() // and nobody watches at its return but the call that was made meanwhile
+	y.Indent = true
 	began = time.Now()
 	require.NoError(t, y.Do(emulator.Act{Deed: emulator.SetRenew, Seat: 0, Value: 100}))
 	<-told
 	assert.Greater(t, time.Since(began), 380*time.Millisecond)
+	assert.Less(t, time.Since(began), 2*time.Second, "the call is held, and heard at the return")
+	for more := true; more; { // of the same change
+		select {
+		case <-told:
+		case <-time.After(200 * time.Millisecond):
+			more = false
+		}
+	}
+	y.Agent(1).Mute()
+	began = time.Now()
+	require.NoError(t, y.Do(emulator.Act{Deed: emulator.SetDrain, Seat: 0, Value: 100}))
+	<-told
+	assert.Greater(t, time.Since(began), time.Second, "a watch that has fallen silent tells nothing")
+	assert.Less(t, time.Since(began), 4*time.Second)
 
 	nc, err := net.Dial("tcp", y.Agent(0).Addr())
 	require.NoError(t, err)
