--- a/proxy/life_test.go
+++ b/proxy/life_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"encoding/json"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -9,6 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"lockloom/balance"
+	"lockloom/internal/discovery"
 	"lockloom/internal/operations"
 )
 
@@ -67,12 +71,30 @@
 	return e.UpSince
 }
 
-// Danger: a leg ordered before the ban, on a connection that is slow to come up, is written after its grace.
-func TestBanWhileConnecting(t *testing.T) {
+// Danger: a leg ordered before the word, on a connection that is slow to come up, is written after its grace; and the word may have
+// counted as told before this proxy came to hear it.
+func TestToldWhileConnecting(t *testing.T) {
+	ban := func(y *yard) { assert.Equal(y.t, 200, y.call(operations.Disable, "b1")) }
+	listed := func(text string) func(y *yard) { return func(y *yard) { y.tell(text) } }
+	late := func(by time.Duration) func(y *yard) {
+		return func(y *yard) {
+			y.post(func() {
+				y.list(List{Version: 2, Told: time.Now().Add(-by), Entries: []discovery.Entry{entry("b1", balance.Draining, 0)}}, false)
+			})
+		}
+	}
 	for _, c := range []struct {
+		name  string
 		grace float64
+		say   func(y *yard)
 		got   int
-	}{{0.3, 1}, {0.02, 0}} {
+	}{
+		{"ban", 0.3, ban, 1}, {"ban", 0.02, ban, 0},
+		{"leaving", 0.3, listed(change(2, "b1", "leaving", 0)), 1}, {"leaving", 0.02, listed(change(2, "b1", "leaving", 0)), 0},
+		{"left", 0.02, listed(change(2, "b1", "left", 0)), 0},
+		{"left out", 0.3, listed(`{"version":2,"full":true,"servers":[]}`), 1}, {"left out", 0.02, listed(`{"version":2,"full":true,"servers":[]}`), 0},
+		{"heard late", 0.3, late(200 * time.Millisecond), 1}, {"heard too late", 0.3, late(400 * time.Millisecond), 0},
+	} {
 		synctest.Test(t, func(t *testing.T) {
 			y := made(t, map[string][]string{"b1": {ok}}, func(l *Launch) { l.DrainGrace = c.grace })
 			y.slow = 60 * time.Millisecond
@@ -80,16 +102,49 @@
 			conn := y.client()
 			go io.WriteString(conn, look)
 			synctest.Wait()
-			assert.Equal(t, 200, y.call(operations.Disable, "b1"))
+			c.say(y)
 			time.Sleep(100 * time.Millisecond)
 			synctest.Wait()
-			assert.Equal(t, c.got, y.where()["b1"], "grace %v", c.grace)
+			assert.Equal(t, c.got, y.where()["b1"], "%s, grace %v", c.name, c.grace)
 			conn.Close()
 			y.end()
 		})
 	}
 }
 
+// A list of 1,024, indented, in which all leave at once; one comes back under its id, and is the only one that is sent to.
+func TestManyLeaveAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := serve(t, map[string][]string{"any": {ok}}, func(l *Launch) { l.ColdFor = 0 })
+		say := func(version int, full bool, state balance.State, ids ...string) {
+			l := List{Version: int64(version), Full: full}
+			for _, id := range ids {
+				l.Entries = append(l.Entries, entry(id, state, 0))
+				l.Entries[len(l.Entries)-1].Addr += ":1"
+			}
+			text, err := json.MarshalIndent(l, "", "    ")
+			assert.NoError(t, err)
+			y.tell(string(text))
+		}
+		all := make([]string, 1024)
+		for i := range all {
+			all[i] = fmt.Sprint("s-", i)
+		}
+		answered := func() int { status, _, _, _ := y.ask(look); return status }
+		say(2, true, balance.Ready, all...)
+		assert.Equal(t, 200, answered())
+		say(3, false, balance.Draining, all...)
+		assert.Equal(t, 503, answered(), "all leave")
+		say(4, false, balance.Gone, "s-700")
+		say(5, false, balance.Ready, "s-700")
+		for range 20 {
+			assert.Equal(t, 200, answered())
+			assert.Equal(t, "s-700:1", y.dials[len(y.dials)-1])
+		}
+		y.end()
+	})
+}
+
 // A drained proxy says no at once, serves until the front has noticed, then lets go of all: what the rule asks for at 4 s holds.
 func TestDrain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
