Rehearsals play up to 1,024 proxies in virtual time; a bank that loses an overbooked discovery, to 1,024

TestLarge: 350 proxies over 1,024 servers, discovery down into a release, all proxies killed: rules kept, two plays equal byte for byte.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -248,23 +248,30 @@
 
 // A bank that has lost discovery all at once gets it back, though discovery answers few at a time.
 func TestBankLosesDiscovery(t *testing.T) {
-	for _, bank := range []int{1, 8, 80, 200} {
+	for _, bank := range []int{1, 8, 80, 350, 1024} {
 		t.Run(fmt.Sprint(bank), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				const seed = 3 // danger: by free chance one of 200 was turned away too often in one run of five
 				o := &overbooked{pace: 16, places: 40, waits: 2 * time.Second}
 				log, _ := test.NewNullLogger()
 				ctx, stop := context.WithCancel(t.Context())
-				told := make([]atomic.Bool, bank)
+				began, told := time.Now(), make([]atomic.Int64, bank)
 				for i := range bank {
 					w := &Watch{Addr: "agent:1", Version: 41, Bank: bank, Dial: o.dial, Log: log, Up: func() {},
-						Told: func(l List) { told[i].Store(true) }, Chance: rand.New(rand.NewPCG(seed, uint64(i))).Float64}
+						Told: func(l List) { told[i].Store(int64(time.Since(began))) }, Chance: rand.New(rand.NewPCG(seed, uint64(i))).Float64}
 					go w.Run(ctx)
 				}
-				o.run(time.Duration(bank)*400*time.Millisecond+5*time.Second, 10*time.Millisecond)
+				most := time.Duration(bank)*400*time.Millisecond + 5*time.Second
+				o.run(most, max(10*time.Millisecond, time.Duration(bank)*50*time.Microsecond))
+				worst := time.Duration(0)
 				for i := range told {
-					assert.True(t, told[i].Load(), "proxy %d", i)
+					at := time.Duration(told[i].Load())
+					assert.Positive(t, at, "proxy %d", i)
+					worst = max(worst, at)
 				}
+				o.lock.Lock()
+				t.Logf("bank of %d: all heard within %v, %d calls", bank, worst.Round(10*time.Millisecond), o.asked)
+				o.lock.Unlock()
 				stop()
 				synctest.Wait()
 				time.Sleep(3 * time.Second) // the beats' own end
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -81,6 +81,25 @@
 	}
 }
 
+// A bank of hundreds over a list of a thousand, whose discovery is down as servers are replaced and most proxies are killed at once.
+func TestLarge(t *testing.T) {
+	text := strings.NewReplacer("proxies = 2", "proxies = 350", "count = 6", "count = 1024", "seconds = 4.0", "seconds = 2.0", "cores = 2", "cores = 1").Replace(small)
+	s, err := Read("large.toml", []byte(text+"[[trouble]]\nat = 0.2\nkind = \"list-silent\"\nfor = 0.6\n"+
+		"[[trouble]]\nat = 0.6\nkind = \"replace\"\nservers = \"s\"\ncount = 100\ndrain = 0.5\n"+
+		"[[trouble]]\nat = 0.9\nkind = \"proxy-kill\"\nfor = 0.2\n"))
+	require.NoError(t, err)
+	var lines [2]bytes.Buffer
+	for i := range lines {
+		r, err := s.Virtual("lockloom", Policies["lockloom"](), 7)
+		require.NoError(t, err)
+		assert.True(t, r.Kept(), "%v", r.First)
+		assert.NoError(t, r.Write(&lines[i]))
+	}
+	assert.Equal(t, lines[0].String(), lines[1].String(), "byte for byte")
+	_, err = s.Sockets(t.Context(), Sockets{Proxy: "true"})
+	assert.ErrorContains(t, err, "large.toml:4:1: bank: proxies: 350: on sockets each is a program")
+}
+
 func TestRefused(t *testing.T) {
 	for name, c := range map[string]struct{ text, want string }{
 		"empty":                 {"", "seconds: 0: it is from"},
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -23,7 +23,8 @@
 	rateMost     = 200_000.0
 	lookupsMost  = 50_000_000.0
 	serversMost  = 5000
-	proxiesMost  = 64
+	proxiesMost  = 1024
+	programsMost = 64 // proxies on sockets: each is a program
 	keysMost     = 1_000_000
 	troublesMost = 1000
 	tariffsMost  = 64
--- a/internal/rehearse/sockets.go
+++ b/internal/rehearse/sockets.go
@@ -78,6 +78,9 @@
 	if _, err := exec.LookPath(o.Proxy); err != nil {
 		return nil, fmt.Errorf("proxy program: %w", err)
 	}
+	if s.Bank.Proxies > programsMost {
+		return nil, s.file.At("bank", 0, "proxies", "%d: on sockets each is a program, and %d are the most", s.Bank.Proxies, programsMost)
+	}
 	began := time.Now()
 	f := s.Figures(o.Seed)
 	ctx, abort := context.WithCancel(ctx)
