The door no longer closes a connection whose request its reader has in hand

Lines at fault: door.go, end, which closed the socket from another goroutine after looking whether bytes wait in the system; those that the connection's reader had read already are not there any more, begin or rouse then said no, and serve returned without an answer. Now a connection that is to go is told so by its read deadline, and closed by its own reader once nothing has come, or with its answer. TestClosedAsItsRequestIsRead plants the moment at each part of a request; it fails without the change.

--- a/proxy/door.go
+++ b/proxy/door.go
@@ -168,9 +168,9 @@
 	d.room.Signal()
 }
 
-// begin notes that its request has begun to come. It is false where it was closed in the meantime. Danger: one that
-// has been served before is lost if it is closed now; whoever connects only to begin is not.
-func (d *door) begin(c *client, first bool) bool {
+// begin notes that its request has begun to come. Danger: one that has been served before is lost if it is closed now; whoever
+// connects only to begin is not.
+func (d *door) begin(c *client, first bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c.begun, c.fresh, c.since = true, true, time.Now()
@@ -178,15 +178,14 @@
 	if first {
 		d.quiet.append(c)
 	}
-	return !c.closed
 }
 
-// rouse notes that its request has come whole. It is false where it was closed in the meantime.
-func (d *door) rouse(c *client) bool {
+// rouse notes that its request has come whole.
+func (d *door) rouse(c *client) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.unrest(c)
-	return !c.closed
+	c.hurried.Store(false)
 }
 
 func (d *door) unrest(c *client) {
@@ -295,7 +294,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for c := range d.all {
-		c.end()
+		c.closed.Store(true)
+		c.nc.Close()
+		c.rouse()
 	}
 }
 
@@ -306,9 +307,13 @@
 	return len(d.all), d.crowded
 }
 
-// end closes a connection; the caller holds the door.
+// end has a connection go once what has come on it is answered; the caller holds the door. Danger: a request that was read, and not
+// begun yet, is seen by nobody but its reader; closed by another's hand, it would be lost.
 func (c *client) end() {
-	c.closed = true
-	c.nc.Close()
+	c.closed.Store(true)
+	if c.begun { // its client is slow: what is not there yet is not waited for
+		c.hurried.Store(true)
+	}
+	c.nc.SetReadDeadline(past)
 	c.rouse()
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -993,8 +993,8 @@
 	}
 	assert.Same(t, clients[1], d.idlest(), "the other one makes room")
 	d.thin()
-	assert.False(t, clients[0].closed)
-	assert.True(t, clients[1].closed)
+	assert.False(t, clients[0].closed.Load())
+	assert.True(t, clients[1].closed.Load())
 }
 
 // Danger: a connection that stands in two lines at once breaks both; those behind it are found no more and fill the door.
@@ -1131,3 +1131,57 @@
 	assert.Equal(t, 502, (<-l.answer).status)
 	assert.Equal(t, before+2, broken())
 }
+
+// seen is a connection that does something each time bytes were read from it, before their reader goes on.
+type seen struct {
+	net.Conn
+	then func()
+}
+
+func (s *seen) Read(p []byte) (int, error) {
+	n, err := s.Conn.Read(p)
+	if n > 0 && s.then != nil {
+		s.then()
+	}
+	return n, err
+}
+
+// Danger: a request that its reader has, and that the door does not know of yet, was lost when the door closed its connection then.
+func TestClosedAsItsRequestIsRead(t *testing.T) {
+	head, body, _ := strings.Cut(sms, "\r\n\r\n")
+	for name, parts := range map[string][]string{"whole": {sms}, "head and body": {head + "\r\n\r\n", body}, "cut in its head": {sms[:9], sms[9:]}} {
+		for last := range parts {
+			synctest.Test(t, func(t *testing.T) {
+				y := serve(t, map[string][]string{"b1": {ok}}, nil)
+				ours, theirs := net.Pipe()
+				end := &seen{Conn: theirs}
+				y.ends <- end
+				synctest.Wait()
+				for i, part := range parts {
+					if i == last {
+						end.then = func() { // as the door does where there is no room
+							y.door.mu.Lock()
+							defer y.door.mu.Unlock()
+							for c := range y.door.all {
+								if c.line != nil {
+									c.end()
+									y.door.unrest(c)
+								}
+							}
+						}
+						time.Sleep(2 * firstBegun / 3)
+					}
+					go io.WriteString(ours, part)
+					synctest.Wait()
+				}
+				status, h, _, err := answer(ours)
+				if assert.NoError(t, err, "%s, closed with part %d", name, last) {
+					assert.Equal(t, 200, status)
+					assert.True(t, h.Close, "it goes with its answer")
+				}
+				ours.Close()
+				y.end()
+			})
+		}
+	}
+}
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -40,14 +40,16 @@
 
 	idle  *idle.Wait    // nil: reading waits
 	ended atomic.Bool   // its client sends nothing more than has come
-	wake  chan struct{} // its next request has come, or it is closed
+	wake  chan struct{} // its next request has come, or it is to go
+
+	closed  atomic.Bool // it is to go, see end
+	hurried atomic.Bool // and what its client has not sent of its request is not waited for
 
 	// Under door.mu.
 	begun         bool      // its request has, and has not come whole
 	fresh         bool      // new, or begun: gets time to go on
 	since         time.Time // waits since
 	goes          time.Time // unless its request has begun to come, it is closed then
-	closed        bool      // by the door
 	line          *line     // the one that it stands in; nil: none
 	before, after *client   // there
 }
@@ -101,8 +103,14 @@
 func (c *client) until(t time.Time) {
 	c.by = t
 	c.nc.SetReadDeadline(t)
+	if c.hurried.Load() {
+		c.nc.SetReadDeadline(past)
+	}
 }
 
+// past is a deadline that ends reading, but for what has come.
+var past = time.Unix(1, 0)
+
 // serve takes in the requests of one connection, one after the other.
 func (c *client) serve() {
 	defer c.p.work.Done()
@@ -124,7 +132,11 @@
 				return
 			}
 		}
-		if err := c.Wait(); err != nil || !c.p.door.begin(c, first) || !c.one(first) {
+		if c.Wait() != nil {
+			return
+		}
+		c.p.door.begin(c, first)
+		if !c.one(first) {
 			return
 		}
 	}
@@ -136,7 +148,7 @@
 	case <-c.wake: // from before
 	default:
 	}
-	return c.idle != nil && c.idle.Begin() == nil && c.p.idle.Works()
+	return c.idle != nil && c.idle.Begin() == nil && c.p.idle.Works() && !c.closed.Load()
 }
 
 // rouse has it read on.
@@ -174,9 +186,7 @@
 		return c.turnAway(err)
 	}
 	closing = closing || h.Close // danger: a body that nobody wants is left unread, and would be taken for a request
-	if !c.p.door.rouse(c) {      // only now: a request that does not come whole is no reason to stay
-		return false
-	}
+	c.p.door.rouse(c)            // only now: a request that does not come whole is no reason to stay
 	answer := reply{}
 	if told != nil {
 		answer = *told
@@ -210,7 +220,7 @@
 	}
 	defer c.p.held.Add(-answer.held)
 	answer.bare, answer.old = answer.bare || head && c.open, old
-	closing = closing || c.over || c.p.closes() || first && c.p.door.full() || answer.flow != nil && old && answer.length < 0
+	closing = closing || c.over || c.closed.Load() || c.p.closes() || first && c.p.door.full() || answer.flow != nil && old && answer.length < 0
 	err = c.relay(answer, closing)
 	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && err == nil && fed != nil {
 		half.CloseWrite()
@@ -253,6 +263,7 @@
 type paced struct {
 	nc     net.Conn
 	r      io.Reader
+	over   *atomic.Bool // no more of it is waited for; nil: never
 	grace  time.Duration
 	got    int
 	most   int           // bytes; 0: any
@@ -266,6 +277,9 @@
 	}
 	began := time.Now()
 	b.nc.SetReadDeadline(began.Add(left))
+	if b.over != nil && b.over.Load() {
+		b.nc.SetReadDeadline(past)
+	}
 	n, err := b.r.Read(to)
 	b.nc.SetReadDeadline(time.Time{})
 	b.waited += time.Since(began)
@@ -309,7 +323,7 @@
 	go func() { gone <- c.Watch() }()
 	select {
 	case answer := <-l.answer:
-		c.until(time.Unix(1, 0)) // ends the watch
+		c.until(past) // ends the watch
 		<-gone
 		return answer, nil
 	case err := <-gone:
@@ -383,7 +397,7 @@
 		return l, a, told, nil
 	}
 	c.by = time.Time{} // each read of the body sets its own
-	from := &paced{nc: c.nc, r: c.Flow(length, chunked), grace: bodyGrace}
+	from := &paced{nc: c.nc, r: c.Flow(length, chunked), over: &c.hurried, grace: bodyGrace}
 	if first {
 		from.grace = min(max(time.Until(c.met.Add(firstBody)), bodyLeast), bodyGrace)
 	}
@@ -527,6 +541,9 @@
 
 // turnAway answers what cannot be taken, and reads on a little so that the answer is not lost to a reset.
 func (c *client) turnAway(err error) bool {
+	if c.hurried.Load() {
+		return false
+	}
 	status, text := 0, err.Error()
 	var wrong *heads.Error
 	switch {
