--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -223,6 +223,30 @@
 }
 
 // Each rule's check sees a proxy that breaks it, and no other rule's does.
+// deaf hears its first list only.
+type deaf struct{ Decider }
+
+func (d deaf) Listed(now float64, full, first bool, list []balance.Backend) *balance.Orders {
+	if !first {
+		list = nil
+	}
+	return d.Decider.Listed(now, first, first, list)
+}
+
+// What its agent has at discovery's return counts as told to a proxy that does not hear it; one that does breaks nothing.
+func TestLostListIsTold(t *testing.T) {
+	s := scenario(t, "\n[[trouble]]\nkind = \"list-silent\"\nat = 0.2\nfor = 1.0\n[[trouble]]\nkind = \"drain\"\nservers = \"s\"\nat = 0.5\ncount = 3\ndrain = 30.0\n")
+	s.Deployment.Grace = 0.5
+	for name, wrap := range map[string]func(Decider) Decider{"hears": func(d Decider) Decider { return d }, "deaf": func(d Decider) Decider { return deaf{d} }} {
+		r, err := s.Virtual(name, func(d balance.Deployment, now float64) (Decider, error) {
+			b, err := Policies["lockloom"]()(d, now)
+			return wrap(b), err
+		}, 3)
+		require.NoError(t, err)
+		assert.Equal(t, name == "deaf", r.Broken[3] > 0, "%s: %v", name, r.First)
+	}
+}
+
 func TestPlanted(t *testing.T) {
 	s := scenario(t, `
 [[trouble]]
