--- a/proxy/door.go
+++ b/proxy/door.go
@@ -194,14 +194,15 @@
 	}
 }
 
-// full tells whether as many connections are idle between requests as are kept, and seem to be used no more. Danger: clients that
-// ask once and stay take up all that their side may open, and nobody can ask any more; so further ones close with their first answer.
-// One that was used again stays: closing it costs its client and this core more than its next request does.
+// full tells whether a first answer is to close its connection: as many are idle between requests as are kept, and seem to be used no
+// more, or the door is nearly full. Danger: clients that ask once and stay take up all that their side may open, and nobody can ask
+// any more; those that write slowly are cut off for them meanwhile. One that was used again stays: closing it costs its client and
+// this core more than its next request does.
 func (d *door) full() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.age()
-	return d.stale.n >= d.keep
+	return d.stale.n >= d.keep || d.stale.n+d.kept.n >= d.keep && float64(len(d.all)) >= fullPart*float64(d.most)
 }
 
 // thin closes, where there are so many, those that have been idle for long.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -49,6 +49,7 @@
 	clientPart  = 0.75                    // of the other descriptors: a lookup may wait longer than its legs take
 	overPart    = 0.2                     // of the clients': taken over the bound, to be dismissed at once
 	keptPart    = 0.25                    // of the clients': idle between requests; further ones close with their answer
+	fullPart    = 0.75                    // of the clients': with so many the door is nearly full
 	heldPart    = 0.25                    // of the memory limit, for what is kept to be sent to backends
 	idleMargin  = 250 * time.Millisecond  // before a backend closes an idle connection: the way there, and a look that comes late
 	idleUntold  = 2 * time.Second         // where that time is not told
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -1185,3 +1185,23 @@
 		}
 	}
 }
+
+// Danger: those that asked once and stay, each for a moment, leave no room for those that write slowly.
+func TestFirstAnswersCloseWhereTheDoorIsNearlyFull(t *testing.T) {
+	for _, c := range []struct {
+		all, kept, stale int
+		want             bool
+	}{{5, 2, 0, false}, {6, 2, 0, true}, {6, 1, 0, false}, {6, 1, 1, true}, {2, 0, 2, true}} {
+		d := door{bounds: bounds{most: 8, keep: 2}, all: map[*client]bool{}}
+		for i := range c.all {
+			m := &client{since: time.Now()}
+			d.all[m] = true
+			if i < c.kept {
+				d.kept.append(m)
+			} else if i < c.kept+c.stale {
+				d.stale.append(m)
+			}
+		}
+		assert.Equal(t, c.want, d.full(), "%+v", c)
+	}
+}
