--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -86,7 +86,8 @@
 	lingerFor   = 500 * time.Millisecond  // to read on after an error, so that the client can read it
 	backstop    = 0.002                   // s before the hard stop when a lookup with no answer is forfeited
 	closeAfter  = 500 * time.Millisecond  // from the order to stop to the end of accepting: the front needs 0.4 s
-	killAfter   = 700 * time.Millisecond  // from the order to stop to being killed, past the longest hard stop
+	stopMost    = 3 * time.Second         // of the longest hard stop, that a proxy told to stop is left for: the platform's
+	killAfter   = 700 * time.Millisecond  // from the order to stop to being killed, past that
 	lastServe   = 350 * time.Millisecond  // before that: connections close between requests, and with their answers
 	lastAnswer  = 150 * time.Millisecond  // before that: the hard stop of whatever is in hand
 	lastCut     = 75 * time.Millisecond   // before that: what a client has not taken is cut
@@ -254,7 +255,7 @@
 	case err = <-accepted:
 	case <-ctx.Done():
 		p.log.Info("stopping")
-		killed := time.Now().Add(p.longest + killAfter)
+		killed := time.Now().Add(min(p.longest, stopMost) + killAfter) // danger: a lookup that waits for longer would be in hand then
 		last := killed.Add(-lastAnswer)
 		p.last.Store(&last)
 		if !p.stop(killed.Add(-lastServe)) { // danger: the front deals out connections for a while yet
