Nothing is sent for a client that has gone; connections end half-closed and read on; early answers

Seen by reading and by tests that force each order on real sockets (proxy/endings_test.go, internal/backends): a leg was written 100 ms after its client had closed, while the owner had not heard of it (conn.write asked the owner's mark alone), as a further leg likewise, or after a wait for the core (turn never looked again); a client that went behind 4 KB sent ahead was never seen to go (await gave up watching). serve closed plainly: over unread bytes the system reset the connection and took the rest of a 60 KB answer with it. A second answer taken from the system just before the next request was written was given to that request; a 200 to a request not written whole was given on. Change: one last check before the first byte (conn.unwanted: called off, window, drain, client gone), one way to end a client's connection (hangUp), stamps of what came against the time of writing, a repeat's window less the way there. A connection not written on for these reasons is kept now; it was closed. TestNotWritten said the opposite of TestTooLateToSend there: it now asserts that nothing is written and that the connection rests.

--- a/internal/backends/backends_test.go
+++ b/internal/backends/backends_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net"
+	"os"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -355,8 +357,9 @@
 }
 
 // Danger: the goroutine that writes may wait for its core for long: until its lookup has its answer, or past the time within which a
-// repeat is known.
+// repeat is known, or a drain's grace, or its client's patience.
 func TestNotWritten(t *testing.T) {
+	const wayThere = 40 * time.Millisecond
 	for _, c := range []struct {
 		name string
 		set  func(p *Pool, ex *Exchange)
@@ -365,6 +368,10 @@
 		{"in time", func(*Pool, *Exchange) {}, true},
 		{"withheld", func(p *Pool, ex *Exchange) { p.Withhold(ex) }, false},
 		{"past the window", func(_ *Pool, ex *Exchange) { ex.Before = time.Now().Add(-1) }, false},
+		{"past the window once it is there", func(_ *Pool, ex *Exchange) { ex.Before = time.Now().Add(wayThere / 2) }, false},
+		{"its client has gone", func(_ *Pool, ex *Exchange) { ex.Gone = func() bool { return true } }, false},
+		{"its client is there", func(_ *Pool, ex *Exchange) { ex.Gone = func() bool { return false } }, true},
+		{"its backend drains", func(p *Pool, ex *Exchange) { p.Until(0, time.Now().Add(-1)) }, false},
 	} {
 		ours, end := net.Pipe()
 		posted := make(chan func(), 3)
@@ -372,17 +379,26 @@
 		p.Place(0, "one:1", 0)
 		var got []Result
 		ex := &Exchange{Head: []byte("GET"), Until: time.Now().Add(time.Minute), wrote: make(chan struct{}), Report: func(r Result) { got = append(got, r) }}
-		c0 := &conn{pool: p, to: p.backends[0], nc: ours, pending: pending(ours), ex: ex, by: ex.Until, jobs: make(chan *Exchange, 1)}
+		c0 := &conn{pool: p, to: p.backends[0], nc: ours, pending: pending(ours), ex: ex, by: ex.Until, jobs: make(chan *Exchange, 1), way: wayThere, era: p.backends[0].era}
 		ex.conn = c0
 		c.set(p, ex)
 		go c0.write(ex)
+		if !c.want {
+			end.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		}
 		buf := make([]byte, 10)
-		n, _ := end.Read(buf)
+		n, err := end.Read(buf)
 		assert.Equal(t, c.want, n > 0, c.name)
-		end.Close()
-		<-ex.wrote
-		go c0.read()
+		if n == 0 {
+			assert.ErrorIs(t, err, os.ErrDeadlineExceeded, "%s: the connection is good for another", c.name)
+		} else {
+			end.Close()
+			<-ex.wrote
+			go c0.read()
+		}
 		(<-posted)()
+		assert.Equal(t, !c.want, slices.Contains(p.backends[0].idle, c0), c.name)
+		end.Close()
 		if assert.Len(t, got, 1, c.name) {
 			assert.Equal(t, !c.want, got[0].Outcome == balance.NeverSent, c.name)
 			assert.Equal(t, c.want, !got[0].Sent.IsZero(), c.name)
@@ -396,6 +412,75 @@
 	assert.False(t, ex.off, "one that is being written goes on")
 }
 
+// Danger: bytes that a backend sent before its request was written, taken from the system by the reader just before the writer looked
+// for any, would be read as the request's answer.
+func TestCameBeforeItsRequest(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	defer ln.Close()
+	posted, taken, on := make(chan func(), 10), make(chan bool, 1), make(chan bool)
+	p := New(func(ctx context.Context, addr string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp", addr)
+	}, func(f func()) { posted <- f })
+	p.Connect, p.Idle, p.Most = time.Second, time.Minute, 2
+	p.Hold = func(int64) bool { return true }
+	p.Place(0, ln.Addr().String(), 0)
+	times := 0
+	p.came = func() {
+		if times++; times == 2 { // the reader has the second answer, and has not looked at it
+			taken <- true
+			<-on
+		}
+	}
+	ask := func(got chan Result) {
+		p.Send(0, &Exchange{Head: []byte("GET /a HTTP/1.1\r\n"), Tail: []byte("\r\n"), Until: time.Now().Add(5 * time.Second), Report: func(r Result) { got <- r }})
+	}
+	first, second := make(chan Result, 1), make(chan Result, 1)
+	ask(first)
+	end, err := ln.Accept()
+	assert.NoError(t, err)
+	defer end.Close()
+	asked(t, end)
+	time.Sleep(50 * time.Millisecond) // the system begins to tell when bytes came a little after it was asked to
+	io.WriteString(end, honoured)
+	for len(first) == 0 {
+		(<-posted)()
+	}
+	io.WriteString(end, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold") // a second answer to the first request
+	<-taken
+	ask(second)
+	asked(t, end) // it is written: the system holds nothing that the writer could have seen
+	close(on)
+	for len(second) == 0 {
+		(<-posted)()
+	}
+	r := <-second
+	assert.Equal(t, balance.Cut, r.Outcome, "it may run, and this is not its answer")
+	assert.Empty(t, r.Body)
+}
+
+// Danger: a 200 that comes before its request is written whole is no answer to it: a backend begins with the last byte.
+func TestAnsweredBeforeItIsWritten(t *testing.T) {
+	for _, c := range []struct {
+		answer string
+		want   balance.Outcome
+	}{{honoured, balance.NoRoute}, {"HTTP/1.1 503 x\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", balance.NoRoom}, {"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", balance.Fault}} {
+		synctest.Test(t, func(t *testing.T) {
+			b := open()
+			_, got := b.leg(0)
+			end := <-b.ends
+			synctest.Wait()               // its writer is at it
+			io.WriteString(end, c.answer) // and reads nothing
+			time.Sleep(2 * writeOn)
+			b.settle()
+			if assert.Len(t, *got, 1) {
+				assert.Equal(t, c.want, (*got)[0].Outcome)
+			}
+			assert.Zero(t, b.Total())
+		})
+	}
+}
+
 func TestReuse(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -20,6 +20,7 @@
 
 const (
 	writeOn   = 10 * time.Millisecond // for the rest of a request that is answered already
+	wayMost   = 50 * time.Millisecond // there and back, that a repeat is sent earlier by; a connection that came up later lost something
 	flowIdle  = 30 * time.Second      // of an answer that flows without a byte, or of a body that is not taken
 	flowFirst = 8 * time.Millisecond  // from a large answer's head to its beginning to flow, if a byte of it has come
 	flowBegin = 16 << 10              // bytes of an answer told to be large that have come when it begins to flow
@@ -32,7 +33,8 @@
 type Exchange struct {
 	Head, Tail, Body []byte        // written one after the other
 	Until            time.Time     // no answer by then: it timed out
-	Before           time.Time     // not sent where no connection is up by then; zero: no such bound
+	Before           time.Time     // not sent where it can't be at its backend by then; zero: no such bound
+	Gone             func() bool   // whether its client has gone: it is not sent then; called by any goroutine; nil: nobody waits for it
 	Report           func(Result)  // called once, on the owner's goroutine
 	Plain            bool          // what a server answers goes on as it is, but for its own failures
 	Bare             bool          // only a head is asked for
@@ -43,7 +45,8 @@
 	flows            bool          // its answer has begun to flow; likewise
 	wrote            chan struct{}
 	opening          time.Duration // its connection's
-	sent             time.Time     // read after wrote is closed
+	writing          time.Time     // when its writing began; under conn.mu
+	sent             time.Time     // the same, or for one that opened its connection as much earlier; read after wrote is closed
 	whole            bool          // its last byte is written; read after wrote is closed
 	some             bool          // a byte may have gone out; likewise
 	conn             *conn
@@ -72,7 +75,8 @@
 	since time.Time // idle since; the owner's
 	jobs  chan *Exchange
 
-	pending func() bool // see Pending
+	pending func() bool   // see Pending
+	way     time.Duration // there and back, as far as known
 
 	mu   sync.Mutex
 	nc   net.Conn
@@ -144,39 +148,57 @@
 	ex.opening = opened(nc, time.Since(began))
 	c.mu.Lock()
 	c.nc, c.pending = nc, pending(nc)
-	off := ex.off || !ex.Before.IsZero() && time.Now().After(ex.Before)
-	if off {
-		c.ex = nil // the connection is good for another
-	} else {
-		c.until(ex.Until)
-	}
+	c.way = min(ex.opening, wayMost)
+	c.until(ex.Until)
 	c.mu.Unlock()
 	go c.read()
-	if off {
-		res := Result{Outcome: balance.NeverSent, At: time.Now()}
-		c.pool.post(func() {
-			c.pool.rest(c)
-			ex.Report(res)
-		})
-	} else {
-		c.write(ex)
-	}
+	c.write(ex)
 	for ex := range c.jobs {
 		c.write(ex)
 	}
 }
 
-// write writes a request, unless something has come before it. Danger: a second copy of the answer before would be read
-// as the answer to this request, and one written to a connection that the backend has closed may seem to have run.
+// unwanted is why an exchange is not to be written any more, nil where it is. It is asked last before the first byte, of first and
+// further legs alike. Danger: whatever was true when the leg was ordered, this goroutine may have waited for a connection, or its core.
+func (c *conn) unwanted(ex *Exchange) error {
+	switch {
+	case ex.off:
+		return errOff
+	case !ex.Before.IsZero() && time.Now().Add(c.way).After(ex.Before):
+		return errLate
+	case c.to.shut():
+		return errDrains
+	case ex.Gone != nil && ex.Gone():
+		return ErrLeft
+	}
+	return nil
+}
+
+// write writes a request, unless it is unwanted or something has come before it. Danger: a second copy of the answer before would be
+// read as the answer to this request, and one written to a connection that the backend has closed may seem to have run.
 func (c *conn) write(ex *Exchange) {
 	c.mu.Lock()
-	late := !ex.Before.IsZero() && time.Now().After(ex.Before) // danger: this goroutine may have waited for its core since the order
-	ex.begun = !ex.off && !late && !c.dead && !c.pending() && !c.to.shut()
+	sound := !c.dead && !c.pending()
+	why := c.unwanted(ex)
+	ex.begun = sound && why == nil
+	ex.writing = time.Now()
+	if sound && why != nil {
+		c.ex = nil // the connection is good for another
+	}
 	c.mu.Unlock()
+	if sound && why != nil {
+		close(ex.wrote)
+		res := Result{Outcome: balance.NeverSent, At: ex.writing, Err: why}
+		c.pool.post(func() {
+			c.pool.rest(c)
+			ex.Report(res)
+		})
+		return
+	}
 	err := errUnasked
 	if ex.begun {
 		c.nc.SetWriteDeadline(ex.Until)
-		ex.sent = time.Now().Add(-ex.opening)
+		ex.sent = ex.writing.Add(-ex.opening)
 		var n int64
 		n, err = heads.WriteSome(c.nc, ex.Head, ex.Tail, ex.Body)
 		if ex.some = n > 0; err == nil && ex.Upload != nil {
@@ -220,7 +242,13 @@
 	}
 }
 
-var errUnasked = errors.New("closed, or an answer to nothing, or its backend drains")
+var (
+	errUnasked = errors.New("closed, or an answer to nothing")
+	errOff     = errors.New("called off")
+	errLate    = errors.New("too late to be sent again")
+	errDrains  = errors.New("its backend drains")
+	errEarly   = errors.New("an answer that came before its request was written")
+)
 
 // Pending tells whether bytes or the end wait to be read, as far as a connection can tell. The reader that waits for
 // them may not have run yet.
@@ -246,6 +274,26 @@
 	}
 }
 
+// HungUp tells whether the other side has closed a connection or ended its sending, whatever bytes wait before that, as far as a
+// connection can tell.
+func HungUp(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	hung := false
+	err = raw.Control(func(fd uintptr) {
+		ask := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, _ := unix.Poll(ask[:], 0)
+		hung = n > 0
+	})
+	return hung || err != nil // closed here
+}
+
 // wait blocks until a byte of an answer has come, or the time for it is over. Danger: the read deadline is an exchange's, and is not
 // taken back when that is over; it may pass while the connection is idle, or just as the next exchange begins.
 func (c *conn) wait(r *heads.Reader) error {
@@ -272,9 +320,15 @@
 	r := heads.NewReader(in)
 	for {
 		err := c.wait(r)
+		if c.pool.came != nil {
+			c.pool.came()
+		}
 		c.mu.Lock()
 		ex := c.ex
 		unasked := ex == nil || !ex.begun
+		// Danger: these bytes may have been taken from the system before the writer looked for any.
+		at := in.Received()
+		early := !unasked && err == nil && !at.IsZero() && at.Before(ex.writing)
 		c.dead = unasked
 		c.mu.Unlock()
 		if ex == nil {
@@ -285,6 +339,9 @@
 			<-ex.wrote // it was not
 			res.At = time.Now()
 		} else {
+			if early {
+				err = errEarly
+			}
 			res, keep = c.answer(r, ex, err)
 			if at := in.Received(); res.Status > 0 && at.After(ex.sent) && at.Before(res.At) { // it waited here to be read
 				res.At = at
@@ -370,6 +427,11 @@
 		c.nc.SetWriteDeadline(res.At.Add(writeOn))
 	}
 	ex.written()
+	if !ex.whole && res.Outcome == balance.Honoured && !ex.Plain && ex.Upload == nil { // a backend begins when the last byte has come
+		c.nc.Close()
+		res.Outcome, res.Err = balance.NoRoute, errEarly
+		return res, false
+	}
 	return res, !h.Close && ex.whole && !r.Buffered()
 }
 
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -26,6 +26,7 @@
 	dial     func(ctx context.Context, addr string) (net.Conn, error)
 	post     func(func()) // runs a function on the owner's goroutine
 	shut     atomic.Bool  // no connection is kept any more
+	came     func()       // nil but in tests: bytes have come on a connection, and are not looked at yet
 	backends []*backend   // by index
 	total    int
 }
@@ -178,9 +179,12 @@
 	c.nc.Close()
 }
 
-// rest takes back a connection whose exchange is over.
+// rest takes back a connection whose exchange is over, unless it has ended meanwhile.
 func (p *Pool) rest(c *conn) {
-	if c.era != c.to.era {
+	c.mu.Lock()
+	dead := c.dead
+	c.mu.Unlock()
+	if dead || c.era != c.to.era || p.shut.Load() {
 		p.retire(c)
 		return
 	}
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -23,7 +23,8 @@
 	hardStop   float64
 	head, body []byte // what goes to a backend, alike for all its legs
 	legs       []*leg
-	answered   bool // or its client has left
+	client     *client // nil: nobody's
+	answered   bool    // or its client has left
 	released   bool
 	plain      bool             // by the ordinary door: a server's answer goes on as it is
 	upload     *backends.Upload // of a body that is not kept; nil: body is all
@@ -42,6 +43,12 @@
 	answer     chan reply   // holds the one answer; the owner never waits for the client
 }
 
+// abandoned tells whether its client has gone. Danger: it is asked just before a byte goes out, by any goroutine, and what the
+// client's own goroutine saw may not have come to the owner, nor may that goroutine have been able to see anything.
+func (l *lookup) abandoned(taken time.Time) bool {
+	return l.client != nil && (l.client.left.Load() || time.Since(taken) > lookEvery && backends.HungUp(l.client.nc))
+}
+
 // admit hands a lookup to the decisions. One over a bound of this machine, of connections or of memory, is
 // dismissed unseen.
 func (p *Proxy) admit(l *lookup, a balance.Arrival, over bool) {
--- a/proxy/door.go
+++ b/proxy/door.go
@@ -144,26 +144,23 @@
 	d.room.Signal()
 }
 
-// rest notes that a connection is idle: fresh where its first request is on the way, kept where a later one may come.
-func (d *door) rest(c *client, fresh, kept bool) {
+// rest notes that a connection is idle: before its first request, or after.
+func (d *door) rest(c *client, first bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed {
 		c.end()
 		return
 	}
-	d.unrest(c) // danger: one that is turned away may still stand among those whose first request is on the way
-	c.begun, c.fresh, c.since = false, fresh, time.Now()
-	c.goes = c.since.Add(clientIdle)
-	switch {
-	case kept:
-		d.kept.append(c)
-		d.thin()
-	case fresh:
+	d.unrest(c)
+	c.begun, c.fresh, c.since = false, first, time.Now()
+	if first {
 		c.goes = c.met.Add(firstBegun)
 		d.quiet.append(c)
-	default: // nothing is lost with it
-		d.quiet.insert(c, nil)
+	} else {
+		c.goes = c.since.Add(clientIdle)
+		d.kept.append(c)
+		d.thin()
 	}
 	d.room.Signal()
 }
@@ -180,6 +177,18 @@
 	}
 }
 
+// lingers notes that a connection's last answer is written and what still comes is dropped: where room is wanted it goes first.
+// Danger: many that are turned away would keep others out while they are read on.
+func (d *door) lingers(c *client) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unrest(c)
+	c.begun, c.fresh, c.lingering, c.since = false, false, true, time.Now()
+	c.goes = c.since.Add(clientIdle)
+	d.quiet.insert(c, nil)
+	d.room.Signal()
+}
+
 // rouse notes that its request has come whole.
 func (d *door) rouse(c *client) {
 	d.mu.Lock()
@@ -283,7 +292,7 @@
 	d.closed = true
 	for _, l := range []*line{&d.quiet, &d.kept, &d.stale} {
 		for c := l.first; c != nil; c = c.after {
-			if !c.begun {
+			if !c.begun && !c.lingering { // that ends by itself, or is cut
 				c.end()
 			}
 		}
--- a/proxy/endings_test.go
+++ b/proxy/endings_test.go
@@ -1,15 +1,325 @@
 package proxy
 
 import (
+	"bytes"
+	"context"
 	"io"
+	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lockloom/balance"
+	"lockloom/internal/heads"
 )
 
+// street is a proxy on real sockets between its clients and two backends, at which a test may hold things up.
+type street struct {
+	*Proxy
+	t     *testing.T
+	front net.Listener
+	mu    sync.Mutex
+	open  chan struct{} // connections to backends come up once it is closed
+	reply func(n int, end net.Conn)
+	got   atomic.Int32 // requests at backends
+	stop  context.CancelFunc
+}
+
+// onStreet serves; reply is what a backend does with the n-th request that any of them gets.
+func onStreet(t *testing.T, reply func(n int, end net.Conn)) *street {
+	s := &street{t: t, open: make(chan struct{}), reply: reply}
+	l := Launch{Name: "n0", Discovery: "agent", Known: List{Version: 1, Full: true}, Limits: Limits{Cores: 1, Memory: 1 << 27, Sockets: 1024},
+		Figures: Figures{ConnectFor: 5, DrainGrace: 2.5, Deployment: balance.Deployment{Proxies: 1, MaxLegs: 4, CallOff: true, Beside: true,
+			Tariffs: []balance.Tariff{{Name: "look", Due: 4, HardStop: 5, Value: 1}, {Name: "sms", Kind: balance.SingleUse, Due: 4, HardStop: 5, Value: 1}}}}}
+	for _, id := range []string{"b1", "b2"} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { ln.Close() })
+		go func() {
+			for end, err := ln.Accept(); err == nil; end, err = ln.Accept() {
+				go s.backend(end)
+			}
+		}()
+		e := entry(id, balance.Ready, 0)
+		e.Addr = ln.Addr().String()
+		l.Known.Entries = append(l.Known.Entries, e)
+	}
+	log, _ := test.NewNullLogger()
+	p, err := New(l, log)
+	require.NoError(t, err)
+	s.Proxy = p
+	p.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		if addr == "agent" {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		s.mu.Lock()
+		open := s.open
+		s.mu.Unlock()
+		<-open
+		return dial(ctx, addr)
+	}
+	s.front, err = net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	s.stop = stop
+	served := make(chan error, 1)
+	go func() { served <- p.Serve(ctx, s.front) }()
+	t.Cleanup(func() {
+		stop()
+		assert.NoError(t, <-served)
+	})
+	return s
+}
+
+func (s *street) backend(end net.Conn) {
+	defer end.Close()
+	for r := heads.NewReader(end); ; {
+		h, err := r.Request()
+		if err != nil {
+			return
+		}
+		r.Body(h.Length, h.Chunked)
+		s.reply(int(s.got.Add(1)), end)
+	}
+}
+
+func (s *street) client() *net.TCPConn {
+	conn, err := net.Dial("tcp", s.front.Addr().String())
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { conn.Close() })
+	return conn.(*net.TCPConn)
+}
+
+// holdOwner has the owner do nothing until what it returns is called.
+func (s *street) holdOwner() (letGo func()) {
+	held, on := make(chan bool), make(chan bool)
+	s.post(func() { held <- true; <-on })
+	<-held
+	return func() { close(on) }
+}
+
+// taken waits until a client's request is in hand.
+func (s *street) taken() {
+	require.Eventually(s.t, func() bool {
+		in := make(chan bool, 1)
+		s.post(func() { in <- s.counts.Legs > 0 })
+		return <-in
+	}, 5*time.Second, time.Millisecond)
+}
+
+var longLook = strings.Replace(look, "In: 0.5", "In: 5", 1)
+
+// Danger: a client closes while its request waits for a connection to a backend, for the owner, for its turn, or for what another leg
+// comes to; what is sent on then has nobody to go to. However it goes, and whatever is known of that, nothing is sent on any more.
+func TestNothingIsSentForWhoHasGone(t *testing.T) {
+	ahead := string(bytes.Repeat([]byte("x"), 64<<10))
+	ends := map[string]func(c *net.TCPConn){
+		"closes":                       func(c *net.TCPConn) { c.Close() },
+		"closes behind what is unread": func(c *net.TCPConn) { io.WriteString(c, ahead); c.Close() },
+		"resets behind what is unread": func(c *net.TCPConn) { io.WriteString(c, ahead); c.SetLinger(0); c.Close() },
+	}
+	for name, end := range ends {
+		t.Run(name+", as its leg's connection comes up", func(t *testing.T) {
+			s := onStreet(t, func(_ int, end net.Conn) { io.WriteString(end, ok) })
+			c := s.client()
+			io.WriteString(c, longLook)
+			s.taken()
+			letGo := s.holdOwner() // it hears of nothing
+			end(c)
+			time.Sleep(2 * lookEvery)
+			close(s.open)
+			time.Sleep(lookEvery)
+			assert.Zero(t, s.got.Load())
+			letGo()
+			time.Sleep(lookEvery)
+			assert.Zero(t, s.got.Load())
+		})
+		t.Run(name+", as its leg is turned away", func(t *testing.T) {
+			on := make(chan bool)
+			s := onStreet(t, func(n int, end net.Conn) {
+				<-on
+				io.WriteString(end, neverRan)
+			})
+			close(s.open)
+			c := s.client()
+			io.WriteString(c, longLook)
+			require.Eventually(t, func() bool { return s.got.Load() == 1 }, 5*time.Second, time.Millisecond)
+			s.mu.Lock()
+			further := make(chan struct{})
+			s.open = further
+			s.mu.Unlock()
+			letGo, again := s.holdOwner(), make(chan bool)
+			close(on)
+			time.Sleep(lookEvery)
+			s.post(func() { <-again }) // the owner hears of that, sends on, and does not hear yet that the client goes
+			end(c)
+			time.Sleep(2 * lookEvery)
+			letGo()
+			time.Sleep(lookEvery)
+			close(further)
+			time.Sleep(lookEvery)
+			assert.EqualValues(t, 1, s.got.Load(), "no further leg")
+			close(again)
+			time.Sleep(lookEvery)
+			assert.EqualValues(t, 1, s.got.Load(), "no further leg")
+		})
+		t.Run(name+", as it waits for its turn", func(t *testing.T) {
+			s := onStreet(t, func(_ int, end net.Conn) { io.WriteString(end, ok) })
+			close(s.open)
+			free := (&yard{Proxy: s.Proxy}).busy(1)
+			c := s.client()
+			io.WriteString(c, longLook)
+			require.Eventually(t, func() bool {
+				s.strained.mu.Lock()
+				defer s.strained.mu.Unlock()
+				return s.strained.Queued > 0
+			}, 5*time.Second, time.Millisecond)
+			end(c)
+			time.Sleep(lookEvery / 5)
+			free()
+			time.Sleep(lookEvery)
+			assert.Zero(t, s.got.Load())
+		})
+	}
+}
+
+// What a client's own goroutine has not seen, because its core is busy, is seen all the same.
+func TestAbandoned(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	for _, c := range []struct {
+		name             string
+		age              time.Duration
+		ends, left, want bool
+	}{{"there", time.Second, false, false, false}, {"gone", time.Second, true, false, true}, {"just taken", 0, true, false, false}, {"seen to go", 0, false, true, true}} {
+		theirs, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		ours, err := ln.Accept()
+		require.NoError(t, err)
+		l := &lookup{client: &client{nc: ours}}
+		l.client.left.Store(c.left)
+		io.WriteString(theirs, "unread")
+		if c.ends {
+			theirs.Close()
+		}
+		time.Sleep(lookEvery / 5)
+		assert.Equal(t, c.want, l.abandoned(time.Now().Add(-c.age)), c.name)
+		theirs.Close()
+		ours.Close()
+	}
+	assert.False(t, (&lookup{}).abandoned(time.Time{}), "nobody's")
+}
+
+// A client that stays is served for as long as it waits, whatever it sent ahead, and what it sent ahead is served next.
+func TestWhoSendsAheadIsServed(t *testing.T) {
+	s := onStreet(t, func(_ int, end net.Conn) {
+		time.Sleep(2 * lookEvery)
+		io.WriteString(end, ok)
+	})
+	close(s.open)
+	c := s.client()
+	var all strings.Builder
+	const n = 60
+	for range n {
+		all.WriteString(strings.Replace(longLook, "t1", strings.Repeat("t", 200), 1))
+	}
+	go io.WriteString(c, all.String())
+	r := heads.NewReader(c)
+	for range n / 10 {
+		h, err := r.Response()
+		require.NoError(t, err)
+		assert.Equal(t, 200, h.Status)
+		r.Body(h.Length, h.Chunked)
+	}
+}
+
+// Danger: closed over bytes that nobody read, a connection is reset, and what the client has not taken of its answer is lost. The client
+// takes nothing until all of the proxy's side is done.
+func TestAnswersOutliveTheirConnections(t *testing.T) {
+	large := strings.Repeat("y", 60_000)
+	served := "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + large
+	closing := strings.Replace(longLook, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)
+	junk := strings.Repeat("x", 32<<10)
+	for _, c := range []struct {
+		name, request string
+		status        int
+	}{
+		{"closing by its client's wish", closing, 200},
+		{"turned away", strings.Replace(longLook, "X-Qos: look", "X-Qos: none", 1), 400},
+		{"too large", strings.Replace(longLook, "t1", strings.Repeat("x", 3*heads.Most/2), 1), 431},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			on := make(chan bool)
+			s := onStreet(t, func(_ int, end net.Conn) {
+				<-on
+				io.WriteString(end, served)
+			})
+			close(s.open)
+			d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error { // the answer does not fit
+				return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2048) })
+			}}
+			conn, err := d.Dial("tcp", s.front.Addr().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, c.request+junk)
+			require.NoError(t, err)
+			time.Sleep(2 * watchAfter)
+			close(on)
+			time.Sleep(lookEvery)
+			all, err := io.ReadAll(conn)
+			assert.NoError(t, err, "it ends in order")
+			r := heads.NewReader(bytes.NewReader(all))
+			h, err := r.Response()
+			require.NoError(t, err)
+			assert.Equal(t, c.status, h.Status)
+			body, err := r.Body(h.Length, h.Chunked)
+			assert.NoError(t, err)
+			if c.status == 200 {
+				assert.Equal(t, large, string(body))
+			}
+		})
+	}
+}
+
+// Danger: a client that rests until the proxy ends its connection may ask in that instant. Its request is served, or never sent on and
+// its connection not reset.
+func TestAskedAsTheProxyEnds(t *testing.T) {
+	s := onStreet(t, func(_ int, end net.Conn) { io.WriteString(end, ok) })
+	close(s.open)
+	var all sync.WaitGroup
+	for range 50 {
+		c := s.client()
+		io.WriteString(c, longLook)
+		status, _, _, err := answer(c)
+		require.NoError(t, err)
+		require.Equal(t, 200, status)
+		all.Go(func() {
+			n, err := c.Read(make([]byte, 1))
+			assert.Zero(t, n)
+			assert.ErrorIs(t, err, io.EOF)
+			before := s.got.Load()
+			for range 3 { // a reset would be seen by the second
+				_, err = io.WriteString(c, longLook)
+				assert.NoError(t, err)
+				time.Sleep(5 * time.Millisecond)
+			}
+			assert.Equal(t, before, s.got.Load(), "no answer could follow it")
+		})
+	}
+	go s.stop()
+	all.Wait()
+}
+
 // Danger: the platform waits 3 s for the longest hard stop and no longer; whoever plans on more is killed with lookups in hand.
 func TestStopIsOverWhenThePlatformKills(t *testing.T) {
 	for _, c := range []struct{ hardStop, left float64 }{{0.5, 0.5}, {3, 3}, {3.4, 3}, {60, 3}} {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -76,14 +76,15 @@
 	freshFor    = 100 * time.Millisecond  // for the first request of a connection, where others wait to be accepted
 	headGuess   = 512                     // bytes of a head that goes on; a longer one grows
 	watchAfter  = 10 * time.Millisecond   // from a lookup's taking in: until then nobody looks whether its client has gone
+	lookEvery   = 50 * time.Millisecond   // between looks at a client whose end can't be read; one that went less before a leg is not looked for
 	outMost     = 2 << 10                 // bytes of an answer's head that a connection keeps for the next
 	clientSlow  = 5 * time.Second         // for an answer to be taken
 	flowBytes   = 16 << 10                // of an answer that flows, between reading and writing
 	flowSlow    = 30 * time.Second        // for a piece of it to be taken
-	uploadRest  = 8 << 20                 // bytes of a body that is not wanted any more, read on for its client's sake
 	longestWait = 60.0                    // s; a client that says it waits longer is taken to wait so long
 	acceptPause = 10 * time.Millisecond   // after accepting failed: out of descriptors, it would spin
-	lingerFor   = 500 * time.Millisecond  // to read on after an error, so that the client can read it
+	lingerFor   = 500 * time.Millisecond  // to read on after a connection's last answer, so that the client can read that
+	lingerMost  = 8 << 20                 // bytes; the same
 	backstop    = 0.002                   // s before the hard stop when a lookup with no answer is forfeited
 	closeAfter  = 500 * time.Millisecond  // from the order to stop to the end of accepting: the front needs 0.4 s
 	stopMost    = 3 * time.Second         // of the longest hard stop, that a proxy told to stop is left for: the platform's
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -980,7 +980,7 @@
 		defer nc.Close()
 		c := &client{nc: nc}
 		d.all[c] = true
-		d.rest(c, false, true)
+		d.rest(c, false)
 		clients, ends = append(clients, c), append(ends, end)
 	}
 	io.WriteString(ends[0], look)
@@ -1007,14 +1007,14 @@
 		c := &client{nc: ours, wake: make(chan struct{}, 1)}
 		all = append(all, c)
 		d.all[c] = true
-		d.rest(c, true, false)
+		d.rest(c, true)
 		d.begin(c, true)
 		switch i % 4 {
 		case 0: // turned away before its request has come whole
-			d.rest(c, false, false)
+			d.lingers(c)
 		case 1:
 			d.rouse(c)
-			d.rest(c, false, true)
+			d.rest(c, false)
 		case 2:
 			d.rouse(c)
 		}
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -40,7 +40,9 @@
 	g := &leg{number: len(l.legs), to: p.names.Name(backend), sent: now}
 	l.legs = append(l.legs, g)
 	p.counts.Legs++
+	taken := p.at(l.arrived)
 	g.ex = backends.Exchange{Head: l.head, Body: l.body, Until: p.at(until), Before: before,
+		Gone:  func() bool { return l.abandoned(taken) },
 		Wait:  seconds(l.wait) - bodyEnd,
 		Plain: l.plain, Bare: l.bare, Upload: l.upload,
 		Begun: func(r backends.Result) { p.started(l, g, r) }, Report: func(r backends.Result) { p.book(l, g, r) }}
--- a/proxy/strained.go
+++ b/proxy/strained.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lockloom/balance"
+	"lockloom/internal/backends"
 	"lockloom/internal/idle"
 	"lockloom/limits"
 )
@@ -45,7 +46,7 @@
 	s.mu.Unlock()
 	if waits != nil {
 		s.kick()
-		passes = <-c.passes
+		passes = <-c.passes && !backends.HungUp(c.nc) // danger: a client may have gone while its lookup waited, with nobody reading
 	}
 	c.inHand = true
 	return passes
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -28,17 +28,20 @@
 	open bool // by the ordinary door
 	nc   net.Conn
 	*reader
-	met    time.Time
-	by     time.Time   // its present read deadline
-	slow   *time.Timer // of a lookup that takes long; nil: none did yet
-	out    []byte      // the head of its last answer
-	fed    bool        // a body flowed
-	passes chan bool   // its lookup's turn has come, or is not to come
-	inHand bool        // its lookup is in this core's hands
-	ahead  bool        // its present request was sent before the answer to the last
-	over   bool        // taken over the bound
+	met     time.Time
+	by      time.Time   // its present read deadline
+	slow    *time.Timer // of a lookup that takes long; nil: none did yet
+	out     []byte      // the head of its last answer
+	fed     bool        // a body flowed
+	lost    bool        // its client has closed it, or takes nothing more
+	feeding chan error  // of a body that flows, and is still read
+	passes  chan bool   // its lookup's turn has come, or is not to come
+	inHand  bool        // its lookup is in this core's hands
+	ahead   bool        // its present request was sent before the answer to the last
+	over    bool        // taken over the bound
 
 	idle  *idle.Wait    // nil: reading waits
+	left  atomic.Bool   // its lookup is not waited for any more; the connection ends then
 	ended atomic.Bool   // its client sends nothing more than has come
 	wake  chan struct{} // its next request has come, or it is to go
 
@@ -47,6 +50,7 @@
 
 	// Under door.mu.
 	begun         bool      // its request has, and has not come whole
+	lingering     bool      // it has its last answer
 	fresh         bool      // new, or begun: gets time to go on
 	since         time.Time // waits since
 	goes          time.Time // unless its request has begun to come, it is closed then
@@ -121,18 +125,19 @@
 		}
 	}()
 	defer c.p.door.leave(c)
-	defer c.nc.Close()
-	defer c.idle.Forget()
+	defer c.hangUp()
 	defer c.p.rescue()
 	for first := true; ; first = false {
-		c.p.door.rest(c, first, !first)
+		c.p.door.rest(c, first)
 		if c.ahead = c.Buffered(); !c.ahead && c.waits() {
 			<-c.wake
 			if c.ended.Load() && c.p.behind() { // danger: requests whose clients have given up would take the turns of those who wait
+				c.lost = true
 				return
 			}
 		}
-		if c.Wait() != nil {
+		if err := c.Wait(); err != nil {
+			c.lost = !errors.Is(err, os.ErrDeadlineExceeded) // else the door has it go
 			return
 		}
 		c.p.door.begin(c, first)
@@ -142,6 +147,28 @@
 	}
 }
 
+// hangUp ends a connection, whatever ended its service: nothing more is sent, what its client still sends is read and dropped until
+// that ends too, for a bounded time. Danger: closed over bytes that nobody read, the system resets it, and an answer that is still on
+// its way is lost with that. Nothing that comes from here on is a request: no answer could follow it.
+func (c *client) hangUp() {
+	defer c.nc.Close()
+	defer c.idle.Forget()
+	half, ok := c.nc.(interface{ CloseWrite() error })
+	if !ok || c.lost || half.CloseWrite() != nil {
+		return
+	}
+	c.p.door.lingers(c)
+	if c.feeding != nil { // that reads on
+		select {
+		case <-c.feeding:
+		case <-time.After(lingerFor):
+		}
+		return
+	}
+	c.nc.SetReadDeadline(time.Now().Add(lingerFor))
+	io.CopyN(io.Discard, c.from, lingerMost)
+}
+
 // waits has a connection wait with all others, if that is known to work.
 func (c *client) waits() bool {
 	select {
@@ -191,12 +218,12 @@
 	if told != nil {
 		answer = *told
 	}
-	var fed chan error // of a body that flows
 	if l != nil {
+		l.client = c
 		if l.upload != nil {
 			c.until(time.Time{})
-			fed, c.fed = make(chan error, 1), true
-			go func() { fed <- c.feed(l) }()
+			c.feeding, c.fed = make(chan error, 1), true
+			go func() { c.feeding <- c.feed(l) }()
 		}
 		size := int64(len(l.head) + len(l.body))
 		room := c.p.hold(size)
@@ -209,7 +236,8 @@
 			defer c.p.done() // danger: a panic that costs one lookup must not cost the core a hand
 			c.p.admit(l, a, over)
 		})
-		if answer, err = c.await(l, fed); err != nil {
+		if answer, err = c.await(l); err != nil {
+			c.left.Store(true) // danger: the owner may hear of it late
 			c.p.post(func() { c.p.left(l) })
 			return c.turnAway(err)
 		}
@@ -221,13 +249,8 @@
 	defer c.p.held.Add(-answer.held)
 	answer.bare, answer.old = answer.bare || head && c.open, old
 	closing = closing || c.over || c.closed.Load() || c.p.closes() || first && c.p.door.full() || answer.flow != nil && old && answer.length < 0
-	err = c.relay(answer, closing)
-	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && err == nil && fed != nil {
-		half.CloseWrite()
-		select {
-		case <-fed:
-		case <-time.After(lingerFor):
-		}
+	if err = c.relay(answer, closing); err != nil {
+		c.lost = true
 	}
 	if err != nil || closing {
 		return false
@@ -253,7 +276,7 @@
 	}
 	l.upload.In.CloseWithError(err)
 	if errors.Is(err, backends.ErrStopped) { // read on a little, so that the client can read its answer
-		io.CopyN(io.Discard, l.from, uploadRest)
+		io.CopyN(io.Discard, l.from, lingerMost)
 	}
 	return err
 }
@@ -294,46 +317,53 @@
 
 // await waits for a lookup's answer, and for its client to go: a body that flows tells that first. Else the connection is watched
 // only where the answer takes long: a watch costs a goroutine and two turns of the scheduler. What a client sends before it has its
-// answer stays in the buffer.
-func (c *client) await(l *lookup, fed chan error) (reply, error) {
+// answer stays in the buffer; behind what does not fit, or is not read, the system is asked for its end.
+func (c *client) await(l *lookup) (reply, error) {
 	if c.slow == nil {
 		c.slow = time.NewTimer(watchAfter)
 	} else {
 		c.slow.Reset(watchAfter)
 	}
-	late := c.slow.C
-	if fed != nil {
-		late = nil
-	}
-	select {
-	case answer := <-l.answer:
-		c.slow.Stop()
-		return answer, nil
-	case err := <-fed:
-		if errors.Is(err, backends.ErrStopped) || errors.Is(err, io.ErrClosedPipe) { // the client has not gone
-			return <-l.answer, nil
-		}
-		if err != nil {
-			return reply{}, err
-		}
-	case <-late:
-	}
-	c.until(time.Time{})
-	gone := make(chan error, 1)
-	go func() { gone <- c.Watch() }()
-	select {
-	case answer := <-l.answer:
-		c.until(past) // ends the watch
-		<-gone
-		return answer, nil
-	case err := <-gone:
-		if err != nil {
-			return reply{}, err
+	defer c.slow.Stop()
+	fed, watched, deaf := c.feeding, chan error(nil), c.feeding != nil
+	for {
+		select {
+		case answer := <-l.answer:
+			if watched != nil {
+				c.until(past) // ends the watch
+				<-watched
+			}
+			return answer, nil
+		case err := <-fed:
+			stopped := errors.Is(err, backends.ErrStopped) || errors.Is(err, io.ErrClosedPipe) // the client has not gone
+			if err != nil && !stopped {
+				return reply{}, err
+			}
+			c.feeding, fed, deaf = nil, nil, stopped
+		case err := <-watched:
+			if err != nil {
+				return reply{}, err
+			}
+			watched, deaf = nil, true
+			c.slow.Reset(lookEvery)
+		case <-c.slow.C:
+			if !deaf {
+				c.until(time.Time{})
+				watched = make(chan error, 1)
+				go func() { watched <- c.Watch() }()
+				break
+			}
+			if backends.HungUp(c.nc) {
+				return reply{}, errGone
+			}
+			c.slow.Reset(lookEvery)
 		}
-		return <-l.answer, nil
 	}
 }
 
+// errGone says that a client closed its connection behind what was not read of it.
+var errGone = errors.New("the client has gone")
+
 // came is when what was read last came to this machine, as far as that is known.
 func (c *client) came() time.Time {
 	if at := c.from.Received(); !at.IsZero() && !c.ahead {
@@ -539,7 +569,7 @@
 	return a, nil
 }
 
-// turnAway answers what cannot be taken, and reads on a little so that the answer is not lost to a reset.
+// turnAway answers what cannot be taken.
 func (c *client) turnAway(err error) bool {
 	if c.hurried.Load() {
 		return false
@@ -553,20 +583,13 @@
 		status, text = 408, "request not whole in time"
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		status, text = 400, "request not whole"
-	default: // the connection is gone
+	default:
+		c.lost = true
 		return false
 	}
 	c.p.post(func() { c.p.counts.TurnedAway++ })
 	c.p.log.WithField("client", c.nc.RemoteAddr().String()).Debug("turned away: ", text, ": ", err)
-	if c.relay(reply{status: status, body: []byte(text + "\n")}, true) != nil {
-		return false
-	}
-	if half, ok := c.nc.(interface{ CloseWrite() error }); ok {
-		half.CloseWrite()
-		c.p.door.rest(c, false, false) // danger: many that are turned away would keep others out while they are read on
-		c.nc.SetReadDeadline(time.Now().Add(lingerFor))
-		io.CopyN(io.Discard, c.nc, 2*heads.Most)
-	}
+	c.lost = c.relay(reply{status: status, body: []byte(text + "\n")}, true) != nil
 	return false
 }
 
