A call for the list that was turned away is made again within 6 s, whatever the fleet's size

Seen: TestAgentNoLongerTurnsAway, red before: with an agent that answers 503 for 6 s or more, a proxy of 80 heard up to 12 s after its return, of 350 up to 52 s. Cause: hearing.go let the mean pause of those turned away grow to 0.1 s a proxy, and held a later call alone for 10 s. Change: the mean stays at 4 s (6 s at most) but where a call had been let wait before it was turned away in a fleet of over 80: that is a discovery that all share, and took room there.

--- a/internal/discovery/hearing.go
+++ b/internal/discovery/hearing.go
@@ -14,7 +14,9 @@
 	besidePart  = 0.8  // of a drain's grace: the longest between two calls, so that one is made within it
 	pausePart   = 0.25 // of it: the longest mean pause, spread by half
 	turnedPace  = 0.05 // a proxy of the bank: the mean pause of those turned away, so that all ask 20 times a second together
-	turnedMost  = 4.0  // the mean of the first such pause, however large the bank; later ones grow to the bank's
+	turnedMost  = 4.0  // the mean of that pause, however large the bank: spread by half it is what countsFor leaves
+	waitedFor   = 0.5  // a call that was turned away after so long took room there; one that was not cost discovery nothing
+	waitedPart  = 2.0  // times the bank's pace, after such a call, where turnedMost would bind
 	countsFor   = 6.0  // from a watch's last word to when all that it missed counts as told
 )
 
@@ -42,7 +44,7 @@
 	next   float64 // when a call is due; +Inf: none is
 	begun  float64 // the last call's beginning
 	pause  float64 // mean, after the next failure
-	turned float64 // the same after the next turning away; 0: none was
+	turned float64 // the same after the last turning away; 0: none was
 }
 
 // NewHearing is that of a proxy that begins now, in a bank of so many, where a drain has a grace of so many seconds (0: not told). Its
@@ -64,12 +66,12 @@
 // Counts is when all that the agent has counts as told, unless a watch speaks before.
 func (h *Hearing) Counts() float64 { return h.alive + countsFor }
 
-// Begin notes that a call is made. One that hears nothing is held, and another made beside it, but not to a discovery that turns
-// callers away: there each call takes another's room.
+// Begin notes that a call is made. One that hears nothing is held, and another made beside it, late where discovery turns callers away:
+// there each call takes another's room.
 func (h *Hearing) Begin(now float64) {
 	h.begun, h.next = now, now+h.beside
-	if h.turned > 0 {
-		h.next = math.Inf(1)
+	if h.turned > 0 { // danger: what turned it away may be gone, and the call that it holds now dead
+		h.next = now + max(h.turned, turnedMost)
 	}
 }
 
@@ -93,10 +95,11 @@
 	pause := h.pause
 	switch {
 	case how == Turned:
-		if h.turned == 0 {
-			h.turned = min(h.bank, turnedMost)
+		h.turned = min(h.bank, turnedMost)
+		if now-h.begun >= waitedFor && h.bank > turnedMost { // danger: a bank that large would take all room there for calls that come to nothing
+			h.turned = waitedPart * h.bank
 		}
-		pause, h.turned = h.turned, min(2*h.turned, 2*h.bank)
+		pause = h.turned
 	case held > 0 && h.turned > 0:
 		return // a call waits its turn
 	case held > 0 || how == Unheard: // the call beside it has its own time
