A keyed request that may have run is rejected only where a retry is still known; cold budgets over fleets

Seen by reading: giveUp and harmless allowed a rejection of a keyed request whose group is all servers after its window too (0.25 s into a window of 0.2 s): its client comes back, is known to nobody, and its effect happens twice. TestNoEffectTwice asserted just that, by the wire's wording (refuse where the group is all); a rejection promises that a retry is harmless, so the row now wants a failure, and rows for a client told to come back past the window, and within it, are added.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -294,13 +294,14 @@
 
 // giveUp answers a lookup at once: dismissed where trying again is harmless, else forfeited.
 func (b *Balancer) giveUp(l *Lookup) {
-	ans := Dismissed
+	ans, advice := Dismissed, min(l.row.Due, b.d.MaxAdvice)
 	for i := range l.legs {
-		if !l.legs[i].neverRan && (l.row.Kind == SingleUse || l.row.Kind == Referenced && l.row.Scope != ScopeAll) {
-			ans = Forfeited // danger: it may have run, so trying again is not harmless
+		g, known := &l.legs[i], l.row.Scope == ScopeAll && b.now+advice < l.legs[i].sent+l.row.Window
+		if !g.neverRan && (l.row.Kind == SingleUse || l.row.Kind == Referenced && !known) {
+			ans = Forfeited // danger: it may have run, so trying again, when told to, is not harmless
 		}
 	}
-	b.step(Step{Ref: l.Ref, Answer: ans, Advice: min(l.row.Due, b.d.MaxAdvice)})
+	b.step(Step{Ref: l.Ref, Answer: ans, Advice: advice})
 	b.close(l, -1)
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -307,6 +307,7 @@
 // TestNoEffectTwice has a cell for each kind of tariff and each thing an earlier leg may have done.
 func TestNoEffectTwice(t *testing.T) {
 	all := Tariff{Kind: Referenced, Scope: ScopeAll, Window: 0.2}
+	long := Tariff{Kind: Referenced, Scope: ScopeAll, Window: 9}
 	zone := Tariff{Kind: Referenced, Scope: ScopeZone, Window: 0.2}
 	pod := Tariff{Kind: Referenced, Scope: ScopePod, Window: 0.2}
 	single := Tariff{Kind: SingleUse}
@@ -329,7 +330,10 @@
 		{"single-use, no route", single, NoRoute, 0.1, 6, nil, nil},
 		{"single-use, never sent, nowhere", single, NeverSent, 0.1, 1, nil, []Answer{Dismissed}},
 		{"referenced by all, fault", all, Fault, 0.1, 6, nil, nil},
-		{"referenced by all, fault, window over", all, Fault, 0.25, 6, nil, []Answer{Dismissed}},
+		{"referenced by all, fault, window over", all, Fault, 0.25, 6, nil, []Answer{Forfeited}},
+		{"referenced by all, fault, nowhere, known when its client comes back", long, Fault, 0.1, 1, nil, []Answer{Dismissed}},
+		{"referenced by all, fault, nowhere, not known any more then", all, Fault, 0.1, 1, nil, []Answer{Forfeited}},
+		{"referenced by all, no room, window over", all, NoRoom, 0.25, 1, nil, []Answer{Dismissed}},
 		{"referenced by zone, fault", zone, Fault, 0.1, 6, func(a, b Backend) bool { return a.Zone == b.Zone }, nil},
 		{"referenced by pod, fault", pod, Fault, 0.1, 6, func(a, b Backend) bool { return a.Pod == b.Pod }, nil},
 		{"referenced by pod, cut, window over", pod, Cut, 0.25, 6, nil, []Answer{Forfeited}},
@@ -339,7 +343,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			for seed := range uint64(20) {
 				d := deployment(c.tariff)
-				d.Seed = seed
+				d.Seed, d.MaxAdvice = seed, 0.15
 				k := open(t, d, c.servers)
 				l, steps := k.take(Arrival{})
 				require.Equal(t, 1, sends(steps))
--- /dev/null
+++ b/balance/fleet_test.go
@@ -0,0 +1,189 @@
+package balance
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// fleet is many balancers before the same servers, the first of which starts anew, cold, at coldAt. Servers take no notice of one
+// another's load: only what is sent to the cold one is counted.
+type fleet struct {
+	now    float64
+	due    occasions
+	rand   *rand.Rand
+	d      Deployment
+	list   []Backend
+	slower func(server int) float64 // times that its answers take
+	cold   []float64                // when the cold server was sent to
+}
+
+type occasion struct {
+	at   float64
+	what func()
+}
+
+type occasions []occasion
+
+func (o occasions) Len() int           { return len(o) }
+func (o occasions) Less(i, j int) bool { return o[i].at < o[j].at }
+func (o occasions) Swap(i, j int)      { o[i], o[j] = o[j], o[i] }
+func (o *occasions) Push(x any)        { *o = append(*o, x.(occasion)) }
+func (o *occasions) Pop() any {
+	last := (*o)[len(*o)-1]
+	*o = (*o)[:len(*o)-1]
+	return last
+}
+
+func (f *fleet) after(s float64, what func()) { heap.Push(&f.due, occasion{f.now + s, what}) }
+
+// member is one balancer of a fleet. Started again, it knows nothing.
+type member struct {
+	*fleet
+	b       *Balancer
+	lookups []*Lookup
+	pace    float64
+}
+
+const (
+	coldAt   = 20.0
+	eachWork = 0.025
+)
+
+func (m *member) start() {
+	d := m.d
+	d.Seed = m.rand.Uint64()
+	m.b, _ = New(d, m.now)
+	m.obey(m.b.Listed(m.now, true, true, m.list))
+}
+
+// later makes a call on the balancer, unless another has its place by then.
+func (m *member) later(at float64, call func() *Orders) {
+	b := m.b
+	m.after(at-m.now, func() {
+		if m.b == b {
+			m.obey(call())
+		}
+	})
+}
+
+func (m *member) obey(o *Orders) {
+	if o.Wake > 0 {
+		m.later(o.Wake, func() *Orders { return m.b.Wake(m.now) })
+	}
+	for _, s := range append([]Step(nil), o.Steps...) {
+		l := m.lookups[s.Ref]
+		if s.Wake > 0 {
+			m.later(s.Wake, func() *Orders { return l.Wake(m.now) })
+		}
+		if !s.Send {
+			continue
+		}
+		took, i := eachWork*m.rand.ExpFloat64()*m.slower(s.Backend), len(l.legs)-1
+		if s.Backend == 0 && m.now >= coldAt {
+			m.cold = append(m.cold, m.now)
+			took /= min(m.part(), 1)
+		}
+		how := Honoured
+		if took >= 1 {
+			how, took = TooSlow, 1
+		}
+		m.later(m.now+took, func() *Orders { return l.Ended(m.now, i, how, took, how == Honoured) })
+	}
+}
+
+func (m *member) arrive() {
+	m.after(m.rand.ExpFloat64()/m.pace, m.arrive)
+	m.lookups = append(m.lookups, nil)
+	l, o := m.b.Take(m.now, Arrival{Ref: len(m.lookups) - 1, HardStop: m.now + 1})
+	m.lookups[l.Ref] = l
+	m.obey(o)
+}
+
+// part is that of its capacity which the cold server has by now.
+func (f *fleet) part() float64 {
+	return f.d.ColdShare + (1-f.d.ColdShare)*(f.now-coldAt)/f.d.ColdFor
+}
+
+// Rule 4 is the whole fleet's: in any window the settings allow N, and 2 roots of N and 2 more by chance.
+func TestColdOverTheFleet(t *testing.T) {
+	const servers = 20
+	for name, comes := range map[string]func(f *fleet, all []*member){
+		"nothing":          func(*fleet, []*member) {},
+		"a burst":          func(_ *fleet, all []*member) { times(all, 2.5) },
+		"slow warm ones":   func(f *fleet, _ []*member) { f.slower = besides(1, 8) },
+		"most are dead":    func(f *fleet, _ []*member) { f.slower = besides(5, 100) },
+		"restarts of most": func(f *fleet, all []*member) { again(all[len(all)*3/10:]) },
+	} {
+		for _, n := range []int{2, 20, 30, 300} {
+			f := &fleet{rand: rand.New(rand.NewPCG(1, uint64(n))), slower: besides(servers, 1),
+				d: Deployment{Proxies: n, MaxLegs: 3, CallOff: true, MaxAdvice: 1, ColdShare: 0.2, ColdFor: 15, FallMultiple: 3, FallFor: 1,
+					Tariffs: []Tariff{{Name: "look", Due: 0.3, HardStop: 1, Value: 1}}}}
+			for i := range servers {
+				f.list = append(f.list, Backend{Index: i, Mark: uint64(i + 1)})
+			}
+			var all []*member
+			for i := range n { // uneven: a few see some seven times as much as the others
+				m := &member{fleet: f, pace: 0.4 * servers / eachWork / float64(n)}
+				if i%9 == 0 {
+					m.pace *= 7
+				}
+				all = append(all, m)
+				m.start()
+				m.after(m.rand.Float64()/m.pace, m.arrive)
+			}
+			f.after(coldAt, func() {
+				f.list[0].UpSince = coldAt
+				for _, m := range all {
+					m.after(0.05*m.rand.Float64(), func() { m.obey(m.b.Listed(m.now, false, false, f.list[:1])) })
+				}
+			})
+			f.after(coldAt+8, func() { comes(f, all) })
+			for f.now < coldAt+12 {
+				next := heap.Pop(&f.due).(occasion)
+				f.now = next.at
+				next.what()
+			}
+			worst, most := 0, math.Inf(-1)
+			for i, at := range f.cold {
+				f.now = at
+				allowed := f.d.FallMultiple * f.part() * f.d.FallFor / eachWork
+				allowed += 2*math.Sqrt(allowed) + 2
+				sent := 0
+				for sent < len(f.cold)-i && f.cold[i+sent] < at+f.d.FallFor {
+					sent++
+				}
+				if over := float64(sent) / allowed; over > most {
+					worst, most = sent, over
+				}
+			}
+			t.Logf("%d proxies, %s: %d at most in a window, %.2f of what is allowed then; %d in all", n, name, worst, most, len(f.cold))
+			assert.LessOrEqual(t, most, 1.0, "%d proxies, %s", n, name)
+			assert.NotEmpty(t, f.cold, "%d proxies, %s", n, name)
+		}
+	}
+}
+
+func besides(few int, times float64) func(server int) float64 {
+	return func(server int) float64 {
+		if server < few {
+			return 1
+		}
+		return times
+	}
+}
+
+func times(all []*member, by float64) {
+	for _, m := range all {
+		m.pace *= by
+	}
+}
+
+func again(all []*member) {
+	for _, m := range all {
+		m.after(0.3*m.rand.Float64(), m.start)
+	}
+}
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -32,11 +32,11 @@
 	}
 }
 
-// harmless says whether a client may try the lookup again: rule 2.
-func (l *lookup) harmless() bool {
+// harmless says whether a client may try the lookup again at a time: rule 2.
+func (l *lookup) harmless(at float64) bool {
 	for _, g := range l.legs {
 		if !g.neverRan && (l.row.Kind == balance.SingleUse ||
-			l.row.Kind == balance.Referenced && l.row.Scope != balance.ScopeAll) {
+			l.row.Kind == balance.Referenced && (l.row.Scope != balance.ScopeAll || at >= g.sent+l.row.Window)) {
 			return false
 		}
 	}
@@ -48,7 +48,7 @@
 	if !invariant.Holds(!l.answered, "a lookup gets one answer") {
 		return
 	}
-	if answer == balance.Dismissed && !invariant.Holds(l.harmless(), "a dismissed lookup may be tried again") {
+	if answer == balance.Dismissed && !invariant.Holds(l.harmless(p.now()), "a dismissed lookup may be tried again") {
 		answer = balance.Forfeited
 	}
 	l.answered = true
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -27,7 +27,7 @@
 	now := p.now()
 	may := invariant.Holds(!l.answered, "nothing is sent for an answered lookup") &&
 		invariant.Holds(now <= p.stopSend[backend]+p.launch.DrainGrace, "nothing is sent past the grace of a drain") &&
-		invariant.Holds(l.row.Kind != balance.SingleUse || l.harmless(), "single-use is sent again only if it never ran") &&
+		invariant.Holds(l.row.Kind != balance.SingleUse || l.harmless(now), "single-use is sent again only if it never ran") &&
 		(l.upload == nil || !l.upload.Begun()) && !p.narrowed(l)
 	var before time.Time // danger: opening a connection outlasts what is left of a repeat's window
 	if l.row.Kind == balance.Referenced {
