A full door keeps its bounds until it ends, and takes in who waits there then; a broken body is told first

Seen: told to stop, accept asked door.wait whether the process stops, so that for 0.5 s whoever came was taken in beyond the bounds (8 of 4 in TestFullDoorStops), and closing the listeners reset those that waited. TestUnfinishedBodies failed once in some 160 runs with -race since the last look (503 for 408): feed closed the upload before it said that the body broke off, so the leg's end could come first. Change: Proxy.closing, lastAccept; feed says first.

--- a/proxy/endings_test.go
+++ b/proxy/endings_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -347,3 +349,35 @@
 		})
 	}
 }
+
+// Danger: told to stop, a proxy whose clients fill the door took in whoever came, beyond its descriptors; and those that waited to be
+// accepted when it ended that were reset.
+func TestFullDoorStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := serve(t, map[string][]string{"b1": {silent}}, nil)
+		y.door.most, y.door.over = 2, 1
+		asks := func(n int) (all []net.Conn) {
+			for range n {
+				c := y.client()
+				go io.WriteString(c, strings.NewReplacer("t3", fmt.Sprint("t", rand.Int()), "In: 0.5", "In: 1.2").Replace(sms))
+				all = append(all, c)
+			}
+			synctest.Wait()
+			return all
+		}
+		busy := asks(2)
+		y.stop()
+		synctest.Wait()
+		waiting := asks(6)
+		count, _ := y.door.counted()
+		assert.LessOrEqual(t, count, 4, "its bounds hold") // one more, see wait
+		for _, c := range append(busy, waiting...) {
+			status, _, _, err := answer(c)
+			if assert.NoError(t, err) {
+				assert.Contains(t, []int{502, 503}, status)
+			}
+		}
+		assert.NoError(t, <-y.served)
+		time.Sleep(time.Minute)
+	})
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -87,6 +87,7 @@
 	lingerMost  = 8 << 20                 // bytes; the same
 	backstop    = 0.002                   // s before the hard stop when a lookup with no answer is forfeited
 	closeAfter  = 500 * time.Millisecond  // from the order to stop to the end of accepting: the front needs 0.4 s
+	lastAccept  = 20 * time.Millisecond   // then, for those that wait to be accepted, room or none: closed on, they would be reset
 	stopMost    = 3 * time.Second         // of the longest hard stop, that a proxy told to stop is left for: the platform's
 	killAfter   = 700 * time.Millisecond  // from the order to stop to being killed, past that
 	lastServe   = 350 * time.Millisecond  // before that: connections close between requests, and with their answers
@@ -140,15 +141,16 @@
 	watched  *watch
 	sought   *watch // begun, has not answered yet
 
-	events chan func()
-	quit   chan struct{} // closed when the owner is to end
-	ended  chan struct{} // closed when it has
-	heard  chan struct{} // closed, by first, when discovery has told a list
-	first  func()
-	life   *life
-	last   atomic.Pointer[time.Time] // once ordered to stop: the hard stop of all lookups
-	door   door
-	work   sync.WaitGroup // client connections
+	events  chan func()
+	quit    chan struct{} // closed when the owner is to end
+	ended   chan struct{} // closed when it has
+	heard   chan struct{} // closed, by first, when discovery has told a list
+	first   func()
+	life    *life
+	last    atomic.Pointer[time.Time] // once ordered to stop: the hard stop of all lookups
+	closing atomic.Bool               // accepting is about to end
+	door    door
+	work    sync.WaitGroup // client connections
 
 	link *peers.Link // to the bank's other proxies; nil: they are told nothing
 
@@ -262,7 +264,9 @@
 		if !p.stop(killed.Add(-lastServe)) { // danger: the front deals out connections for a while yet
 			time.Sleep(closeAfter)
 		}
+		p.closing.Store(true)
 		p.door.wake()
+		time.Sleep(lastAccept)
 		for _, ln := range append(more, ln) {
 			ln.Close()
 		}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -63,6 +63,11 @@
 }
 
 func (y *yard) Accept() (net.Conn, error) {
+	select {
+	case <-y.closed: // whoever waits then
+		return nil, net.ErrClosed
+	default:
+	}
 	select {
 	case c := <-y.ends:
 		return c, nil
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -61,7 +61,7 @@
 // accept takes connections until the listener ends.
 func (p *Proxy) accept(ln net.Listener, open bool) error {
 	for {
-		p.door.wait(p.stopping, p.behind)
+		p.door.wait(p.closing.Load, p.behind)
 		nc, err := ln.Accept()
 		if err != nil {
 			if p.stopping() && errors.Is(err, net.ErrClosed) {
@@ -222,8 +222,9 @@
 		l.client = c
 		if l.upload != nil {
 			c.until(time.Time{})
-			c.feeding, c.fed = make(chan error, 1), true
-			go func() { c.feeding <- c.feed(l) }()
+			fed := make(chan error, 1)
+			c.feeding, c.fed = fed, true
+			go c.feed(l, fed)
 		}
 		size := int64(len(l.head) + len(l.body))
 		room := c.p.hold(size)
@@ -261,8 +262,9 @@
 	return true
 }
 
-// feed hands a body on as it comes, at the server's pace. A lookup that is answered stops it.
-func (c *client) feed(l *lookup) error {
+// feed hands a body on as it comes, at the server's pace, and says how that ended. A lookup that is answered stops it. Danger: the leg
+// ends by the body's end too, and what became of the body is the better answer; so it is said first.
+func (c *client) feed(l *lookup, fed chan<- error) {
 	var err error
 	if len(l.body) > 0 { // what was kept of it until it was found too large
 		_, err = l.upload.In.Write(l.body)
@@ -274,11 +276,15 @@
 		at := time.Now()
 		c.p.post(func() { c.p.whole(l, at) })
 	}
+	stopped := errors.Is(err, backends.ErrStopped)
+	if !stopped {
+		fed <- err
+	}
 	l.upload.In.CloseWithError(err)
-	if errors.Is(err, backends.ErrStopped) { // read on a little, so that the client can read its answer
+	if stopped { // read on a little, so that the client can read its answer
 		io.CopyN(io.Discard, l.from, lingerMost)
+		fed <- err
 	}
-	return err
 }
 
 // paced reads a body from a client that must keep a pace, however it is cut into pieces. Only the time in which the client is
