At one proxy of many, first limits grow four times as fast until a few cuts

Cause: firstLimit is two legs of all proxies at a server; one of 300 raises that by 3 in a hundred an answer (learn), so servers of 4 to 12 places a core stood half idle for seconds after each start. Change: firstGain where the first limit is under half a leg and nobody tells; each cut takes from it. TestFirstLimitsOfAFleetGrowFast, each row red without its part.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -48,6 +49,7 @@
 	firstTold       = 3.0   // the same, and the least, for each core the list tells, where peers tell results
 	leastLimit      = 1.0   // legs of all proxies together: a backend is never wholly shut by its limit
 	limitGain       = 1.2   // legs a second at a server, over the proxies and one; more chokes, less starves
+	firstGain       = 4.8   // the same at first in a fleet, until a few cuts: nothing tells what a server bears
 	limitCut        = 0.9   // factor on a slow answer
 	halfLeg         = 0.5   // legs; a limit below binds by the sum of all only
 	limitFull       = 0.7   // factor on no room, a plain sign
@@ -91,10 +93,11 @@
 	d.Proxies, d.MaxLegs = max(d.Proxies, 1), max(d.MaxLegs, 1)
 	b := &Balancer{d: d, chance: chance.Source(d.Seed), now: now, askPause: askFirst,
 		part: 1, slack: 1, fleet: &opinion{lasts: forget}, askAt: math.Inf(1), lastSend: now, lastTake: now}
+	if first, _ := b.bounds(0); first < halfLeg && !d.Peers { // danger: each of many alone learns too slowly
+		b.gain = firstGain
+	}
 	for _, t := range d.Tariffs {
-		if t.Due == 0 { // no due time set: half of what the client waits
-			t.Due = t.HardStop / 2
-		}
+		t.Due = cmp.Or(t.Due, t.HardStop/2) // no due time set: half of what the client waits
 		b.rows = append(b.rows, row{Tariff: t, base: t.Due / 4, all: &b.all})
 	}
 	return b, nil
@@ -106,9 +109,7 @@
 	r := &b.rows[a.Tariff]
 	l := &Lookup{Arrival: a, b: b, row: r, taken: now, heavy: 1}
 	if a.Work > 0 {
-		if r.work == 0 {
-			r.work = a.Work
-		}
+		r.work = cmp.Or(r.work, a.Work)
 		l.heavy = a.Work / r.work
 		r.work += meanPart * (a.Work - r.work)
 	}
@@ -536,7 +537,7 @@
 		if b.loads() || float64(b.out+1) < busyShare*b.space(b.usual) { // with the leg that just ended
 			return // danger: a limit that moves while it does not bind is wrong when it does
 		}
-		grow, usual := 1+limitGain*latency/float64(1+b.d.Proxies)/s.limit, l.row.base*max(l.heavy, 1)
+		grow, usual := 1+max(b.gain, limitGain)*latency/float64(1+b.d.Proxies)/s.limit, l.row.base*max(l.heavy, 1)
 		if latency > due {
 			b.move(s, limitCut, limitCut)
 		} else if latency > min(slowShare*due, slowMedians*usual) && (!b.d.Peers || latency > slowLeast*usual) {
@@ -567,8 +568,8 @@
 // One too small to hold back a leg moves with the others only: it binds by their sum.
 func (b *Balancer) move(s *server, factor, others float64) {
 	alone := 1 - math.Pow(1-s.opinions[2].sure, 2)
-	own := alone * min(s.limit/halfLeg, 1)
-	shared := math.Pow(others, 1-alone)
+	own, shared := alone*min(s.limit/halfLeg, 1), math.Pow(others, 1-alone)
+	b.gain *= min(factor, 1)
 	if b.d.Peers {
 		shared *= math.Pow(factor, (alone-own)/b.servable)
 	}
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -186,3 +187,35 @@
 		m.after(0.3*m.rand.Float64(), m.start)
 	}
 }
+
+// Danger: at one proxy of hundreds the first limits, two legs of all at a server, grew by a few parts in a hundred with each answer, and
+// until servers of many cores were found to bear more, a third of the lookups were turned away. A few cuts later they grow as usual.
+func TestFirstLimitsOfAFleetGrowFast(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		proxies int
+		peers   bool
+		before  string
+		times   float64 // as fast as usual
+	}{
+		{"a few proxies", 2, false, "h", 1}, {"a fleet", 300, false, "h", firstGain / limitGain}, {"a small fleet", 8, false, "h", firstGain / limitGain},
+		{"a fleet that tells", 300, true, "h", 1}, {"once full", 300, false, "hn", firstGain / limitGain * limitFull},
+		{"full a few times", 300, false, "hnnnnn", 1}, {"slow a few times", 300, false, "h" + strings.Repeat("l", 15), 1},
+	} {
+		growth := func(usual bool) float64 {
+			d := deployment()
+			d.Proxies, d.Peers = c.proxies, c.peers
+			k := open(t, d, 4)
+			k.hear(k.servers[0], c.before)
+			if usual {
+				k.gain = 0
+			}
+			s := k.servers[0]
+			was := max(0.2, 1.2*s.least)
+			s.limit, s.inFlight, s.opinions[2].sure, k.servable = was, 1, 0, 4 // known from the others only
+			k.hear(s, "h")
+			return math.Log(s.limit / was)
+		}
+		assert.InDelta(t, c.times, growth(false)/growth(true), 0.1*c.times, c.name)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -44,6 +44,7 @@
 	tidyAt          float64 // when to look for connections to close next
 	part            float64 // of the proxy's own, while two of its processes decide
 	slack, lag      float64 // see Slack
+	gain            float64 // of limits, legs a second, while over the usual: less with each cut
 }
 
 // row holds what differs by tariff.
