A full door waits for the place of the idle connection that it ends before it accepts another

Cause: door.wait returned as soon as one was idle, enter ended it and accept went on. Change: wait ends the idle one itself and waits until it has left; an evicted one does not linger, unless it still got an answer. 80, 128 and 256 descriptors: places and descriptors within bounds, discovery asked on, who asks is served.

--- a/proxy/door.go
+++ b/proxy/door.go
@@ -68,16 +68,15 @@
 
 // wait blocks while there is room for no connection at all and none is idle, unless the door was woken to stop. Where the core is
 // behind there is none past the bound. Danger: a connection that is taken in to be dismissed costs as much as three lookups.
-// One that was idle then may be so no more when the next comes: there is one more than the bound at most.
+// Where one is idle it goes first, and its place is waited for: descriptors are bounded too.
 func (d *door) wait(stops, behind func() bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var looked time.Time
 	for (len(d.all) >= d.most+d.over || len(d.all) >= d.most && behind()) && !stops() {
 		if now := time.Now(); now.Sub(looked) >= lookEach { // danger: it is woken by every connection that rests or goes
-			if looked = now; d.idlest() != nil {
-				return
-			}
+			looked = now
+			d.evict()
 		}
 		look := time.AfterFunc(freshFor, d.wake) // fresh ones may turn out to be idle
 		d.room.Wait()
@@ -127,15 +126,25 @@
 	if len(d.all) <= d.most {
 		return false
 	}
-	if idle := d.idlest(); idle != nil {
-		idle.end()
-		d.unrest(idle)
+	if d.evict() {
 		return false
 	}
 	d.crowded++
 	return true
 }
 
+// evict has the connection that may go make room, if there is one. It does not linger: what it was answered it has had for long.
+func (d *door) evict() bool {
+	idle := d.idlest()
+	if idle == nil {
+		return false
+	}
+	idle.evicted.Store(true)
+	idle.end()
+	d.unrest(idle)
+	return true
+}
+
 func (d *door) leave(c *client) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -195,6 +204,7 @@
 	defer d.mu.Unlock()
 	d.unrest(c)
 	c.hurried.Store(false)
+	c.evicted.Store(false) // its answer is to arrive
 }
 
 func (d *door) unrest(c *client) {
--- a/proxy/endings_test.go
+++ b/proxy/endings_test.go
@@ -32,13 +32,18 @@
 	open  chan struct{} // connections to backends come up once it is closed
 	reply func(n int, end net.Conn)
 	got   atomic.Int32 // requests at backends
+	calls atomic.Int32 // for the list
 	stop  context.CancelFunc
 }
 
 // onStreet serves; reply is what a backend does with the n-th request that any of them gets.
 func onStreet(t *testing.T, reply func(n int, end net.Conn)) *street {
+	return onStreetWith(t, 1024, reply)
+}
+
+func onStreetWith(t *testing.T, sockets int, reply func(n int, end net.Conn)) *street {
 	s := &street{t: t, open: make(chan struct{}), reply: reply}
-	l := Launch{Name: "n0", Discovery: "agent", Known: List{Version: 1, Full: true}, Limits: Limits{Cores: 1, Memory: 1 << 27, Sockets: 1024},
+	l := Launch{Name: "n0", Discovery: "agent", Known: List{Version: 1, Full: true}, Limits: Limits{Cores: 1, Memory: 1 << 27, Sockets: sockets},
 		Figures: Figures{ConnectFor: 5, DrainGrace: 2.5, Deployment: balance.Deployment{Proxies: 1, MaxLegs: 4, CallOff: true, Beside: true,
 			Tariffs: []balance.Tariff{{Name: "look", Due: 4, HardStop: 5, Value: 1}, {Name: "sms", Kind: balance.SingleUse, Due: 4, HardStop: 5, Value: 1}}}}}
 	for _, id := range []string{"b1", "b2"} {
@@ -60,6 +65,7 @@
 	s.Proxy = p
 	p.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
 		if addr == "agent" {
+			s.calls.Add(1)
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
@@ -381,3 +387,39 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Danger: idle clients that hold every place they may have while discovery is down leave none for whoever asks, for backends, or for
+// discovery's return.
+func TestIdleClientsFillTheDoor(t *testing.T) {
+	for _, sockets := range []int{80, 128, 256} {
+		t.Run(fmt.Sprint(sockets), func(t *testing.T) {
+			s := onStreetWith(t, sockets, func(_ int, end net.Conn) { io.WriteString(end, ok) })
+			close(s.open)
+			var idle []net.Conn
+			for i := range 2 * sockets {
+				c := s.client()
+				if i%2 == 0 { // some were served, some say nothing, some stop in a head
+					io.WriteString(c, "GET /up HTTP/1.1\r\n\r\n")
+				} else if i%3 == 0 {
+					io.WriteString(c, look[:20])
+				}
+				idle = append(idle, c)
+			}
+			calls := s.calls.Load()
+			require.Eventually(t, func() bool { return s.calls.Load() > calls }, 5*time.Second, time.Millisecond, "discovery is asked on")
+			for range 3 {
+				c := s.client()
+				io.WriteString(c, strings.Replace(longLook, "t1", fmt.Sprint(rand.Int()), 1))
+				status, _, _, err := answer(c)
+				require.NoError(t, err)
+				assert.Equal(t, 200, status)
+				count, _ := s.door.counted()
+				assert.LessOrEqual(t, count, s.door.whole.most+s.door.whole.over, "places")
+				assert.LessOrEqual(t, count+s.poolMost+reserve, sockets, "descriptors")
+			}
+			for _, c := range idle {
+				c.Close()
+			}
+		})
+	}
+}
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -46,6 +46,7 @@
 	wake  chan struct{} // its next request has come, or it is to go
 
 	closed  atomic.Bool // it is to go, see end
+	evicted atomic.Bool // and at once: others want its place
 	hurried atomic.Bool // and what its client has not sent of its request is not waited for
 
 	// Under door.mu.
@@ -154,7 +155,7 @@
 	defer c.nc.Close()
 	defer c.idle.Forget()
 	half, ok := c.nc.(interface{ CloseWrite() error })
-	if !ok || c.lost || half.CloseWrite() != nil {
+	if !ok || c.lost || c.evicted.Load() || half.CloseWrite() != nil {
 		return
 	}
 	c.p.door.lingers(c)
@@ -595,6 +596,7 @@
 	}
 	c.p.post(func() { c.p.counts.TurnedAway++ })
 	c.p.log.WithField("client", c.nc.RemoteAddr().String()).Debug("turned away: ", text, ": ", err)
+	c.evicted.Store(false)
 	c.lost = c.relay(reply{status: status, body: []byte(text + "\n")}, true) != nil
 	return false
 }
