A connection whose body broke off is read on, not waited for

Read over: await left client.feeding set after it had said how the body ended, so hangUp waited 0.5 s for a word that had been taken, and read nothing.

--- a/proxy/endings_test.go
+++ b/proxy/endings_test.go
@@ -263,6 +263,8 @@
 		status        int
 	}{
 		{"closing by its client's wish", closing, 200},
+		{"turned away in a body that flows", "POST /sms HTTP/1.1\r\nX-Trace-Id: t\r\nX-Qos: sms\r\nX-Expires-In: 5\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			"20000\r\n" + strings.Repeat("z", 0x20000) + "\r\nno chunk\r\n", 400},
 		{"turned away", strings.Replace(longLook, "X-Qos: look", "X-Qos: none", 1), 400},
 		{"too large", strings.Replace(longLook, "t1", strings.Repeat("x", 3*heads.Most/2), 1), 431},
 	} {
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -343,10 +343,9 @@
 			return answer, nil
 		case err := <-fed:
 			stopped := errors.Is(err, backends.ErrStopped) || errors.Is(err, io.ErrClosedPipe) // the client has not gone
-			if err != nil && !stopped {
+			if c.feeding, fed, deaf = nil, nil, stopped; err != nil && !stopped {
 				return reply{}, err
 			}
-			c.feeding, fed, deaf = nil, nil, stopped
 		case err := <-watched:
 			if err != nil {
 				return reply{}, err
