What is in hand when a process is told to stop ends before it may be killed, too

Change: curtail and abandon: at the order what is in hand gets the process's end as its hard stop; given up then, dismissed where a retry is harmless, else forfeited. TestStopIsOverWhenThePlatformKills has both kinds in hand, red without.

--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -25,6 +25,7 @@
 	legs       []*leg
 	client     *client // nil: nobody's
 	answered   bool    // or its client has left
+	curtailed  bool    // its hard stop is the process's end, which the decisions do not know
 	released   bool
 	plain      bool             // by the ordinary door: a server's answer goes on as it is
 	upload     *backends.Upload // of a body that is not kept; nil: body is all
@@ -67,6 +68,10 @@
 	if !p.limited(l) { // danger: a lookup over its limit must cost nothing more
 		return
 	}
+	if last := p.last.Load(); last != nil { // it may have come just before
+		a.HardStop = min(a.HardStop, p.stamp(*last))
+		l.hardStop = min(l.hardStop, p.stamp(*last))
+	}
 	p.open[l.id] = true
 	p.counts.Taken++
 	l.in.live++
@@ -112,11 +117,35 @@
 	if !l.released && !(l.upload != nil && l.upload.Begun() && l.wholeAt == 0) {
 		p.tell(l, l.handle.Wake)
 	}
-	if p.now() >= l.hardStop-backstop {
+	switch {
+	case p.now() < l.hardStop-backstop:
+	case l.curtailed && !l.answered:
+		p.abandon(l)
+	default:
 		p.expired(l)
 	}
 }
 
+// curtail has all that is in hand end by a time, at which this process may be killed, whatever their clients would wait.
+func (p *Proxy) curtail(last float64) {
+	for _, l := range p.slots {
+		if l != nil && !l.answered && l.hardStop > last {
+			l.hardStop, l.curtailed = last, true
+			p.timers.add(&l.alarm, last-backstop)
+		}
+	}
+}
+
+// abandon gives a lookup up with its process: dismissed where trying again is harmless, else forfeited.
+func (p *Proxy) abandon(l *lookup) {
+	answer := balance.Dismissed
+	if !l.harmless(p.now() + p.launch.MaxAdvice) {
+		answer = balance.Forfeited
+	}
+	p.finish(l, answer, p.launch.MaxAdvice)
+	p.tell(l, l.handle.Left)
+}
+
 // expired answers a lookup that the decisions have not. Danger: one without an answer breaks rule 1.
 func (p *Proxy) expired(l *lookup) {
 	if !invariant.Holds(l.answered, "every lookup is answered before its hard stop") {
--- a/proxy/endings_test.go
+++ b/proxy/endings_test.go
@@ -335,21 +335,37 @@
 	for _, c := range []struct{ hardStop, left float64 }{{0.5, 0.5}, {3, 3}, {3.4, 3}, {60, 3}} {
 		synctest.Test(t, func(t *testing.T) {
 			y := serve(t, map[string][]string{"b1": {silent}}, func(l *Launch) {
-				l.Tariffs = l.Tariffs[2:]
-				l.Tariffs[0].HardStop = c.hardStop
+				l.Tariffs[0].HardStop, l.Tariffs[1].HardStop, l.Tariffs[2].HardStop = c.hardStop, 0.1, c.hardStop
 			})
 			conn := y.client()
 			go io.WriteString(conn, "GET /up HTTP/1.1\r\n\r\n")
 			answer(conn)
+			waiting, harmless, over := y.client(), y.client(), make(chan bool, 2)
+			go io.WriteString(waiting, strings.NewReplacer("t3", "t4", "In: 0.5", "In: 60").Replace(sms))
+			go io.WriteString(harmless, strings.Replace(look, "In: 0.5", "In: 60", 1))
+			synctest.Wait()
 			ordered := time.Now()
 			y.stop()
 			left := seconds(c.left) + killAfter
+			for i, held := range []net.Conn{waiting, harmless} { // in hand before, for as long
+				go func() {
+					status, h, _, err := answer(held)
+					assert.NoError(t, err, "in hand, hard stop %v", c.hardStop)
+					assert.Equal(t, 502+i, status, "in hand, hard stop %v", c.hardStop)
+					assert.Equal(t, i == 1, h.Get("Retry-After") != nil)
+					assert.Less(t, time.Since(ordered), left, "in hand, hard stop %v", c.hardStop)
+					held.Close()
+					over <- true
+				}()
+			}
 			time.Sleep(left - lastServe - 10*time.Millisecond) // the last moment to take it
 			go io.WriteString(conn, strings.Replace(sms, "In: 0.5", "In: 60", 1))
 			status, h, _, err := answer(conn)
 			assert.NoError(t, err, "hard stop %v", c.hardStop)
 			assert.Equal(t, 502, status, "it may have run")
 			assert.True(t, h.Close)
+			<-over
+			<-over
 			assert.NoError(t, <-y.served)
 			assert.Less(t, time.Since(ordered), left, "hard stop %v", c.hardStop)
 			conn.Close()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -261,6 +261,7 @@
 		killed := time.Now().Add(min(p.longest, stopMost) + killAfter) // danger: a lookup that waits for longer would be in hand then
 		last := killed.Add(-lastAnswer)
 		p.last.Store(&last)
+		p.post(func() { p.curtail(p.stamp(last)) })
 		if !p.stop(killed.Add(-lastServe)) { // danger: the front deals out connections for a while yet
 			time.Sleep(closeAfter)
 		}
