Upstream: no request on a connection within 50 ms of a response

With a second copy of a rejection, a non-idempotent request that had run was answered 503.

Cause: nothing in a response says which request it answers. A connection was idle as soon as one complete response had been read (report, response.go), and the next request was written on it at once (sendOnIdle, pool.go); what its server sent behind the response was then taken for the next one, and so on from one request to the next.

Ruled out: copies that came before the writing, which are seen.

Change: Pool.ReuseDelay, 50 ms: a connection carries no request for that long after any response; what comes meanwhile closes it. All reuse passes takeReusable, so streamed responses, rejections and health checks are covered. New counts: unsolicited, in all and by server.

TestRequestsAreForwarded and TestNothingGrows send request after request and demand one connection: they let ReuseDelay pass in between, and demand the same.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -18,10 +18,15 @@
 type connection struct {
 	pool       *Pool
 	server     *server
-	generation int       // the generation of server when the connection was opened
-	idleSince  time.Time // when the connection became idle; accessed only by the pool's owner
+	generation int // the generation of server when the connection was opened
 	requests   chan *Exchange
 
+	// Accessed only by the pool's owner.
+	idleSince  time.Time // when the connection became idle
+	reusableAt time.Time // ReuseDelay after the last response; zero: there was none
+
+	unsolicited bool // set by the reading goroutine, before it ends, if it received bytes that belong to no response
+
 	hasUnread func() bool   // see HasUnreadBytes; called by the writing goroutine with mu held
 	roundTrip time.Duration // estimated from the connect time, at most maxRoundTrip
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,11 +13,14 @@
 	"time"
 )
 
-// Pool reuses the connections to each server, the longest idle one first: if the server has closed that connection, or
-// sent more bytes after its last response, the pool has most likely received this already and does not use it.
+// Pool reuses the connections to each server, the longest idle one first. A response does not state which request it
+// answers, so whatever is received after a request was written is taken as its response. To keep a second copy of the
+// response before, or other bytes that a server sends after a complete response, from being taken for the next one, a
+// connection is not reused for ReuseDelay after a response. Bytes received in that time close it.
 type Pool struct {
 	ConnectTimeout time.Duration          // limit for establishing a connection
 	IdleTimeout    time.Duration          // connections that have been idle for this long are closed
+	ReuseDelay     time.Duration          // from a response to the next request on its connection
 	MaxConnections int                    // limit for all servers together, including connections being opened
 	ReserveMemory  func(bytes int64) bool // reserves memory for a large response; called from any goroutine
 	Counters
@@ -34,7 +37,8 @@
 type Counters struct {
 	Opened       int // connections whose opening was started
 	Retired      int // idle connections closed by the pool
-	Lost         int // idle connections closed by their server
+	Lost         int // idle connections closed by their server, or because of unsolicited bytes
+	Unsolicited  int // connections closed because bytes were received that belong to no response
 	RejectedFull int // exchanges not sent because MaxConnections was reached
 }
 
@@ -45,6 +49,7 @@
 	generation    int           // incremented by CloseIdle; connections of an earlier generation are not reused
 	idle          []*connection // the most recently used last
 	open          int           // number of connections: idle, in use and being opened
+	unsolicited   int           // number of connections closed because of unsolicited bytes
 	stopSendingAt atomic.Int64  // Unix time in nanoseconds after which nothing is written to the server; 0: no limit
 }
 
@@ -121,13 +126,11 @@
 	return true
 }
 
-// sendOnIdle starts an exchange on an idle connection, and returns false if there is none. A connection that was idle
-// for IdleTimeout is not used: its server may be closing it, and the request would end in a connection reset.
+// sendOnIdle starts an exchange on an idle connection, and returns false if none can be reused. A connection that was
+// idle for IdleTimeout is not used: its server may be closing it, and the request would end in a connection reset.
 func (p *Pool) sendOnIdle(s *server, ex *Exchange) bool {
 	now := time.Now()
-	for len(s.idle) > 0 {
-		c := s.idle[0]
-		s.idle = slices.Delete(s.idle, 0, 1)
+	for c := s.takeReusable(now); c != nil; c = s.takeReusable(now) {
 		if now.Sub(c.idleSince) >= p.IdleTimeout {
 			p.retire(c)
 		} else if c.startExchange(ex) {
@@ -137,6 +140,18 @@
 	return false
 }
 
+// takeReusable removes the longest idle connection that may be reused from the idle ones, and returns it. It returns nil
+// if there is none.
+func (s *server) takeReusable(now time.Time) *connection {
+	i := slices.IndexFunc(s.idle, func(c *connection) bool { return !now.Before(c.reusableAt) })
+	if i < 0 {
+		return nil
+	}
+	c := s.idle[i]
+	s.idle = slices.Delete(s.idle, i, i+1)
+	return c
+}
+
 // Cancel cancels an exchange and closes its connection. OnDone is still called.
 func (p *Pool) Cancel(ex *Exchange) { ex.conn.cancel(ex) }
 
@@ -178,6 +193,10 @@
 // InFlight returns the number of connections to a server that carry an exchange or are being opened for one.
 func (p *Pool) InFlight(index int) int { return p.servers[index].open - len(p.servers[index].idle) }
 
+// UnsolicitedFrom returns how many connections to a server were closed because bytes were received on them that belong
+// to no response.
+func (p *Pool) UnsolicitedFrom(index int) int { return p.servers[index].unsolicited }
+
 // retireLongestIdle closes the connection that has been idle for longest, and returns false if none is idle.
 func (p *Pool) retireLongestIdle() bool {
 	var longest *server
@@ -217,6 +236,10 @@
 func (p *Pool) forget(c *connection) {
 	p.total--
 	c.server.open--
+	if c.unsolicited {
+		p.Unsolicited++
+		c.server.unsolicited++
+	}
 	if i := slices.Index(c.server.idle, c); i >= 0 {
 		c.server.idle = slices.Delete(c.server.idle, i, i+1)
 		p.Lost++
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"lockloom/balance"
 )
@@ -199,3 +200,64 @@
 		assert.Zero(t, p.Total())
 	})
 }
+
+// Guards against reusing a connection before the bytes that a server sends right behind a response were received: they
+// would be taken for the response to the next request.
+func TestConnectionIsNotReusedRightAfterResponse(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		maxConnections int
+		before         func(p *testPool, conn net.Conn) // runs before the second attempt
+		opened         int
+		unsolicited    int
+	}{
+		{"at once", 2, func(*testPool, net.Conn) {}, 2, 0},
+		{"too early", 2, func(p *testPool, _ net.Conn) { time.Sleep(p.ReuseDelay - 1) }, 2, 0},
+		{"no other connection may be opened", 1, func(*testPool, net.Conn) {}, 2, 0},
+		{"after the delay", 2, func(p *testPool, _ net.Conn) { time.Sleep(p.ReuseDelay) }, 1, 0},
+		{"after the delay and a second response", 2, func(p *testPool, conn net.Conn) {
+			respond(conn, okResponse)
+			time.Sleep(p.ReuseDelay)
+			p.runUntilIdle()
+		}, 2, 1},
+		{"after the delay and an exchange that was not written", 2, func(p *testPool, _ net.Conn) {
+			time.Sleep(p.ReuseDelay)
+			ex := newExchange(time.Second, func(Result) {})
+			ex.SendBy = time.Now().Add(-1)
+			assert.True(t, p.Send(0, ex))
+			p.runUntilIdle()
+		}, 1, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newTestPool()
+				p.ReuseDelay = 50 * time.Millisecond
+				p.MaxConnections = c.maxConnections
+				_, first := p.attempt(0)
+				serverConn := <-p.serverConns
+				readRequest(t, serverConn)
+				respond(serverConn, okResponse)
+				p.runUntilIdle()
+				assert.Len(t, *first, 1)
+				c.before(p, serverConn)
+				_, second := p.attempt(0)
+				p.runUntilIdle()
+				require.Equal(t, c.opened, p.Opened)
+				if c.opened > 1 {
+					serverConn = <-p.serverConns
+				}
+				readRequest(t, serverConn)
+				respond(serverConn, okResponse)
+				p.runUntilIdle()
+				if assert.Len(t, *second, 1, c.name) {
+					assert.Equal(t, balance.Succeeded, (*second)[0].Outcome, c.name)
+				}
+				assert.Equal(t, c.unsolicited, p.Unsolicited, c.name)
+				assert.Equal(t, c.unsolicited, p.UnsolicitedFrom(0), c.name)
+				assert.LessOrEqual(t, p.Total(), c.maxConnections, c.name)
+				p.Close()
+				p.runUntilIdle()
+			})
+		})
+	}
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -38,18 +38,21 @@
 	}
 	ex, started, err := c.currentExchange(source, err)
 	if ex == nil {
+		c.unsolicited = err == nil
 		return false
 	}
 	var result Result
 	reusable := false
 	if started {
 		result, reusable = c.readResponse(reader, ex, err)
+		c.unsolicited = errors.Is(err, errEarlyResponse) || result.Err == nil && reader.Buffered()
 		result.SentAt = ex.sentAt
 		// The system may have received the response before this goroutine read it.
 		if at := source.Received(); result.Status > 0 && at.After(ex.sentAt) && at.Before(result.EndedAt) {
 			result.EndedAt = at
 		}
 	} else {
+		c.unsolicited = err == nil
 		<-ex.writeDone // the writer writes nothing, since the connection is marked as closed
 		result = Result{Outcome: balance.NotSent, Err: errUnsolicited, EndedAt: time.Now()}
 	}
@@ -110,6 +113,7 @@
 	c.mu.Unlock()
 	c.pool.post(func() {
 		if reusable {
+			c.reusableAt = time.Now().Add(c.pool.ReuseDelay)
 			c.pool.putIdle(c)
 		}
 		ex.OnDone(result)
--- a/proxy/attempt_test.go
+++ b/proxy/attempt_test.go
@@ -42,6 +42,7 @@
 			status, _, _, err := env.roundTrip(request)
 			assert.NoError(t, err)
 			assert.Equal(t, 200, status)
+			time.Sleep(serverReuseDelay)
 		}
 		assert.Equal(t, []string{"b1 GET /look?user=7 t1  0.500 ", "b1 POST /sign t2 k 0.500 abc",
 			"b1 POST /sign t2 k 0.500 abc"}, env.received)
--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -29,7 +29,7 @@
 	fields := p.counters.fields()
 	fields["connections"], fields["opened"] = p.upstream.Total(), p.upstream.Opened
 	fields["retired"], fields["lost_idle"] = p.upstream.Retired, p.upstream.Lost
-	fields["no_connection"] = p.upstream.RejectedFull
+	fields["no_connection"], fields["unsolicited"] = p.upstream.RejectedFull, p.upstream.Unsolicited
 	if p.bootstrap.HealthChecks {
 		fields["health_checks"] = p.counters.HealthChecks
 	}
--- a/proxy/debuglog.go
+++ b/proxy/debuglog.go
@@ -27,6 +27,7 @@
 			"payoff":             fmt.Sprintf("%.2f", status.Payoff),
 			"paused":             status.Paused,
 			"warming_up":         status.WarmingUp,
+			"unsolicited":        p.upstream.UnsolicitedFrom(status.Endpoint),
 			"errors":             status.Errors,
 			"results":            status.Results,
 			"last_result_s":      fmt.Sprintf("%.2f", status.Age),
--- a/proxy/endpoints_test.go
+++ b/proxy/endpoints_test.go
@@ -129,6 +129,7 @@
 				status, _, _, err := env.roundTrip(strings.Replace(idempotentRequest, "t1", fmt.Sprint("t", i), 1))
 				assert.NoError(t, err)
 				assert.Equal(t, 200, status)
+				time.Sleep(serverReuseDelay)
 			}
 		}
 		time.Sleep(2 * time.Second)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -56,6 +56,10 @@
 	defaultConnectTimeout    = time.Second
 	defaultServerIdleTimeout = 2 * time.Second // for idle connections to servers, if the deployment sets none
 
+	// serverReuseDelay is the delay from a server's response to the next request on the same connection. It covers servers
+	// that send a second response some milliseconds after the first, and delays of a busy machine.
+	serverReuseDelay = 50 * time.Millisecond
+
 	// serverIdleMargin is how long before the server the proxy closes an idle connection. It covers the time that a
 	// request takes to reach the server and the delay of a late sweep.
 	serverIdleMargin = 250 * time.Millisecond
@@ -149,6 +153,7 @@
 	pool := upstream.New(dialNow, p.post)
 	pool.MaxConnections, pool.ReserveMemory = p.maxServerConns, p.memory.reserve
 	pool.ConnectTimeout, pool.IdleTimeout = defaultConnectTimeout, defaultServerIdleTimeout
+	pool.ReuseDelay = serverReuseDelay
 	if timeout := p.bootstrap.ConnectTimeout; timeout > 0 {
 		pool.ConnectTimeout = seconds(timeout)
 	}
