--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -140,8 +140,8 @@
 	return false
 }
 
-// takeReusable removes the longest idle connection that may be reused from the idle ones, and returns it. It returns nil
-// if there is none.
+// takeReusable removes the longest idle connection that may be reused from the idle ones, and returns it or, if there
+// is none, nil.
 func (s *server) takeReusable(now time.Time) *connection {
 	i := slices.IndexFunc(s.idle, func(c *connection) bool { return !now.Before(c.reusableAt) })
 	if i < 0 {
