--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -27,6 +27,7 @@
 
 	unsolicited bool // set by the reading goroutine, before it ends, if it received bytes that belong to no response
 
+	unusable  chan struct{} // closed by the reading goroutine when no further request may be written
 	hasUnread func() bool   // see HasUnreadBytes; called by the writing goroutine with mu held
 	roundTrip time.Duration // estimated from the connect time, at most maxRoundTrip
 
@@ -51,6 +52,7 @@
 		return false
 	}
 	ex.conn = c
+	ex.writeAt = c.reusableAt
 	c.current = ex
 	c.setReadDeadline(ex.Deadline)
 	c.requests <- ex // never blocks: the writer received the previous exchange before that exchange ended
@@ -61,11 +63,11 @@
 func (c *connection) cancel(ex *Exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.current != ex || ex.canceled {
+	if ex.canceled {
 		return
 	}
 	ex.canceled = true
-	if c.netConn != nil {
+	if c.current == ex && c.netConn != nil {
 		c.netConn.Close()
 	}
 }
@@ -74,7 +76,7 @@
 func (c *connection) cancelUnwritten(ex *Exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.current == ex && !ex.writeStarted {
+	if !ex.writeStarted {
 		ex.canceled = true
 	}
 }
@@ -85,6 +87,18 @@
 	return ex.canceled
 }
 
+// newConnection returns a connection, not yet open, to be opened for its first exchange.
+func newConnection(p *Pool, s *server, ex *Exchange) *connection {
+	return &connection{
+		pool:       p,
+		server:     s,
+		generation: s.generation,
+		requests:   make(chan *Exchange, 1),
+		unusable:   make(chan struct{}),
+		current:    ex,
+	}
+}
+
 // run opens the connection for its first exchange, starts the reading goroutine and writes requests until the reading
 // goroutine ends and closes c.requests.
 func (c *connection) run(ex *Exchange, addr string) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -43,6 +43,9 @@
 // progress is the state of an exchange between Send and OnDone.
 type progress struct {
 	conn        *connection
+	writeAt     time.Time     // when the connection may be reused for the exchange; zero: at once
+	reuseWait   time.Duration // until writeAt, on all connections together; only the owner uses it
+	resent      bool          // by resend; only the owner uses it
 	connectTime time.Duration // to open the connection; 0 if reused. Only the writer uses it until writeDone is closed
 
 	// Guarded by the connection's lock.
@@ -62,6 +65,7 @@
 type Result struct {
 	Outcome       balance.Outcome
 	SentAt        time.Time      // when writing started, less the time to open the connection for it; zero: not sent
+	ReuseWait     time.Duration  // how long the exchange waited because of ReuseDelay
 	EndedAt       time.Time      // when the response was completely received, or the exchange failed
 	Err           error          // why there is no complete response
 	Status        int            // status code of the response; 0: no response was received
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,12 +11,18 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"lockloom/balance"
 )
 
+// responseTimeSmoothing is the inverse of the weight of a response in its server's response time.
+const responseTimeSmoothing = 8
+
 // Pool reuses the connections to each server, the longest idle one first. A response does not state which request it
 // answers, so whatever is received after a request was written is taken as its response. To keep a second copy of the
 // response before, or other bytes that a server sends after a complete response, from being taken for the next one, a
-// connection is not reused for ReuseDelay after a response. Bytes received in that time close it.
+// connection is not reused for ReuseDelay after a response. Bytes received in that time close it. A request waits for
+// the rest of that time instead of opening a connection, but no longer than its server takes for a response.
 type Pool struct {
 	ConnectTimeout time.Duration          // limit for establishing a connection
 	IdleTimeout    time.Duration          // connections that have been idle for this long are closed
@@ -50,6 +56,7 @@
 	idle          []*connection // the most recently used last
 	open          int           // number of connections: idle, in use and being opened
 	unsolicited   int           // number of connections closed because of unsolicited bytes
+	responseTime  time.Duration // smoothed time from writing a request to its complete response; 0: no response yet
 	stopSendingAt atomic.Int64  // Unix time in nanoseconds after which nothing is written to the server; 0: no limit
 }
 
@@ -107,8 +114,10 @@
 
 // Send starts an exchange on an idle connection or a new one. It returns false if MaxConnections is reached and no
 // connection is idle: nothing was sent then, and OnDone will not be called.
-func (p *Pool) Send(index int, ex *Exchange) bool {
-	s := p.servers[index]
+func (p *Pool) Send(index int, ex *Exchange) bool { return p.sendTo(p.servers[index], ex) }
+
+// sendTo does what Send does.
+func (p *Pool) sendTo(s *server, ex *Exchange) bool {
 	ex.writeDone = make(chan struct{})
 	if p.sendOnIdle(s, ex) {
 		return true
@@ -120,8 +129,9 @@
 	p.total++
 	s.open++
 	p.Opened++
-	c := &connection{pool: p, server: s, generation: s.generation, requests: make(chan *Exchange, 1), current: ex}
+	c := newConnection(p, s, ex)
 	ex.conn = c
+	ex.writeAt = time.Time{}
 	go c.run(ex, s.addr)
 	return true
 }
@@ -130,20 +140,22 @@
 // idle for IdleTimeout is not used: its server may be closing it, and the request would end in a connection reset.
 func (p *Pool) sendOnIdle(s *server, ex *Exchange) bool {
 	now := time.Now()
-	for c := s.takeReusable(now); c != nil; c = s.takeReusable(now) {
+	latest := now.Add(min(p.ReuseDelay, s.responseTime)) // until when the exchange may wait for a connection
+	for c := s.takeReusable(latest); c != nil; c = s.takeReusable(latest) {
 		if now.Sub(c.idleSince) >= p.IdleTimeout {
 			p.retire(c)
 		} else if c.startExchange(ex) {
+			ex.reuseWait += max(c.reusableAt.Sub(now), 0)
 			return true
 		}
 	}
 	return false
 }
 
-// takeReusable removes the longest idle connection that may be reused from the idle ones, and returns it or, if there
-// is none, nil.
-func (s *server) takeReusable(now time.Time) *connection {
-	i := slices.IndexFunc(s.idle, func(c *connection) bool { return !now.Before(c.reusableAt) })
+// takeReusable removes the longest idle connection that may be reused at the given time from the idle ones. It returns
+// that connection or, if there is none, nil.
+func (s *server) takeReusable(at time.Time) *connection {
+	i := slices.IndexFunc(s.idle, func(c *connection) bool { return !at.Before(c.reusableAt) })
 	if i < 0 {
 		return nil
 	}
@@ -152,6 +164,17 @@
 	return c
 }
 
+// resend sends an exchange on another connection, once, if its reused connection ended before the request was written.
+// It returns false if the exchange was canceled, or if its server has restarted, moved or been removed.
+func (p *Pool) resend(c *connection, ex *Exchange) bool {
+	reused := !c.reusableAt.IsZero()
+	if !reused || ex.resent || c.isCanceled(ex) || c.generation != c.server.generation {
+		return false
+	}
+	ex.resent = true
+	return p.sendTo(c.server, ex)
+}
+
 // Cancel cancels an exchange and closes its connection. OnDone is still called.
 func (p *Pool) Cancel(ex *Exchange) { ex.conn.cancel(ex) }
 
@@ -219,6 +242,19 @@
 	c.netConn.Close()
 }
 
+// recordResponse delays the reuse of a connection, and updates its server's response time if the request was served.
+func (p *Pool) recordResponse(c *connection, result *Result) {
+	c.reusableAt = time.Now().Add(p.ReuseDelay)
+	if result.Outcome != balance.Succeeded {
+		return
+	}
+	took := result.EndedAt.Sub(result.SentAt)
+	if c.server.responseTime == 0 {
+		c.server.responseTime = took
+	}
+	c.server.responseTime += (took - c.server.responseTime) / responseTimeSmoothing
+}
+
 // putIdle makes a connection idle after its exchange, or closes it if it must not be reused.
 func (p *Pool) putIdle(c *connection) {
 	c.mu.Lock()
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -204,24 +204,34 @@
 // Guards against reusing a connection before the bytes that a server sends right behind a response were received: they
 // would be taken for the response to the next request.
 func TestConnectionIsNotReusedRightAfterResponse(t *testing.T) {
+	const reuseDelay = 50 * time.Millisecond
 	for _, c := range []struct {
 		name           string
+		responseTime   time.Duration
 		maxConnections int
 		before         func(p *testPool, conn net.Conn) // runs before the second attempt
 		opened         int
-		unsolicited    int
+		wait           time.Duration // of the second attempt for its connection
 	}{
-		{"at once", 2, func(*testPool, net.Conn) {}, 2, 0},
-		{"too early", 2, func(p *testPool, _ net.Conn) { time.Sleep(p.ReuseDelay - 1) }, 2, 0},
-		{"no other connection may be opened", 1, func(*testPool, net.Conn) {}, 2, 0},
-		{"after the delay", 2, func(p *testPool, _ net.Conn) { time.Sleep(p.ReuseDelay) }, 1, 0},
-		{"after the delay and a second response", 2, func(p *testPool, conn net.Conn) {
+		{"at once, fast server", time.Millisecond, 2, func(*testPool, net.Conn) {}, 2, 0},
+		{"at once, no other connection may be opened", time.Millisecond, 1, func(*testPool, net.Conn) {}, 2, 0},
+		{"at once, slow server", reuseDelay, 2, func(*testPool, net.Conn) {}, 1, reuseDelay},
+		{"too early, fast server", time.Millisecond, 2, func(*testPool, net.Conn) {
+			time.Sleep(reuseDelay - time.Millisecond - 1)
+		}, 2, 0},
+		{"a response time too early", time.Millisecond, 2, func(*testPool, net.Conn) {
+			time.Sleep(reuseDelay - time.Millisecond)
+		}, 1, time.Millisecond},
+		{"after the delay", time.Millisecond, 2, func(*testPool, net.Conn) { time.Sleep(reuseDelay) }, 1, 0},
+		{"after the delay and a second response", time.Millisecond, 2, func(p *testPool, conn net.Conn) {
 			respond(conn, okResponse)
-			time.Sleep(p.ReuseDelay)
+			time.Sleep(reuseDelay)
 			p.runUntilIdle()
-		}, 2, 1},
-		{"after the delay and an exchange that was not written", 2, func(p *testPool, _ net.Conn) {
-			time.Sleep(p.ReuseDelay)
+			assert.Equal(t, 1, p.Unsolicited)
+			assert.Equal(t, 1, p.UnsolicitedFrom(0))
+		}, 2, 0},
+		{"after the delay and an exchange that was not written", time.Millisecond, 2, func(p *testPool, _ net.Conn) {
+			time.Sleep(reuseDelay)
 			ex := newExchange(time.Second, func(Result) {})
 			ex.SendBy = time.Now().Add(-1)
 			assert.True(t, p.Send(0, ex))
@@ -231,33 +241,134 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				p := newTestPool()
-				p.ReuseDelay = 50 * time.Millisecond
+				p.ReuseDelay = reuseDelay
 				p.MaxConnections = c.maxConnections
 				_, first := p.attempt(0)
 				serverConn := <-p.serverConns
 				readRequest(t, serverConn)
+				time.Sleep(c.responseTime)
 				respond(serverConn, okResponse)
 				p.runUntilIdle()
 				assert.Len(t, *first, 1)
 				c.before(p, serverConn)
 				_, second := p.attempt(0)
+				began := time.Now()
 				p.runUntilIdle()
 				require.Equal(t, c.opened, p.Opened)
 				if c.opened > 1 {
 					serverConn = <-p.serverConns
 				}
 				readRequest(t, serverConn)
+				assert.Equal(t, c.wait, time.Since(began))
 				respond(serverConn, okResponse)
 				p.runUntilIdle()
-				if assert.Len(t, *second, 1, c.name) {
-					assert.Equal(t, balance.Succeeded, (*second)[0].Outcome, c.name)
+				if assert.Len(t, *second, 1) {
+					assert.Equal(t, balance.Succeeded, (*second)[0].Outcome)
+					assert.Equal(t, c.wait, (*second)[0].ReuseWait)
+					assert.Equal(t, began.Add(c.wait), (*second)[0].SentAt, "the wait is not the server's time")
 				}
-				assert.Equal(t, c.unsolicited, p.Unsolicited, c.name)
-				assert.Equal(t, c.unsolicited, p.UnsolicitedFrom(0), c.name)
-				assert.LessOrEqual(t, p.Total(), c.maxConnections, c.name)
+				assert.LessOrEqual(t, p.Total(), c.maxConnections)
 				p.Close()
 				p.runUntilIdle()
 			})
 		})
 	}
 }
+
+// Guards against holding up or losing a request that waits for a connection which turns out to be unusable: it is sent
+// on another connection at once.
+func TestWaitForReuseEndsWithTheConnection(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		end         func(p *testPool, ex *Exchange, serverConn net.Conn)
+		resent      bool
+		unsolicited int
+	}{
+		{"second response", func(_ *testPool, _ *Exchange, conn net.Conn) { respond(conn, okResponse) }, true, 1},
+		{"closed by the server", func(_ *testPool, _ *Exchange, conn net.Conn) { conn.Close() }, true, 0},
+		{"canceled", func(p *testPool, ex *Exchange, _ net.Conn) { p.Cancel(ex) }, false, 0},
+		{"canceled once the connection has ended", func(p *testPool, ex *Exchange, conn net.Conn) {
+			conn.Close()
+			synctest.Wait()
+			p.Cancel(ex)
+		}, false, 0},
+		{"canceled while unwritten, once the connection has ended", func(p *testPool, ex *Exchange, conn net.Conn) {
+			conn.Close()
+			synctest.Wait()
+			p.CancelUnwritten(ex)
+		}, false, 0},
+		{"server moved", func(p *testPool, _ *Exchange, conn net.Conn) {
+			p.SetEndpoint(0, "one:2", 0)
+			conn.Close()
+		}, false, 0},
+		{"server removed", func(p *testPool, _ *Exchange, conn net.Conn) {
+			p.Remove(0)
+			conn.Close()
+		}, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newTestPool()
+				p.ReuseDelay = 50 * time.Millisecond
+				_, first := p.attempt(0)
+				serverConn := <-p.serverConns
+				readRequest(t, serverConn)
+				time.Sleep(p.ReuseDelay)
+				respond(serverConn, okResponse)
+				p.runUntilIdle()
+				assert.Len(t, *first, 1)
+				ex, second := p.attempt(0)
+				p.runUntilIdle()
+				began := time.Now()
+				c.end(p, ex, serverConn)
+				p.runUntilIdle()
+				if c.resent {
+					require.Equal(t, 2, p.Opened)
+					serverConn = <-p.serverConns
+					readRequest(t, serverConn)
+					respond(serverConn, okResponse)
+					p.runUntilIdle()
+				}
+				if assert.Len(t, *second, 1) {
+					assert.Equal(t, c.resent, (*second)[0].Outcome == balance.Succeeded)
+					assert.Equal(t, !c.resent, (*second)[0].Outcome == balance.NotSent)
+				}
+				assert.Equal(t, began, time.Now())
+				assert.Equal(t, c.unsolicited, p.Unsolicited)
+				p.Close()
+				p.runUntilIdle()
+				assert.Zero(t, p.Total())
+			})
+		})
+	}
+}
+
+// Guards against sending an exchange again and again to a server that ends each connection before its next request.
+func TestExchangeIsSentOnAnotherConnectionOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPool()
+		p.ReuseDelay = 50 * time.Millisecond
+		var serverConns [2]net.Conn
+		for i := range serverConns {
+			p.attempt(0)
+			serverConns[i] = <-p.serverConns
+			readRequest(t, serverConns[i])
+		}
+		time.Sleep(p.ReuseDelay)
+		for _, conn := range serverConns {
+			respond(conn, okResponse)
+		}
+		p.runUntilIdle()
+		_, got := p.attempt(0)
+		p.runUntilIdle()
+		for _, conn := range serverConns {
+			assert.Empty(t, *got)
+			conn.Close()
+			p.runUntilIdle()
+		}
+		if assert.Len(t, *got, 1) {
+			assert.Equal(t, balance.NotSent, (*got)[0].Outcome)
+		}
+		assert.Zero(t, p.Total())
+	})
+}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -9,6 +9,7 @@
 
 // write writes a request, unless it must not be sent any more or the connection is unusable.
 func (c *connection) write(ex *Exchange) {
+	c.awaitReuse(ex)
 	usable, notSent := c.startWriting(ex)
 	if usable && notSent != nil {
 		c.reportNotSent(ex, notSent)
@@ -25,6 +26,20 @@
 	}
 }
 
+// awaitReuse waits until the connection may be reused for an exchange, or is found to be unusable.
+func (c *connection) awaitReuse(ex *Exchange) {
+	wait := time.Until(ex.writeAt)
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.unusable:
+	}
+}
+
 // startWriting decides whether a request is written: if the connection is usable and notSent is nil. A connection with
 // unread bytes is unusable, since these, such as a second copy of the last response, would be read as the response to
 // the request. So is one that the server has closed: after writing to it, the request would count as possibly run.
@@ -65,6 +80,7 @@
 	result := Result{Outcome: balance.NotSent, EndedAt: ex.writeStartedAt, Err: reason}
 	c.pool.post(func() {
 		c.pool.putIdle(c)
+		result.ReuseWait = ex.reuseWait
 		ex.OnDone(result)
 	})
 }
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -74,14 +74,9 @@
 			OnDone:   func(r Result) { got = append(got, r) },
 			progress: progress{writeDone: make(chan struct{})},
 		}
-		c := &connection{
-			pool:      p,
-			server:    p.servers[0],
-			requests:  make(chan *Exchange, 1),
-			hasUnread: unreadProbe(clientConn),
-			netConn:   clientConn,
-			current:   ex,
-		}
+		c := newConnection(p, p.servers[0], ex)
+		c.hasUnread = unreadProbe(clientConn)
+		c.netConn = clientConn
 		c.write(ex)
 		go c.read()
 		(<-posted)()
@@ -127,17 +122,11 @@
 			OnDone:   func(r Result) { got = append(got, r) },
 			progress: progress{writeDone: make(chan struct{})},
 		}
-		conn := &connection{
-			pool:         p,
-			server:       p.servers[0],
-			generation:   p.servers[0].generation,
-			requests:     make(chan *Exchange, 1),
-			hasUnread:    unreadProbe(clientConn),
-			roundTrip:    roundTrip,
-			netConn:      clientConn,
-			current:      ex,
-			readDeadline: ex.Deadline,
-		}
+		conn := newConnection(p, p.servers[0], ex)
+		conn.hasUnread = unreadProbe(clientConn)
+		conn.roundTrip = roundTrip
+		conn.netConn = clientConn
+		conn.readDeadline = ex.Deadline
 		ex.conn = conn
 		c.set(p, ex)
 		go conn.write(ex)
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -37,24 +37,19 @@
 		c.pool.onBytes()
 	}
 	ex, started, err := c.currentExchange(source, err)
-	if ex == nil {
+	if !started {
 		c.unsolicited = err == nil
+		if ex != nil {
+			c.endUnwritten(ex)
+		}
 		return false
 	}
-	var result Result
-	reusable := false
-	if started {
-		result, reusable = c.readResponse(reader, ex, err)
-		c.unsolicited = errors.Is(err, errEarlyResponse) || result.Err == nil && reader.Buffered()
-		result.SentAt = ex.sentAt
-		// The system may have received the response before this goroutine read it.
-		if at := source.Received(); result.Status > 0 && at.After(ex.sentAt) && at.Before(result.EndedAt) {
-			result.EndedAt = at
-		}
-	} else {
-		c.unsolicited = err == nil
-		<-ex.writeDone // the writer writes nothing, since the connection is marked as closed
-		result = Result{Outcome: balance.NotSent, Err: errUnsolicited, EndedAt: time.Now()}
+	result, reusable := c.readResponse(reader, ex, err)
+	c.unsolicited = errors.Is(err, errEarlyResponse) || result.Err == nil && reader.Buffered()
+	result.SentAt = ex.sentAt
+	// The system may have received the response before this goroutine read it.
+	if at := source.Received(); result.Status > 0 && at.After(ex.sentAt) && at.Before(result.EndedAt) {
+		result.EndedAt = at
 	}
 	reusable = reusable && !c.pool.closed.Load()
 	c.report(ex, result, reusable)
@@ -94,7 +89,10 @@
 	defer c.mu.Unlock()
 	ex = c.current
 	started = ex != nil && ex.writeStarted
-	c.closed = !started
+	if !started {
+		c.closed = true
+		close(c.unusable)
+	}
 	receivedAt := source.Received()
 	if started && waitErr == nil && !receivedAt.IsZero() && receivedAt.Before(ex.writeStartedAt) {
 		return ex, started, errEarlyResponse
@@ -102,6 +100,23 @@
 	return ex, started, waitErr
 }
 
+// endUnwritten ends an exchange whose connection became unusable before the request was written. On the owner's
+// goroutine, the exchange is sent on another connection or, if it must not be, OnDone is called.
+func (c *connection) endUnwritten(ex *Exchange) {
+	<-ex.writeDone // the writer writes nothing, since the connection is marked as closed
+	c.netConn.Close()
+	c.mu.Lock()
+	c.current = nil
+	c.mu.Unlock()
+	result := Result{Outcome: balance.NotSent, Err: errUnsolicited, EndedAt: time.Now()}
+	c.pool.post(func() {
+		if !c.pool.resend(c, ex) {
+			result.ReuseWait = ex.reuseWait
+			ex.OnDone(result)
+		}
+	})
+}
+
 // report makes the connection idle, or closes it if it is not reusable, and passes the result to the exchange's OnDone.
 func (c *connection) report(ex *Exchange, result Result, reusable bool) {
 	if !reusable {
@@ -113,9 +128,10 @@
 	c.mu.Unlock()
 	c.pool.post(func() {
 		if reusable {
-			c.reusableAt = time.Now().Add(c.pool.ReuseDelay)
+			c.pool.recordResponse(c, &result)
 			c.pool.putIdle(c)
 		}
+		result.ReuseWait = ex.reuseWait
 		ex.OnDone(result)
 	})
 }
--- a/proxy/outcome.go
+++ b/proxy/outcome.go
@@ -38,7 +38,7 @@
 	answered, sentAt := req.answered, att.sentAt
 	if !result.SentAt.IsZero() { // time queued here, to be written or read, is not the server's
 		sentAt = p.toUnixSeconds(result.SentAt)
-		p.overload.attemptMeasured(p.now()-att.sentAt, endedAt-sentAt)
+		p.overload.attemptMeasured(p.now()-att.sentAt-result.ReuseWait.Seconds(), endedAt-sentAt)
 	}
 	p.decideRequest(req, func(now float64) *balance.Actions {
 		return req.handle.AttemptEnded(now, att.number, result.Outcome, req.latency(sentAt, endedAt), answered)
--- a/proxy/secondresponse_test.go
+++ b/proxy/secondresponse_test.go
@@ -45,15 +45,17 @@
 		name          string
 		first, second func(id string) string // both responses to the first request
 		delay         time.Duration          // from the first response to the second
+		firstTakes    time.Duration          // from the first request to its first response
 		healthCheck   bool                   // the first request is a health check
 	}{
-		{"at once", identifiedResponse, identifiedResponse, 0, false},
-		{"right behind", identifiedResponse, identifiedResponse, 100 * time.Microsecond, false},
-		{"some milliseconds late", identifiedResponse, identifiedResponse, 9 * time.Millisecond, false},
-		{"streamed", identifiedChunks, identifiedChunks, time.Millisecond, false},
-		{"rejected", never, never, time.Millisecond, false},
-		{"noise", identifiedResponse, noise, time.Millisecond, false},
-		{"health check", identifiedResponse, identifiedResponse, time.Millisecond, true},
+		{"at once", identifiedResponse, identifiedResponse, 0, 0, false},
+		{"right behind", identifiedResponse, identifiedResponse, 100 * time.Microsecond, 0, false},
+		{"some milliseconds late", identifiedResponse, identifiedResponse, 9 * time.Millisecond, 0, false},
+		{"streamed", identifiedChunks, identifiedChunks, time.Millisecond, 0, false},
+		{"rejected", never, never, time.Millisecond, 0, false},
+		{"noise", identifiedResponse, noise, time.Millisecond, 0, false},
+		{"health check", identifiedResponse, identifiedResponse, time.Millisecond, 0, true},
+		{"while the next request waits", identifiedResponse, identifiedResponse, time.Millisecond, serverReuseDelay, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -66,6 +68,7 @@
 						write(end, identifiedResponse(id))
 						return
 					}
+					time.Sleep(c.firstTakes)
 					write(end, c.first(id))
 					go func() {
 						<-firstDone
