Proxy: a streamed body's error takes precedence over the rejection it causes

Callers with a malformed or unfinished streamed body now and then got 503 in place of 400 or 408. Cause: the attempt fails because of the same error, and where the connection's goroutine ran late, awaitResponse found both ready and select chose at random.

Change: a response of the proxy's own (notServed) gives way to a body's error that is there too; forwardBody sends that before the attempt can fail by it.

--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -101,6 +101,11 @@
 				c.setReadDeadline(pastDeadline) // ends the watch
 				<-watchDone                     //nolint:errcheck // there is a response, whatever the watch has read
 			}
+			if resp.notServed {
+				if err := c.takeBodyError(); err != nil {
+					return response{}, err
+				}
+			}
 			return resp, nil
 		case err := <-uploadDone:
 			stopped := uploadStopped(err)
@@ -127,6 +132,21 @@
 	}
 }
 
+// takeBodyError returns the error with which reading a streamed body has failed because of the client, or nil if it has
+// not failed or not ended. The attempt fails because of the same error, and both may be known by the time at which the
+// connection's goroutine looks: the body's error says more about the cause.
+func (c *clientConn) takeBodyError() error {
+	select {
+	case err := <-c.uploadDone:
+		c.uploadDone = nil
+		if !uploadStopped(err) {
+			return err
+		}
+	default:
+	}
+	return nil
+}
+
 // startWatch starts a goroutine that reads into the connection's buffer until the client disconnects. Its result is nil
 // if the buffer is full, so that it cannot detect a disconnect any more, else the read error.
 func (c *clientConn) startWatch() chan error {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -265,13 +265,14 @@
 			status:     http1.StatusServiceUnavailable,
 			retryAfter: retryAfter,
 			body:       []byte("dismissed\n"),
+			notServed:  true,
 		}
 	}
 	p.counters.Failed++
 	if last == balance.InvalidRequest {
-		return response{status: http1.StatusBadRequest, body: []byte("found at fault by a backend\n")}
+		return response{status: http1.StatusBadRequest, body: []byte("found at fault by a backend\n"), notServed: true}
 	}
-	return response{status: http1.StatusBadGateway, body: []byte("forfeited\n")}
+	return response{status: http1.StatusBadGateway, body: []byte("forfeited\n"), notServed: true}
 }
 
 // closeStream aborts a streamed response whose client has gone. CloseWithError of a pipe never fails.
--- a/proxy/requestbody_test.go
+++ b/proxy/requestbody_test.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"lockloom/internal/http1"
+	"lockloom/internal/upstream"
 )
 
 // chunkedRequest returns a request with a chunked body.
@@ -178,3 +181,33 @@
 		})
 	}
 }
+
+// Guards against rejecting a request whose body is malformed, as if a retry were harmless. The body's error and the end
+// of the attempt that failed because of it are both there when the connection's goroutine looks.
+func TestBodyErrorTakesPrecedenceOverRejection(t *testing.T) {
+	malformed := &http1.Error{Status: 400, Text: "malformed chunk"}
+	for _, c := range []struct {
+		name    string
+		resp    response
+		bodyErr error
+		want    error
+	}{
+		{"rejected", response{status: 503, notServed: true}, malformed, malformed},
+		{"failed", response{status: 502, notServed: true}, malformed, malformed},
+		{"rejected, upload stopped", response{status: 503, notServed: true}, upstream.ErrUploadStopped, nil},
+		{"rejected, body complete", response{status: 503, notServed: true}, nil, nil},
+	} {
+		for range 100 { // select chooses at random
+			conn := &clientConn{uploadDone: make(chan error, 1)}
+			conn.uploadDone <- c.bodyErr
+			req := &request{response: make(chan response, 1)}
+			req.response <- c.resp
+			resp, err := conn.awaitResponse(req)
+			assert.Equal(t, c.want, err, c.name)
+			if c.want == nil {
+				assert.Equal(t, c.resp, resp, c.name)
+			}
+			assert.Nil(t, conn.uploadDone, c.name)
+		}
+	}
+}
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -26,6 +26,7 @@
 	headOnly      bool    // the request was a HEAD
 	contentLength int     // length of a streamed body, or of the body that a response to HEAD leaves out; -1: unknown
 	stream        *io.PipeReader
+	notServed     bool // no server's response is relayed: the request was rejected or failed
 }
 
 // endsWithConnection reports whether the end of the connection marks the end of the body.
