--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,13 +11,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
-
-	"lockloom/balance"
 )
 
-// responseTimeSmoothing is the inverse of the weight of a response in its server's response time.
-const responseTimeSmoothing = 8
-
 // Pool reuses the connections to each server, the longest idle one first. A response does not state which request it
 // answers, so whatever is received after a request was written is taken as its response. To keep a second copy of the
 // response before, or other bytes that a server sends after a complete response, from being taken for the next one, a
@@ -136,45 +131,6 @@
 	return true
 }
 
-// sendOnIdle starts an exchange on an idle connection, and returns false if none can be reused. A connection that was
-// idle for IdleTimeout is not used: its server may be closing it, and the request would end in a connection reset.
-func (p *Pool) sendOnIdle(s *server, ex *Exchange) bool {
-	now := time.Now()
-	latest := now.Add(min(p.ReuseDelay, s.responseTime)) // until when the exchange may wait for a connection
-	for c := s.takeReusable(latest); c != nil; c = s.takeReusable(latest) {
-		if now.Sub(c.idleSince) >= p.IdleTimeout {
-			p.retire(c)
-		} else if c.startExchange(ex) {
-			ex.reuseWait += max(c.reusableAt.Sub(now), 0)
-			return true
-		}
-	}
-	return false
-}
-
-// takeReusable removes the longest idle connection that may be reused at the given time from the idle ones. It returns
-// that connection or, if there is none, nil.
-func (s *server) takeReusable(at time.Time) *connection {
-	i := slices.IndexFunc(s.idle, func(c *connection) bool { return !at.Before(c.reusableAt) })
-	if i < 0 {
-		return nil
-	}
-	c := s.idle[i]
-	s.idle = slices.Delete(s.idle, i, i+1)
-	return c
-}
-
-// resend sends an exchange on another connection, once, if its reused connection ended before the request was written.
-// It returns false if the exchange was canceled, or if its server has restarted, moved or been removed.
-func (p *Pool) resend(c *connection, ex *Exchange) bool {
-	reused := !c.reusableAt.IsZero()
-	if !reused || ex.resent || c.isCanceled(ex) || c.generation != c.server.generation {
-		return false
-	}
-	ex.resent = true
-	return p.sendTo(c.server, ex)
-}
-
 // Cancel cancels an exchange and closes its connection. OnDone is still called.
 func (p *Pool) Cancel(ex *Exchange) { ex.conn.cancel(ex) }
 
@@ -242,19 +198,6 @@
 	c.netConn.Close()
 }
 
-// recordResponse delays the reuse of a connection, and updates its server's response time if the request was served.
-func (p *Pool) recordResponse(c *connection, result *Result) {
-	c.reusableAt = time.Now().Add(p.ReuseDelay)
-	if result.Outcome != balance.Succeeded {
-		return
-	}
-	took := result.EndedAt.Sub(result.SentAt)
-	if c.server.responseTime == 0 {
-		c.server.responseTime = took
-	}
-	c.server.responseTime += (took - c.server.responseTime) / responseTimeSmoothing
-}
-
 // putIdle makes a connection idle after its exchange, or closes it if it must not be reused.
 func (p *Pool) putIdle(c *connection) {
 	c.mu.Lock()
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -26,20 +26,6 @@
 	}
 }
 
-// awaitReuse waits until the connection may be reused for an exchange, or is found to be unusable.
-func (c *connection) awaitReuse(ex *Exchange) {
-	wait := time.Until(ex.writeAt)
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.unusable:
-	}
-}
-
 // startWriting decides whether a request is written: if the connection is usable and notSent is nil. A connection with
 // unread bytes is unusable, since these, such as a second copy of the last response, would be read as the response to
 // the request. So is one that the server has closed: after writing to it, the request would count as possibly run.
