Test: requests before a shutdown have ids of their own

TestRequestDuringShutdownIsNotReset sent one X-Trace-Id fifty times. With an id each the test asks the same of every request.

--- a/proxy/serve_test.go
+++ b/proxy/serve_test.go
@@ -224,9 +224,10 @@
 	s := startSocketEnv(t, func(_ int, end net.Conn) { write(end, okResponse) })
 	close(s.dialGate)
 	var clients sync.WaitGroup
-	for range 50 {
+	for i := range 50 {
 		c := s.connect()
-		write(c, longWaitRequest)
+		// Each request has an id of its own: a hedge of the one before may still be in flight.
+		write(c, strings.Replace(longWaitRequest, "t1", fmt.Sprint("first", i), 1))
 		status, _, _, err := readResponse(c)
 		require.NoError(t, err)
 		require.Equal(t, 200, status)
