Upstream: reuse 10 ms after a response, longer where a server sends bytes late

A server that was seen to send unsolicited bytes within 50 ms of a response gets twice that time, 50 ms at most, until it restarts, so that later copies and busy servers are covered where they occur, and cost only there.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,8 +16,9 @@
 // Pool reuses the connections to each server, the longest idle one first. A response does not state which request it
 // answers, so whatever is received after a request was written is taken as its response. To keep a second copy of the
 // response before, or other bytes that a server sends after a complete response, from being taken for the next one, a
-// connection is not reused for ReuseDelay after a response. Bytes received in that time close it. A request waits for
-// the rest of that time instead of opening a connection, but no longer than its server takes for a response.
+// connection is not reused for ReuseDelay after a response, or longer if its server has sent such bytes late. Bytes
+// received in that time close it. A request waits for the rest of that time instead of opening a connection, but no
+// longer than its server takes for a response.
 type Pool struct {
 	ConnectTimeout time.Duration          // limit for establishing a connection
 	IdleTimeout    time.Duration          // connections that have been idle for this long are closed
@@ -51,6 +52,7 @@
 	idle          []*connection // the most recently used last
 	open          int           // number of connections: idle, in use and being opened
 	unsolicited   int           // number of connections closed because of unsolicited bytes
+	reuseDelay    time.Duration // replaces ReuseDelay if it is longer, see recordUnsolicited
 	responseTime  time.Duration // smoothed time from writing a request to its complete response; 0: no response yet
 	stopSendingAt atomic.Int64  // Unix time in nanoseconds after which nothing is written to the server; 0: no limit
 }
@@ -70,6 +72,7 @@
 	if s.addr != addr || s.startedAt != started {
 		s.addr = addr
 		s.startedAt = started
+		s.reuseDelay = 0
 		p.CloseIdle(index)
 	}
 }
@@ -216,8 +219,7 @@
 	p.total--
 	c.server.open--
 	if c.unsolicited {
-		p.Unsolicited++
-		c.server.unsolicited++
+		p.recordUnsolicited(c)
 	}
 	if i := slices.Index(c.server.idle, c); i >= 0 {
 		c.server.idle = slices.Delete(c.server.idle, i, i+1)
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -372,3 +372,65 @@
 		assert.Zero(t, p.Total())
 	})
 }
+
+// Guards against a server whose second responses are later than ReuseDelay, or nearly as late: the next request might
+// be written just before one is received. Bytes received long after a response, such as a notice that an idle
+// connection is closed, must not delay the reuse of all connections.
+func TestReuseDelayCoversLateSecondResponses(t *testing.T) {
+	const reuseDelay = 10 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		late time.Duration
+		want time.Duration // the delay afterwards
+	}{
+		{"at once", 0, reuseDelay},
+		{"early", 2 * time.Millisecond, reuseDelay},
+		{"nearly as late", 8 * time.Millisecond, 16 * time.Millisecond},
+		{"later", 20 * time.Millisecond, 40 * time.Millisecond},
+		{"much later", 40 * time.Millisecond, maxServerReuseDelay},
+		{"as it closes an idle connection", time.Second, reuseDelay},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newTestPool()
+				p.ReuseDelay = reuseDelay
+				exchange := func() net.Conn {
+					_, got := p.attempt(0)
+					serverConn := <-p.serverConns
+					readRequest(t, serverConn)
+					respond(serverConn, okResponse)
+					p.runUntilIdle()
+					assert.Len(t, *got, 1)
+					return serverConn
+				}
+				serverConn := exchange()
+				time.Sleep(c.late)
+				respond(serverConn, okResponse)
+				p.runUntilIdle()
+				exchange()
+				time.Sleep(c.want - 1)
+				exchange()
+				assert.Equal(t, 3, p.Opened, "not reused before the delay")
+				p.Close()
+				p.runUntilIdle()
+			})
+			synctest.Test(t, func(t *testing.T) {
+				p := newTestPool()
+				p.ReuseDelay = reuseDelay
+				_, _ = p.attempt(0)
+				serverConn := <-p.serverConns
+				readRequest(t, serverConn)
+				respond(serverConn, okResponse)
+				p.runUntilIdle()
+				time.Sleep(c.late)
+				respond(serverConn, okResponse)
+				p.runUntilIdle()
+				assert.Equal(t, c.want, p.reuseDelay(p.servers[0]))
+				p.SetEndpoint(0, "one:1", 1)
+				assert.Equal(t, reuseDelay, p.reuseDelay(p.servers[0]), "the server has restarted")
+				p.Close()
+				p.runUntilIdle()
+			})
+		})
+	}
+}
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -9,14 +9,21 @@
 
 // When a connection carries another request: ReuseDelay after its last response, see Pool.
 
-// responseTimeSmoothing is the inverse of the weight of a response in its server's response time.
-const responseTimeSmoothing = 8
+const (
+	// responseTimeSmoothing is the inverse of the weight of a response in its server's response time.
+	responseTimeSmoothing = 8
+	// reuseDelayMargin is the factor from the time after which a server sent unsolicited bytes to its reuse delay.
+	reuseDelayMargin = 2
+	// maxServerReuseDelay bounds the reuse delay of a server. Bytes received later than this after a response do not
+	// change the delay: they may announce that the server closes an idle connection.
+	maxServerReuseDelay = 50 * time.Millisecond
+)
 
 // sendOnIdle starts an exchange on an idle connection, and returns false if none can be reused. A connection that was
 // idle for IdleTimeout is not used: its server may be closing it, and the request would end in a connection reset.
 func (p *Pool) sendOnIdle(s *server, ex *Exchange) bool {
 	now := time.Now()
-	latest := now.Add(min(p.ReuseDelay, s.responseTime)) // until when the exchange may wait for a connection
+	latest := now.Add(min(p.reuseDelay(s), s.responseTime)) // until when the exchange may wait for a connection
 	for c := s.takeReusable(latest); c != nil; c = s.takeReusable(latest) {
 		if now.Sub(c.idleSince) >= p.IdleTimeout {
 			p.retire(c)
@@ -65,9 +72,23 @@
 	return p.sendTo(c.server, ex)
 }
 
+// reuseDelay returns the delay from a response of a server to the next request on the same connection.
+func (p *Pool) reuseDelay(s *server) time.Duration { return max(p.ReuseDelay, s.reuseDelay) }
+
+// recordUnsolicited counts a connection that was closed because of unsolicited bytes, and raises its server's reuse
+// delay if these were received late after the last response.
+func (p *Pool) recordUnsolicited(c *connection) {
+	p.Unsolicited++
+	s := c.server
+	s.unsolicited++
+	if late := time.Since(c.idleSince); late <= maxServerReuseDelay {
+		s.reuseDelay = max(s.reuseDelay, min(reuseDelayMargin*late, maxServerReuseDelay))
+	}
+}
+
 // recordResponse delays the reuse of a connection, and updates its server's response time if the request was served.
 func (p *Pool) recordResponse(c *connection, result *Result) {
-	c.reusableAt = time.Now().Add(p.ReuseDelay)
+	c.reusableAt = time.Now().Add(p.reuseDelay(c.server))
 	if result.Outcome != balance.Succeeded {
 		return
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -58,7 +58,7 @@
 
 	// serverReuseDelay is the delay from a server's response to the next request on the same connection. It covers servers
 	// that send a second response some milliseconds after the first, and delays of a busy machine.
-	serverReuseDelay = 25 * time.Millisecond
+	serverReuseDelay = 10 * time.Millisecond
 
 	// serverIdleMargin is how long before the server the proxy closes an idle connection. It covers the time that a
 	// request takes to reach the server and the delay of a late sweep.
