--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -18,7 +18,7 @@
 // response before, or other bytes that a server sends after a complete response, from being taken for the next one, a
 // connection is not reused for ReuseDelay after a response, or longer if its server has sent such bytes late. Bytes
 // received in that time close it. A request waits for the rest of that time instead of opening a connection, but no
-// longer than ReuseDelay or its server's response time, whichever is longer.
+// longer than its server takes for a response.
 type Pool struct {
 	ConnectTimeout time.Duration          // limit for establishing a connection
 	IdleTimeout    time.Duration          // connections that have been idle for this long are closed
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -23,8 +23,7 @@
 // idle for IdleTimeout is not used: its server may be closing it, and the request would end in a connection reset.
 func (p *Pool) sendOnIdle(s *server, ex *Exchange) bool {
 	now := time.Now()
-	maxWait := max(p.ReuseDelay, min(p.reuseDelay(s), s.responseTime))
-	latest := now.Add(maxWait)
+	latest := now.Add(min(p.reuseDelay(s), s.responseTime)) // until when the exchange may wait for a connection
 	for c := s.takeReusable(latest); c != nil; c = s.takeReusable(latest) {
 		if now.Sub(c.idleSince) >= p.IdleTimeout {
 			p.retire(c)
