Proxy: a stop does not miss the acceptor that waits for capacity

At a stop with the listener at its bounds, connections that waited to be accepted could be reset. Cause: wakeAcceptors broadcast without the lock, so an acceptor that had just looked at acceptEnding and did not wait yet missed it, and slept up to 0.1 s, longer than the 20 ms of accepting that are left; on the recheck every 0.1 s and the stop after 0.5 s these meet.

--- a/proxy/conntable.go
+++ b/proxy/conntable.go
@@ -162,8 +162,13 @@
 	return nearlyFull && t.longIdle.n+t.idle.n >= t.maxIdle
 }
 
-// wakeAcceptors makes every waitForCapacity check its condition again.
-func (t *connTable) wakeAcceptors() { t.changed.Broadcast() }
+// wakeAcceptors makes every waitForCapacity check its condition again. It takes the lock, since one that has just
+// checked its condition and does not wait yet would miss the wake-up.
+func (t *connTable) wakeAcceptors() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changed.Broadcast()
+}
 
 // waitUntilEmpty waits until no connection is left or the timeout has passed.
 func (t *connTable) waitUntilEmpty(timeout time.Duration) {
