Upstream: the wait for a connection is reported as it was, not as planned

Cause: sendOnIdle added the whole rest of the delay to an exchange's ReuseWait when it was ordered. It is taken off the time that this core is held to have cost the attempt (attemptMeasured), so the core looked quicker than it was.

Change: the writer measures the wait, the planned one at most. respondedAt stands in the place of reusableAt, so that a server's longer delay holds for connections that are idle already.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -22,8 +22,8 @@
 	requests   chan *Exchange
 
 	// Accessed only by the pool's owner.
-	idleSince  time.Time // when the connection became idle
-	reusableAt time.Time // ReuseDelay after the last response; zero: there was none
+	idleSince   time.Time // when the connection became idle
+	respondedAt time.Time // when the last exchange that was written ended; zero: there was none
 
 	unsolicited bool // set by the reading goroutine, before it ends, if it received bytes that belong to no response
 
@@ -44,15 +44,16 @@
 	c.netConn.SetReadDeadline(at)
 }
 
-// startExchange passes an exchange to the writing goroutine, and returns false if the connection is closed.
-func (c *connection) startExchange(ex *Exchange) bool {
+// startExchange passes an exchange to the writing goroutine, to be written at the given time, and returns false if the
+// connection is closed.
+func (c *connection) startExchange(ex *Exchange, writeAt time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return false
 	}
 	ex.conn = c
-	ex.writeAt = c.reusableAt
+	ex.writeAt = writeAt
 	c.current = ex
 	c.setReadDeadline(ex.Deadline)
 	c.requests <- ex // never blocks: the writer received the previous exchange before that exchange ended
@@ -66,13 +67,13 @@
 	if ex.canceled {
 		return
 	}
-	ex.canceled = true
+	ex.canceled = true // also if the connection has ended and the owner has not yet resent the exchange
 	if c.current == ex && c.netConn != nil {
 		c.netConn.Close()
 	}
 }
 
-// cancelUnwritten cancels an exchange if writing it has not started.
+// cancelUnwritten cancels an exchange if writing it has not started, also if it is about to be resent.
 func (c *connection) cancelUnwritten(ex *Exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -44,7 +44,6 @@
 type progress struct {
 	conn        *connection
 	writeAt     time.Time     // when the connection may be reused for the exchange; zero: at once
-	reuseWait   time.Duration // until writeAt, on all connections together; only the owner uses it
 	resent      bool          // by resend; only the owner uses it
 	connectTime time.Duration // to open the connection; 0 if reused. Only the writer uses it until writeDone is closed
 
@@ -56,7 +55,8 @@
 
 	// Set by the writer before it closes writeDone. Other goroutines read them only once writeDone is closed.
 	writeDone     chan struct{}
-	sentAt        time.Time // writeStartedAt minus connectTime
+	reuseWait     time.Duration // how long the writer waited until writeAt, on all connections together
+	sentAt        time.Time     // writeStartedAt minus connectTime
 	fullyWritten  bool
 	partlyWritten bool // at least one byte may have been sent
 }
@@ -65,7 +65,7 @@
 type Result struct {
 	Outcome       balance.Outcome
 	SentAt        time.Time      // when writing started, less the time to open the connection for it; zero: not sent
-	ReuseWait     time.Duration  // how long the exchange waited because of ReuseDelay
+	ReuseWait     time.Duration  // how long the exchange waited because of ReuseDelay; 0: not sent
 	EndedAt       time.Time      // when the response was completely received, or the exchange failed
 	Err           error          // why there is no complete response
 	Status        int            // status code of the response; 0: no response was received
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -201,235 +201,145 @@
 	})
 }
 
+// reuseTest is a pool whose first connection has carried a request.
+type reuseTest struct {
+	*testPool
+	t           *testing.T
+	conn, other net.Conn // the server's side of the connection, and of another idle one, if any
+	ex          *Exchange
+}
+
+// serve reads a request from the server's side of a connection, and writes a response after a time.
+func (r *reuseTest) serve(conn net.Conn, after time.Duration, response string) {
+	readRequest(r.t, conn)
+	time.Sleep(after)
+	respond(conn, response)
+	r.runUntilIdle()
+}
+
+// serveNew makes an attempt that succeeds on a new connection, and returns the server's side of that.
+func (r *reuseTest) serveNew(responseTime time.Duration) net.Conn {
+	_, got := r.attempt(0)
+	conn := <-r.serverConns
+	r.serve(conn, responseTime, okResponse)
+	assert.Len(r.t, *got, 1)
+	return conn
+}
+
 // Guards against reusing a connection before the bytes that a server sends right behind a response were received: they
-// would be taken for the response to the next request.
+// would be taken for the response to the next request. A request that waits for a connection which turns out to be
+// unusable must neither be held up nor be lost, nor be sent again and again. A server whose bytes are nearly as late as
+// the delay, or later, gets a longer one, but not if it only announces that it closes an idle connection.
 func TestConnectionIsNotReusedRightAfterResponse(t *testing.T) {
-	const reuseDelay = 50 * time.Millisecond
+	const ms = time.Millisecond
+	const delay, fast, slow, waited = 10 * ms, ms, 10 * ms, 4 * ms
+	const ok, unsent = balance.Succeeded, balance.NotSent
+	type step func(r *reuseTest)
+	sleep := func(d time.Duration) step { return func(*reuseTest) { time.Sleep(d) } }
+	closes := func(r *reuseTest) { r.conn.Close(); synctest.Wait() }
+	second := func(r *reuseTest) { respond(r.conn, okResponse); r.runUntilIdle() }
+	unwritten := func(r *reuseTest) {
+		ex := newExchange(time.Second, func(Result) {})
+		ex.SendBy = time.Now().Add(-1)
+		assert.True(r.t, r.Send(0, ex))
+		r.runUntilIdle()
+	}
+	limit := func(r *reuseTest) { r.MaxConnections = 1 }
+	cancel := func(r *reuseTest) { r.Cancel(r.ex) }
+	cancelUnwritten := func(r *reuseTest) { r.CancelUnwritten(r.ex) }
+	move := func(r *reuseTest) { r.SetEndpoint(0, "one:2", 0) }
+	remove := func(r *reuseTest) { r.Remove(0) }
+	delayIs := func(want time.Duration) step { // checks the server's delay, also on another connection
+		return func(r *reuseTest) {
+			assert.Equal(r.t, want, r.reuseDelay(r.servers[0]))
+			r.servers[0].responseTime = 0 // requests do not wait
+			r.serveNew(0)
+			time.Sleep(want - 1)
+		}
+	}
+	otherIdle := func(r *reuseTest) {
+		r.servers[0].responseTime = 0
+		r.other = r.serveNew(0)
+		r.servers[0].responseTime = slow
+	}
+	otherCloses := func(r *reuseTest) {
+		r.runUntilIdle()
+		assert.Equal(r.t, 1, r.InFlight(0), "the request waits for the other connection")
+		r.other.Close()
+	}
 	for _, c := range []struct {
 		name           string
 		responseTime   time.Duration
-		maxConnections int
-		before         func(p *testPool, conn net.Conn) // runs before the second attempt
+		before, during []step // run before the second attempt, and after it has waited; during nil: it does not wait
 		opened         int
-		wait           time.Duration // of the second attempt for its connection
+		wait           time.Duration // of the second attempt, for its connection or until its end
+		outcome        balance.Outcome
+		unsolicited    int
 	}{
-		{"at once, fast server", time.Millisecond, 2, func(*testPool, net.Conn) {}, 2, 0},
-		{"at once, no other connection may be opened", time.Millisecond, 1, func(*testPool, net.Conn) {}, 2, 0},
-		{"at once, slow server", reuseDelay, 2, func(*testPool, net.Conn) {}, 1, reuseDelay},
-		{"too early, fast server", time.Millisecond, 2, func(*testPool, net.Conn) {
-			time.Sleep(reuseDelay - time.Millisecond - 1)
-		}, 2, 0},
-		{"a response time too early", time.Millisecond, 2, func(*testPool, net.Conn) {
-			time.Sleep(reuseDelay - time.Millisecond)
-		}, 1, time.Millisecond},
-		{"after the delay", time.Millisecond, 2, func(*testPool, net.Conn) { time.Sleep(reuseDelay) }, 1, 0},
-		{"after the delay and a second response", time.Millisecond, 2, func(p *testPool, conn net.Conn) {
-			respond(conn, okResponse)
-			time.Sleep(reuseDelay)
-			p.runUntilIdle()
-			assert.Equal(t, 1, p.Unsolicited)
-			assert.Equal(t, 1, p.UnsolicitedFrom(0))
-		}, 2, 0},
-		{"after the delay and an exchange that was not written", time.Millisecond, 2, func(p *testPool, _ net.Conn) {
-			time.Sleep(reuseDelay)
-			ex := newExchange(time.Second, func(Result) {})
-			ex.SendBy = time.Now().Add(-1)
-			assert.True(t, p.Send(0, ex))
-			p.runUntilIdle()
-		}, 1, 0},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				p := newTestPool()
-				p.ReuseDelay = reuseDelay
-				p.MaxConnections = c.maxConnections
-				_, first := p.attempt(0)
-				serverConn := <-p.serverConns
-				readRequest(t, serverConn)
-				time.Sleep(c.responseTime)
-				respond(serverConn, okResponse)
-				p.runUntilIdle()
-				assert.Len(t, *first, 1)
-				c.before(p, serverConn)
-				_, second := p.attempt(0)
-				began := time.Now()
-				p.runUntilIdle()
-				require.Equal(t, c.opened, p.Opened)
-				if c.opened > 1 {
-					serverConn = <-p.serverConns
-				}
-				readRequest(t, serverConn)
-				assert.Equal(t, c.wait, time.Since(began))
-				respond(serverConn, okResponse)
-				p.runUntilIdle()
-				if assert.Len(t, *second, 1) {
-					assert.Equal(t, balance.Succeeded, (*second)[0].Outcome)
-					assert.Equal(t, c.wait, (*second)[0].ReuseWait)
-					assert.Equal(t, began.Add(c.wait), (*second)[0].SentAt, "the wait is not the server's time")
-				}
-				assert.LessOrEqual(t, p.Total(), c.maxConnections)
-				p.Close()
-				p.runUntilIdle()
-			})
-		})
-	}
-}
+		{"at once, fast server", fast, nil, nil, 2, 0, ok, 0},
+		{"at once, no other connection may be opened", fast, []step{limit}, nil, 2, 0, ok, 0},
+		{"at once, slow server", slow, nil, nil, 1, delay, ok, 0},
+		{"too early, fast server", fast, []step{sleep(delay - fast - 1)}, nil, 2, 0, ok, 0},
+		{"a response time too early", fast, []step{sleep(delay - fast)}, nil, 1, fast, ok, 0},
+		{"after the delay", fast, []step{sleep(delay)}, nil, 1, 0, ok, 0},
+		{"after an exchange that was not written", fast, []step{sleep(delay), unwritten}, nil, 1, 0, ok, 0},
 
-// Guards against holding up or losing a request that waits for a connection which turns out to be unusable: it is sent
-// on another connection at once.
-func TestWaitForReuseEndsWithTheConnection(t *testing.T) {
-	for _, c := range []struct {
-		name        string
-		end         func(p *testPool, ex *Exchange, serverConn net.Conn)
-		resent      bool
-		unsolicited int
-	}{
-		{"second response", func(_ *testPool, _ *Exchange, conn net.Conn) { respond(conn, okResponse) }, true, 1},
-		{"closed by the server", func(_ *testPool, _ *Exchange, conn net.Conn) { conn.Close() }, true, 0},
-		{"canceled", func(p *testPool, ex *Exchange, _ net.Conn) { p.Cancel(ex) }, false, 0},
-		{"canceled once the connection has ended", func(p *testPool, ex *Exchange, conn net.Conn) {
-			conn.Close()
-			synctest.Wait()
-			p.Cancel(ex)
-		}, false, 0},
-		{"canceled while unwritten, once the connection has ended", func(p *testPool, ex *Exchange, conn net.Conn) {
-			conn.Close()
-			synctest.Wait()
-			p.CancelUnwritten(ex)
-		}, false, 0},
-		{"server moved", func(p *testPool, _ *Exchange, conn net.Conn) {
-			p.SetEndpoint(0, "one:2", 0)
-			conn.Close()
-		}, false, 0},
-		{"server removed", func(p *testPool, _ *Exchange, conn net.Conn) {
-			p.Remove(0)
-			conn.Close()
-		}, false, 0},
+		{"second response at once", 0, []step{second, delayIs(delay)}, nil, 3, 0, ok, 1},
+		{"early", 0, []step{sleep(2 * ms), second, delayIs(delay)}, nil, 3, 0, ok, 1},
+		{"nearly as late", 0, []step{sleep(8 * ms), second, delayIs(16 * ms)}, nil, 3, 0, ok, 1},
+		{"later", 0, []step{sleep(20 * ms), second, delayIs(40 * ms)}, nil, 3, 0, ok, 1},
+		{"much later", 0, []step{sleep(40 * ms), second, delayIs(maxServerReuseDelay)}, nil, 3, 0, ok, 1},
+		{"on an idle connection's end", 0, []step{sleep(time.Second), second, delayIs(delay)}, nil, 3, 0, ok, 1},
+
+		{"waits, second response", slow, nil, []step{second}, 2, waited, ok, 1},
+		{"waits, closed", slow, nil, []step{closes}, 2, waited, ok, 0},
+		{"waits, both closed", slow, []step{otherIdle}, []step{closes, otherCloses}, 2, waited, unsent, 0},
+		{"waits, canceled", slow, nil, []step{cancel}, 1, waited, unsent, 0},
+		{"waits, closed, canceled", slow, nil, []step{closes, cancel}, 1, waited, unsent, 0},
+		{"waits, closed, canceled if unwritten", slow, nil, []step{closes, cancelUnwritten}, 1, waited, unsent, 0},
+		{"waits, closed, server moved", slow, nil, []step{closes, move}, 1, waited, unsent, 0},
+		{"waits, closed, server removed", slow, nil, []step{closes, remove}, 1, waited, unsent, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				p := newTestPool()
-				p.ReuseDelay = 50 * time.Millisecond
-				_, first := p.attempt(0)
-				serverConn := <-p.serverConns
-				readRequest(t, serverConn)
-				time.Sleep(p.ReuseDelay)
-				respond(serverConn, okResponse)
-				p.runUntilIdle()
-				assert.Len(t, *first, 1)
-				ex, second := p.attempt(0)
-				p.runUntilIdle()
+				r := &reuseTest{testPool: newTestPool(), t: t}
+				r.ReuseDelay = delay
+				r.conn = r.serveNew(c.responseTime)
+				for _, run := range c.before {
+					run(r)
+				}
+				ex, got := r.attempt(0)
+				r.ex = ex
 				began := time.Now()
-				c.end(p, ex, serverConn)
-				p.runUntilIdle()
-				if c.resent {
-					require.Equal(t, 2, p.Opened)
-					serverConn = <-p.serverConns
-					readRequest(t, serverConn)
-					respond(serverConn, okResponse)
-					p.runUntilIdle()
+				r.runUntilIdle()
+				if c.during != nil {
+					time.Sleep(waited)
 				}
-				if assert.Len(t, *second, 1) {
-					assert.Equal(t, c.resent, (*second)[0].Outcome == balance.Succeeded)
-					assert.Equal(t, !c.resent, (*second)[0].Outcome == balance.NotSent)
+				for _, run := range c.during {
+					run(r)
 				}
-				assert.Equal(t, began, time.Now())
-				assert.Equal(t, c.unsolicited, p.Unsolicited)
-				p.Close()
-				p.runUntilIdle()
-				assert.Zero(t, p.Total())
-			})
-		})
-	}
-}
-
-// Guards against sending an exchange again and again to a server that ends each connection before its next request.
-func TestExchangeIsSentOnAnotherConnectionOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newTestPool()
-		p.ReuseDelay = 50 * time.Millisecond
-		var serverConns [2]net.Conn
-		for i := range serverConns {
-			p.attempt(0)
-			serverConns[i] = <-p.serverConns
-			readRequest(t, serverConns[i])
-		}
-		time.Sleep(p.ReuseDelay)
-		for _, conn := range serverConns {
-			respond(conn, okResponse)
-		}
-		p.runUntilIdle()
-		_, got := p.attempt(0)
-		p.runUntilIdle()
-		for _, conn := range serverConns {
-			assert.Empty(t, *got)
-			conn.Close()
-			p.runUntilIdle()
-		}
-		if assert.Len(t, *got, 1) {
-			assert.Equal(t, balance.NotSent, (*got)[0].Outcome)
-		}
-		assert.Zero(t, p.Total())
-	})
-}
-
-// Guards against a server whose second responses are later than ReuseDelay, or nearly as late: the next request might
-// be written just before one is received. Bytes received long after a response, such as a notice that an idle
-// connection is closed, must not delay the reuse of all connections.
-func TestReuseDelayCoversLateSecondResponses(t *testing.T) {
-	const reuseDelay = 10 * time.Millisecond
-	for _, c := range []struct {
-		name string
-		late time.Duration
-		want time.Duration // the delay afterwards
-	}{
-		{"at once", 0, reuseDelay},
-		{"early", 2 * time.Millisecond, reuseDelay},
-		{"nearly as late", 8 * time.Millisecond, 16 * time.Millisecond},
-		{"later", 20 * time.Millisecond, 40 * time.Millisecond},
-		{"much later", 40 * time.Millisecond, maxServerReuseDelay},
-		{"as it closes an idle connection", time.Second, reuseDelay},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				p := newTestPool()
-				p.ReuseDelay = reuseDelay
-				exchange := func() net.Conn {
-					_, got := p.attempt(0)
-					serverConn := <-p.serverConns
-					readRequest(t, serverConn)
-					respond(serverConn, okResponse)
-					p.runUntilIdle()
-					assert.Len(t, *got, 1)
-					return serverConn
+				r.runUntilIdle()
+				require.Equal(t, c.opened, r.Opened)
+				if c.outcome == ok {
+					if c.opened > 1 {
+						r.conn = <-r.serverConns
+					}
+					r.serve(r.conn, 0, okResponse)
 				}
-				serverConn := exchange()
-				time.Sleep(c.late)
-				respond(serverConn, okResponse)
-				p.runUntilIdle()
-				exchange()
-				time.Sleep(c.want - 1)
-				exchange()
-				assert.Equal(t, 3, p.Opened, "not reused before the delay")
-				p.Close()
-				p.runUntilIdle()
-			})
-			synctest.Test(t, func(t *testing.T) {
-				p := newTestPool()
-				p.ReuseDelay = reuseDelay
-				_, _ = p.attempt(0)
-				serverConn := <-p.serverConns
-				readRequest(t, serverConn)
-				respond(serverConn, okResponse)
-				p.runUntilIdle()
-				time.Sleep(c.late)
-				respond(serverConn, okResponse)
-				p.runUntilIdle()
-				assert.Equal(t, c.want, p.reuseDelay(p.servers[0]))
-				p.SetEndpoint(0, "one:1", 1)
-				assert.Equal(t, reuseDelay, p.reuseDelay(p.servers[0]), "the server has restarted")
-				p.Close()
-				p.runUntilIdle()
+				require.Len(t, *got, 1)
+				assert.Equal(t, c.outcome, (*got)[0].Outcome)
+				assert.Equal(t, c.wait, time.Since(began))
+				if c.outcome == ok {
+					assert.Equal(t, c.wait, (*got)[0].ReuseWait)
+					assert.Equal(t, began.Add(c.wait), (*got)[0].SentAt, "the wait is not the server's time")
+				}
+				assert.LessOrEqual(t, r.Total(), r.MaxConnections)
+				assert.Equal(t, []int{c.unsolicited, c.unsolicited}, []int{r.Unsolicited, r.UnsolicitedFrom(0)})
+				r.SetEndpoint(0, "one:1", 1)
+				assert.Equal(t, delay, r.reuseDelay(r.servers[0]), "the server has restarted")
+				r.Close()
+				r.runUntilIdle()
+				assert.Zero(t, r.Total())
 			})
 		})
 	}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -66,7 +66,6 @@
 	result := Result{Outcome: balance.NotSent, EndedAt: ex.writeStartedAt, Err: reason}
 	c.pool.post(func() {
 		c.pool.putIdle(c)
-		result.ReuseWait = ex.reuseWait
 		ex.OnDone(result)
 	})
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -47,6 +47,7 @@
 	result, reusable := c.readResponse(reader, ex, err)
 	c.unsolicited = errors.Is(err, errEarlyResponse) || result.Err == nil && reader.Buffered()
 	result.SentAt = ex.sentAt
+	result.ReuseWait = ex.reuseWait
 	// The system may have received the response before this goroutine read it.
 	if at := source.Received(); result.Status > 0 && at.After(ex.sentAt) && at.Before(result.EndedAt) {
 		result.EndedAt = at
@@ -111,7 +112,6 @@
 	result := Result{Outcome: balance.NotSent, Err: errUnsolicited, EndedAt: time.Now()}
 	c.pool.post(func() {
 		if !c.pool.resend(c, ex) {
-			result.ReuseWait = ex.reuseWait
 			ex.OnDone(result)
 		}
 	})
@@ -127,11 +127,11 @@
 	c.closed = !reusable
 	c.mu.Unlock()
 	c.pool.post(func() {
+		c.respondedAt = time.Now()
 		if reusable {
-			c.pool.recordResponse(c, &result)
+			c.server.recordResponseTime(&result)
 			c.pool.putIdle(c)
 		}
-		result.ReuseWait = ex.reuseWait
 		ex.OnDone(result)
 	})
 }
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -23,22 +23,22 @@
 // idle for IdleTimeout is not used: its server may be closing it, and the request would end in a connection reset.
 func (p *Pool) sendOnIdle(s *server, ex *Exchange) bool {
 	now := time.Now()
-	latest := now.Add(min(p.reuseDelay(s), s.responseTime)) // until when the exchange may wait for a connection
-	for c := s.takeReusable(latest); c != nil; c = s.takeReusable(latest) {
+	delay := p.reuseDelay(s)
+	maxWait := min(delay, s.responseTime)
+	for c := s.takeIdle(now.Add(maxWait - delay)); c != nil; c = s.takeIdle(now.Add(maxWait - delay)) {
 		if now.Sub(c.idleSince) >= p.IdleTimeout {
 			p.retire(c)
-		} else if c.startExchange(ex) {
-			ex.reuseWait += max(c.reusableAt.Sub(now), 0)
+		} else if c.startExchange(ex, c.respondedAt.Add(delay)) {
 			return true
 		}
 	}
 	return false
 }
 
-// takeReusable removes the longest idle connection that may be reused at the given time from the idle ones. It returns
-// that connection or, if there is none, nil.
-func (s *server) takeReusable(at time.Time) *connection {
-	i := slices.IndexFunc(s.idle, func(c *connection) bool { return !at.Before(c.reusableAt) })
+// takeIdle removes the longest idle connection whose last response was received by the given time from the idle ones,
+// and returns it. It returns nil if there is none.
+func (s *server) takeIdle(respondedBy time.Time) *connection {
+	i := slices.IndexFunc(s.idle, func(c *connection) bool { return !c.respondedAt.After(respondedBy) })
 	if i < 0 {
 		return nil
 	}
@@ -49,10 +49,13 @@
 
 // awaitReuse waits until the connection may be reused for an exchange, or is found to be unusable.
 func (c *connection) awaitReuse(ex *Exchange) {
-	wait := time.Until(ex.writeAt)
+	began := time.Now()
+	wait := ex.writeAt.Sub(began)
 	if wait <= 0 {
 		return
 	}
+	// A longer wait is due to this machine.
+	defer func() { ex.reuseWait += min(time.Since(began), wait) }()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
@@ -64,7 +67,7 @@
 // resend sends an exchange on another connection, once, if its reused connection ended before the request was written.
 // It returns false if the exchange was canceled, or if its server has restarted, moved or been removed.
 func (p *Pool) resend(c *connection, ex *Exchange) bool {
-	reused := !c.reusableAt.IsZero()
+	reused := !c.respondedAt.IsZero()
 	if !reused || ex.resent || c.isCanceled(ex) || c.generation != c.server.generation {
 		return false
 	}
@@ -86,15 +89,14 @@
 	}
 }
 
-// recordResponse delays the reuse of a connection, and updates its server's response time if the request was served.
-func (p *Pool) recordResponse(c *connection, result *Result) {
-	c.reusableAt = time.Now().Add(p.reuseDelay(c.server))
+// recordResponseTime updates a server's response time with that of an exchange, if its request was served.
+func (s *server) recordResponseTime(result *Result) {
 	if result.Outcome != balance.Succeeded {
 		return
 	}
 	took := result.EndedAt.Sub(result.SentAt)
-	if c.server.responseTime == 0 {
-		c.server.responseTime = took
+	if s.responseTime == 0 {
+		s.responseTime = took
 	}
-	c.server.responseTime += (took - c.server.responseTime) / responseTimeSmoothing
+	s.responseTime += (took - s.responseTime) / responseTimeSmoothing
 }
--- a/proxy/requestbody_test.go
+++ b/proxy/requestbody_test.go
@@ -187,26 +187,22 @@
 func TestBodyErrorTakesPrecedenceOverRejection(t *testing.T) {
 	malformed := &http1.Error{Status: 400, Text: "malformed chunk"}
 	for _, c := range []struct {
-		name    string
-		resp    response
-		bodyErr error
-		want    error
+		name          string
+		status        int
+		bodyErr, want error
 	}{
-		{"rejected", response{status: 503, notServed: true}, malformed, malformed},
-		{"failed", response{status: 502, notServed: true}, malformed, malformed},
-		{"rejected, upload stopped", response{status: 503, notServed: true}, upstream.ErrUploadStopped, nil},
-		{"rejected, body complete", response{status: 503, notServed: true}, nil, nil},
+		{"rejected", 503, malformed, malformed},
+		{"failed", 502, malformed, malformed},
+		{"rejected, upload stopped", 503, upstream.ErrUploadStopped, nil},
+		{"rejected, body complete", 503, nil, nil},
 	} {
 		for range 100 { // select chooses at random
-			conn := &clientConn{uploadDone: make(chan error, 1)}
+			conn, req := &clientConn{uploadDone: make(chan error, 1)}, &request{response: make(chan response, 1)}
 			conn.uploadDone <- c.bodyErr
-			req := &request{response: make(chan response, 1)}
-			req.response <- c.resp
+			req.response <- response{status: c.status, notServed: true}
 			resp, err := conn.awaitResponse(req)
 			assert.Equal(t, c.want, err, c.name)
-			if c.want == nil {
-				assert.Equal(t, c.resp, resp, c.name)
-			}
+			assert.Equal(t, c.want == nil, resp.status == c.status, c.name)
 			assert.Nil(t, conn.uploadDone, c.name)
 		}
 	}
