Upstream: bytes that come together with a response are not late

Cause: recordUnsolicited counted from when the connection had last been idle. Bytes that came in one piece with the response of a slow exchange counted as late by that exchange's time, and raised the server's reuse delay to up to 50 ms: 50 for 10 in the test. Its requests then waited, or opened connections, to no use.

Change: it counts from the end of the last exchange that was written (respondedAt), which report sets whether or not the connection is reused.

Measured: the row "with a slow response" fails without the change.

--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -238,6 +238,7 @@
 	sleep := func(d time.Duration) step { return func(*reuseTest) { time.Sleep(d) } }
 	closes := func(r *reuseTest) { r.conn.Close(); synctest.Wait() }
 	second := func(r *reuseTest) { respond(r.conn, okResponse); r.runUntilIdle() }
+	secondWithSlow := func(r *reuseTest) { r.attempt(0); r.serve(r.conn, 2*slow, okResponse+okResponse) }
 	unwritten := func(r *reuseTest) {
 		ex := newExchange(time.Second, func(Result) {})
 		ex.SendBy = time.Now().Add(-1)
@@ -290,6 +291,7 @@
 		{"later", 0, []step{sleep(20 * ms), second, delayIs(40 * ms)}, nil, 3, 0, ok, 1},
 		{"much later", 0, []step{sleep(40 * ms), second, delayIs(maxServerReuseDelay)}, nil, 3, 0, ok, 1},
 		{"on an idle connection's end", 0, []step{sleep(time.Second), second, delayIs(delay)}, nil, 3, 0, ok, 1},
+		{"with a slow response", 0, []step{sleep(delay), secondWithSlow, delayIs(delay)}, nil, 3, 0, ok, 1},
 
 		{"waits, second response", slow, nil, []step{second}, 2, waited, ok, 1},
 		{"waits, closed", slow, nil, []step{closes}, 2, waited, ok, 0},
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -84,7 +84,7 @@
 	p.Unsolicited++
 	s := c.server
 	s.unsolicited++
-	if late := time.Since(c.idleSince); late <= maxServerReuseDelay {
+	if late := time.Since(c.respondedAt); late <= maxServerReuseDelay {
 		s.reuseDelay = max(s.reuseDelay, min(reuseDelayMargin*late, maxServerReuseDelay))
 	}
 }
