Test: the socket tests' server reads bodies of any size that the proxy forwards

Cause: the body is 128 KiB and the test's server read 64 KiB at most, then closed the connection. The attempt so ended before the proxy had reached the malformed chunk, and 503 was right. Change: the server reads as much as the proxy forwards. The assertions stay; the request now always meets the malformed chunk, which is what the row is about.

--- a/proxy/socketenv_test.go
+++ b/proxy/socketenv_test.go
@@ -94,6 +94,7 @@
 		if err != nil {
 			return
 		}
+		r.SetMaxBytes(maxBodyBytes)
 		if _, err = r.Body(h.Length, h.Chunked); err != nil {
 			return
 		}
