HTTP/1: lines between the chunks of a body are bounded by the read buffer

Seen while looking for memory that is not counted: a chunk's extension or a trailer section of 130 kB was accepted, from clients and servers alike. Cause: textproto's ReadLineBytes and ReadMIMEHeader store a line, or all trailers, up to the byte limit of the whole message; what they carry is not used. Change: lines are read in the buffer (4 KiB), trailers are checked and dropped one by one, 200 at most; a longer line is answered with 413, more trailers with 431. Test: TestLinesBetweenChunksAreBounded; before the change its rows chunk extension, trailer and many trailers failed (accepted).

--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -111,7 +112,7 @@
 			return b.reader.bodyError(err)
 		}
 	}
-	line, err := b.reader.ReadLineBytes()
+	line, err := b.reader.readFramingLine()
 	if err != nil {
 		return b.reader.bodyError(err)
 	}
@@ -123,7 +124,7 @@
 	if b.inChunk {
 		return nil
 	}
-	if _, err := b.reader.ReadMIMEHeader(); err != nil {
+	if err := b.skipTrailers(); err != nil {
 		return b.reader.bodyError(err)
 	}
 	return io.EOF
@@ -131,15 +132,43 @@
 
 // endChunk reads the line end after the data of a chunk.
 func (b *chunkedBody) endChunk() error {
-	line, err := b.reader.ReadLineBytes()
+	line, err := b.reader.readFramingLine()
 	if err == nil && len(line) > 0 {
-		err = textproto.ProtocolError("malformed chunk")
+		err = newError(400, "malformed chunk")
 	}
 	return err
 }
 
-// bodyError converts an error from reading a body: to status 413 if the message is over its byte limit (see budget), to
-// status 400 if the body is malformed, and to io.ErrUnexpectedEOF if the connection ended.
+// skipTrailers reads the trailer section, up to the empty line that ends it, and drops it.
+func (b *chunkedBody) skipTrailers() error {
+	for range maxFields {
+		line, err := b.reader.readFramingLine()
+		if err != nil || len(line) == 0 {
+			return err
+		}
+		if _, err := parseField(line); err != nil {
+			return err
+		}
+	}
+	return newError(431, "too many fields")
+}
+
+// readFramingLine reads a line between the parts of a body, and returns it without its line end, valid until the next
+// read. A line that does not fit the buffer is too large.
+func (r *Reader) readFramingLine() ([]byte, error) {
+	line, err := r.R.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return nil, newError(413, "message too large")
+	}
+	if err != nil {
+		return nil, err
+	}
+	line, _ = cutLine(line)
+	return line, nil
+}
+
+// bodyError converts an error from reading a body: to status 413 if the message is over its byte limit (see budget), and
+// to io.ErrUnexpectedEOF if the connection ended.
 func (r *Reader) bodyError(err error) error {
 	if err == nil {
 		return nil
@@ -147,8 +176,5 @@
 	if r.source.exhausted {
 		return newError(413, "message too large")
 	}
-	if malformed := textproto.ProtocolError(""); errors.As(err, &malformed) {
-		return newError(400, err.Error())
-	}
 	return unexpectedEOF(err)
 }
--- a/internal/http1/request_test.go
+++ b/internal/http1/request_test.go
@@ -85,6 +85,35 @@
 	}
 }
 
+// Guards against storing lines between the chunks of a body, which carry nothing that is used: they once took memory of
+// twice the size of a body.
+func TestLinesBetweenChunksAreBounded(t *testing.T) {
+	const chunked = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	long := strings.Repeat("x", 2*initialBufferBytes)
+	for _, c := range []struct {
+		name, in string
+		status   int
+	}{
+		{"chunk extension", chunked + "3;" + long + "\r\nabc\r\n0\r\n\r\n", 413},
+		{"trailer", chunked + "3\r\nabc\r\n0\r\nX: " + long + "\r\n\r\n", 413},
+		{"many trailers", chunked + "3\r\nabc\r\n0\r\n" + strings.Repeat("X: y\r\n", maxFields+1) + "\r\n", 431},
+		{"malformed trailer", chunked + "3\r\nabc\r\n0\r\nnonsense\r\n\r\n", 400},
+		{"trailers", chunked + "3\r\nabc\r\n0\r\nX: y\r\nZ: z\r\n\r\n", 0},
+	} {
+		for _, streamed := range []bool{false, true} {
+			r := NewReader(strings.NewReader(c.in))
+			h, err := r.Request()
+			assert.NoError(t, err, c.name)
+			if streamed {
+				_, err = io.ReadAll(r.StreamBody(h.Length, h.Chunked))
+			} else {
+				_, err = r.Body(h.Length, h.Chunked)
+			}
+			assert.Equal(t, c.status, statusOf(err), "%s: %v", c.name, err)
+		}
+	}
+}
+
 func TestConnectionEndsWithinMessage(t *testing.T) {
 	for _, in := range []string{
 		"GET /a HT",
