Proxy: the rest of a chunked body that nobody needs is not parsed as a request

Cause: readBody closes the connection where a streamed body is not read, but not where it found out only while reading that the body is too large to buffer. Change: the connection closes there too.

--- a/proxy/readrequest.go
+++ b/proxy/readrequest.go
@@ -146,6 +146,7 @@
 	}
 	switch {
 	case r.req == nil:
+		r.closing = r.closing || streamed // the rest must not be parsed as the next request
 	case streamed:
 		r.streamRequest(body, received, length, chunked)
 	case !r.admission.awaitAdmission(r.req.class, r.info.Tenant, len(received)):
--- a/proxy/readrequest_test.go
+++ b/proxy/readrequest_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,24 @@
 	"lockloom/internal/settings"
 )
 
+// Guards against parsing as a request what follows the read part of a body that is not needed: a client could hide a
+// request in it.
+func TestRestOfDroppedBodyIsNotParsed(t *testing.T) {
+	const size = 2 * http1.DefaultMaxBytes
+	hidden := strings.Repeat("x", http1.DefaultMaxBytes+1) + idempotentRequest
+	body := fmt.Sprintf("%x\r\n%s%s\r\n0\r\n\r\n", size, hidden, strings.Repeat("x", size-len(hidden)))
+	synctest.Test(t, func(t *testing.T) {
+		env := startEnv(t, map[string][]string{"b1": {okResponse}}, nil)
+		time.Sleep(firstListTimeout) // until it is up
+		status, head, _, err := env.roundTrip("POST /up HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + body)
+		assert.NoError(t, err)
+		assert.Equal(t, 200, status)
+		assert.True(t, head.Close)
+		assert.Empty(t, env.received)
+		env.stopAndWait()
+	})
+}
+
 func TestInvalidRequests(t *testing.T) {
 	for _, c := range []struct {
 		in     string
