Proxy: what is read is counted against the memory budget before it is stored

Cause: only admitted requests were counted, from admission on. From the first byte to there a connection stored as much as its client sent; responses up to 64 KiB were not counted at all. Evidence: heap profile after a collection at 320 halves, 63.8 MB live: io.ReadAll (bodies) 22.1, bufio.NewReaderSize (heads) 20.3, AppendField (copies of heads) 20.1, all else 1.3; so 200 kB a connection in use, no garbage, which no collector setting frees. Change: memory is reserved before bytes beyond 4 KiB are read, by the size of what will hold them; what is not reserved stays in the socket's buffer and its sender waits. Incomplete requests may fill half of the budget, those over 16 KiB a quarter, complete ones three quarters (also where the rest is only with the system), responses all of it. One that finds no memory in time is answered with 503 and Retry-After. A head's copy has its size at once, a read head is released before its body, bodies are read to memory of their size, and a request's memory is held until no attempt needs it. Why this works: everything that grows with what a peer sends is now bounded by a quarter of the limit, whatever the sender. The row chunks without memory has memory for 64 KiB: those were stored uncounted before.

--- a/internal/cli/proxycmd/cost_test.go
+++ b/internal/cli/proxycmd/cost_test.go
@@ -49,7 +49,7 @@
 // BenchmarkCost measures the CPU time per request of a program on one core, compared with a reverse proxy of the
 // standard library: on persistent connections, and with a connection per request.
 func BenchmarkCost(b *testing.B) {
-	s := newTestEnvironment(b, 128)
+	s := newTestEnvironment(b, 128, 1024)
 	lockloom := s.startReady()
 	plain := exec.Command(os.Args[0])
 	plain.Env = append(os.Environ(), plainProxyTo+"="+s.serverAddrs[0], "GOMAXPROCS=1")
--- a/internal/cli/proxycmd/installation_test.go
+++ b/internal/cli/proxycmd/installation_test.go
@@ -23,6 +23,7 @@
 
 	"lockloom/internal/cli"
 	"lockloom/internal/hotrestart"
+	"lockloom/internal/http1"
 )
 
 // largeResponseBytes is the size of the response to a request of "/look?large".
@@ -60,9 +61,9 @@
 	runs     map[string]int // number of executions, by request ID
 }
 
-// newTestEnvironment starts the servers and writes the launch file of a proxy with a memory limit of memoryMB. It
-// starts no proxy.
-func newTestEnvironment(tb testing.TB, memoryMB int) *testEnvironment {
+// newTestEnvironment starts the servers and writes the launch file of a proxy with a memory limit of memoryMB and a
+// limit on file descriptors. It starts no proxy.
+func newTestEnvironment(tb testing.TB, memoryMB, sockets int) *testEnvironment {
 	tb.Helper()
 	program, err := buildProgram()
 	require.NoError(tb, err)
@@ -82,10 +83,12 @@
 		entries = append(entries, fmt.Sprintf(`{"id":%q,"addr":%q,"state":"active","started_ms":0}`, id, addr))
 	}
 	file := filepath.Join(s.dir, "launch.json")
-	text := `{"seed":"1","limits":{"cores":1,"memory_mb":` + strconv.Itoa(memoryMB) + `,"sockets":1024},` +
+	limits := fmt.Sprintf(`{"cores":1,"memory_mb":%d,"sockets":%d}`, memoryMB, sockets)
+	text := `{"seed":"1","limits":` + limits + `,` +
 		`"known":{"version":1,"full":true,"servers":[` + strings.Join(entries, ",") + `]},` +
 		`"settings":{"Ceilings":{"MaxLegs":3,"ConnIdleMs":5000},"Rules":{"StopSendingWithinMs":500},` +
-		`"Profiles":[{"Name":"look","Effect":"retryable","DueTimeMs":500,"HardStopMs":1000,"Value":1}]}}`
+		`"Profiles":[{"Name":"look","Effect":"retryable","DueTimeMs":500,"HardStopMs":1000,"Value":1},` +
+		`{"Name":"write","Effect":"fragile","DueTimeMs":500,"HardStopMs":1000,"Value":1}]}}`
 	require.NoError(tb, os.WriteFile(file, []byte(text), 0o600))
 	s.env = append(os.Environ(), "ROUTER_NAME=n0", "ROUTER_LISTEN="+s.addr, "ROUTER_DISCOVERY="+freeAddr(tb),
 		"ROUTER_CONFIG="+file, "TMPDIR="+s.dir)
@@ -104,11 +107,24 @@
 	return ln.Addr().String()
 }
 
-// serve answers with the request's ID, or with a large body.
+// writeSized writes a body of zeros.
+func writeSized(w http.ResponseWriter, bytes int64) {
+	w.Header().Set("Content-Length", strconv.FormatInt(bytes, 10))
+	writeBody(w, io.LimitReader(zeros{}, bytes))
+}
+
+// serve answers with the request's ID, or with a large response of the kind that the query names.
 func (s *testEnvironment) serve(id string, w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/look" && r.URL.RawQuery == "large" {
-		w.Header().Set("Content-Length", strconv.Itoa(largeResponseBytes))
-		writeBody(w, io.LimitReader(zeros{}, largeResponseBytes))
+	switch r.URL.RawQuery {
+	case "large":
+		writeSized(w, largeResponseBytes)
+		return
+	case "sized":
+		writeSized(w, http1.DefaultMaxBytes)
+		return
+	case "head":
+		w.Header().Set("X-Filler", strings.Repeat("a", http1.DefaultMaxBytes-1000))
+		writeSized(w, http1.DefaultMaxBytes)
 		return
 	}
 	requestID := r.Header.Get("X-Trace-Id")
--- a/internal/cli/proxycmd/upgrade_test.go
+++ b/internal/cli/proxycmd/upgrade_test.go
@@ -38,7 +38,7 @@
 	}
 	for name, pair := range pairs {
 		t.Run(name, func(t *testing.T) {
-			s := newTestEnvironment(t, 64)
+			s := newTestEnvironment(t, 64, 1024)
 			s.firstProgram, s.laterProgram = pair[0], pair[1]
 			test(s)
 		})
@@ -122,7 +122,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			s := newTestEnvironment(t, 64)
+			s := newTestEnvironment(t, 64, 1024)
 			old := s.startReady()
 			clients := s.startClients(2, 2)
 			defer clients.stopAll()
@@ -148,7 +148,7 @@
 func TestLargeAnswersInLittleMemory(t *testing.T) {
 	t.Parallel()
 	const responses, memoryMB = 40, 32
-	s := newTestEnvironment(t, memoryMB)
+	s := newTestEnvironment(t, memoryMB, 1024)
 	p := s.startReady()
 	var clients sync.WaitGroup
 	for i := range responses {
@@ -301,7 +301,7 @@
 func BenchmarkUpgrade(b *testing.B) {
 	const clients, interval = 2000, 2 * time.Millisecond
 	for range b.N {
-		s := newTestEnvironment(b, 64)
+		s := newTestEnvironment(b, 64, 1024)
 		old := s.startReady()
 		load := &clientLoad{}
 		slowest, totalKB := time.Duration(0), 0
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -167,8 +167,8 @@
 	return line, nil
 }
 
-// bodyError converts an error from reading a body: to status 413 if the message is over its byte limit (see budget), and
-// to io.ErrUnexpectedEOF if the connection ended.
+// bodyError converts an error from reading a body: to status 413 if the message is over its byte limit (see budget),
+// and to io.ErrUnexpectedEOF if the connection ended.
 func (r *Reader) bodyError(err error) error {
 	if err == nil {
 		return nil
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -18,8 +18,8 @@
 	firstLargeHeadAt = largeHeadGrowth * BufferBytes
 )
 
-// Reader reads the messages of one connection. It holds no more than a buffer of BufferBytes, and while a larger head is
-// in use, that head. It is not safe for concurrent use.
+// Reader reads the messages of one connection. It holds no more than a buffer of BufferBytes, and while a larger head
+// is in use, that head. It is not safe for concurrent use.
 type Reader struct {
 	AllowLargeBodies bool // accept requests with a Content-Length over DefaultMaxBytes, to be read with StreamBody
 
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -27,9 +27,10 @@
 
 	unsolicited bool // set by the reading goroutine, before it ends, if it received bytes that belong to no response
 
-	unusable  chan struct{} // closed by the reading goroutine when no further request may be written
-	hasUnread func() bool   // see HasUnreadBytes; called by the writing goroutine with mu held
-	roundTrip time.Duration // estimated from the connect time, at most maxRoundTrip
+	unusable  chan struct{}  // closed by the reading goroutine when no further request may be written
+	hasUnread func() bool    // see HasUnreadBytes; called by the writing goroutine with mu held
+	memory    responseMemory // of the response that is being read; belongs to the reading goroutine
+	roundTrip time.Duration  // estimated from the connect time, at most maxRoundTrip
 
 	mu           sync.Mutex
 	netConn      net.Conn // nil until the connection is open
--- a/internal/upstream/outcome_test.go
+++ b/internal/upstream/outcome_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"lockloom/balance"
+	"lockloom/internal/http1"
 )
 
 // Checks the outcome for each kind of response and of failed response, and whether the connection is reused.
@@ -92,13 +93,13 @@
 		{"over maxReservedBytes", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", 400000, 1 << 40,
 			balance.ConnectionLost},
 		{"chunks", chunked + "61a80\r\n", 400000, maxReservedBytes, balance.Succeeded},
-		{"chunks without memory", chunked + "61a80\r\n", 400000, 0, balance.ConnectionLost},
+		{"chunks with memory for a small body", chunked + "61a80\r\n", 400000, http1.DefaultMaxBytes, balance.ConnectionLost},
 		{"chunks without end", chunked + "ffffff\r\n", 2 * maxReservedBytes, 1 << 30, balance.ConnectionLost},
 		{"until close", "HTTP/1.1 200 OK\r\n\r\n", 400000, maxReservedBytes, balance.Succeeded},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			p := newTestPool()
-			p.freeMemory = c.freeMemory
+			p.freeMemory.Store(c.freeMemory)
 			_, got := p.attempt(0)
 			serverConn := <-p.serverConns
 			readRequest(t, serverConn)
@@ -114,7 +115,7 @@
 				assert.Equal(t, c.want, r.Outcome, c.name)
 				if c.want == balance.Succeeded {
 					assert.Len(t, r.Body, c.size, c.name)
-					assert.Equal(t, c.freeMemory-p.freeMemory, r.ReservedBytes, "%s: memory to be released", c.name)
+					assert.Equal(t, c.freeMemory-p.freeMemory.Load(), r.ReservedBytes, "%s: memory to be released", c.name)
 				}
 			}
 			p.Close()
@@ -123,6 +124,54 @@
 	}
 }
 
+// Guards against storing the head or the body of a response that no memory is reserved for, against failing a response
+// for which there is memory in time, and against memory that is never released.
+func TestResponseWaitsForMemory(t *testing.T) {
+	largeHead := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX: " + strings.Repeat("x", 60000) + "\r\n\r\n"
+	for _, c := range []struct {
+		name, head string
+		body       int
+		freeAfter  time.Duration // when the memory becomes available
+		want       balance.Outcome
+	}{
+		{"small", "HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n", 4000, time.Minute, balance.Succeeded},
+		{"body", "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n", 60000, time.Second / 2, balance.Succeeded},
+		{"body, too late", "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n", 60000, time.Minute, balance.TimedOut},
+		{"head", largeHead, 1, time.Second / 2, balance.Succeeded},
+		{"head, too late", largeHead, 1, time.Minute, balance.TimedOut},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newTestPool()
+			const memory = 1 << 20
+			p.freeMemory.Store(0)
+			time.AfterFunc(c.freeAfter, func() { p.freeMemory.Add(memory) })
+			_, got := p.attempt(0)
+			serverConn := <-p.serverConns
+			readRequest(t, serverConn)
+			go respond(serverConn, c.head+strings.Repeat("x", c.body))
+			time.Sleep(2 * time.Second)
+			p.runUntilIdle()
+			if assert.Len(t, *got, 1, c.name) {
+				r := (*got)[0]
+				assert.Equal(t, c.want, r.Outcome, c.name)
+				if r.Outcome == balance.Succeeded {
+					assert.Len(t, r.Body, c.body, c.name)
+				}
+				p.ReleaseMemory(r.ReservedBytes)
+			}
+			if c.freeAfter < time.Second {
+				assert.EqualValues(t, memory, p.freeMemory.Load(), "%s: all memory is released", c.name)
+			} else {
+				assert.Zero(t, p.freeMemory.Load(), c.name)
+			}
+			p.Close()
+			serverConn.Close()
+			time.Sleep(time.Minute)
+			p.runUntilIdle()
+		})
+	}
+}
+
 func TestRequestThatIsNotCompleteNeverRan(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,7 +24,8 @@
 	IdleTimeout    time.Duration          // connections that have been idle for this long are closed
 	ReuseDelay     time.Duration          // from a response to the next request on its connection
 	MaxConnections int                    // limit for all servers together, including connections being opened
-	ReserveMemory  func(bytes int64) bool // reserves memory for a large response; called from any goroutine
+	ReserveMemory  func(bytes int64) bool // reserves memory for a response; called from any goroutine; nil: no limit
+	ReleaseMemory  func(bytes int64)      // releases it; called from any goroutine; nil: no limit
 	Counters
 
 	dial    func(ctx context.Context, addr string) (net.Conn, error)
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lockloom/balance"
+	"lockloom/internal/http1"
 )
 
 // testPool is a pool owned by the goroutine of the test.
@@ -22,9 +24,9 @@
 	posted      chan func()
 	serverConns chan net.Conn // the servers' sides of the connections, in the order of opening
 	refuseDials bool
-	hangDials   bool     // connections do not open before their timeout
-	dials       []string // the addresses
-	freeMemory  int64    // bytes left to reserve
+	hangDials   bool         // connections do not open before their timeout
+	dials       []string     // the addresses
+	freeMemory  atomic.Int64 // bytes left to reserve
 }
 
 func newTestPool() *testPool {
@@ -43,9 +45,14 @@
 		return clientConn, nil
 	}, func(f func()) { p.posted <- f })
 	p.ReserveMemory = func(bytes int64) bool {
-		p.freeMemory -= bytes
-		return p.freeMemory >= 0
+		if p.freeMemory.Add(-bytes) < 0 {
+			p.freeMemory.Add(bytes)
+			return false
+		}
+		return true
 	}
+	p.ReleaseMemory = func(bytes int64) { p.freeMemory.Add(bytes) }
+	p.freeMemory.Store(http1.DefaultMaxBytes)
 	p.ConnectTimeout = 75 * time.Millisecond
 	p.IdleTimeout = 4 * time.Second
 	p.MaxConnections = 2
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -14,14 +14,18 @@
 	// lateWriteTimeout bounds writing the rest of a request whose response is already complete.
 	lateWriteTimeout = 10 * time.Millisecond
 	// maxReservedBytes is the size of the largest response body that is stored. Bodies over http1.DefaultMaxBytes are
-	// stored only if memory was reserved for them.
+	// stored only if memory for them is available at once.
 	maxReservedBytes = 1 << 20
+	// fieldCopies is how often the fields of a response are copied until they are sent to its client.
+	fieldCopies = 2
 )
 
 // read reads responses until the connection ends, and detects a close by the server while the connection is idle.
 func (c *connection) read() {
 	source := recvtime.NewReader(c.netConn)
 	reader := http1.NewReader(source)
+	c.memory.conn = c
+	reader.ReserveHead = c.memory.reserveHead
 	for c.readNext(reader, source) {
 	}
 	c.netConn.Close()
@@ -44,7 +48,9 @@
 		}
 		return false
 	}
+	c.memory.begin(ex)
 	result, reusable := c.readResponse(reader, ex, err)
+	result.ReservedBytes = c.memory.take()
 	c.unsolicited = errors.Is(err, errEarlyResponse) || result.Err == nil && reader.Buffered()
 	result.SentAt = ex.sentAt
 	result.ReuseWait = ex.reuseWait
@@ -154,12 +160,19 @@
 	// Reading the body invalidates the head's slices, so the fields to keep are copied first.
 	neverRan := string(head.Get("X-Never-Ran")) == "1"
 	if head.Status == 200 || ex.Passthrough {
-		result.Fields = http1.AppendForwardedFields(nil, head, "Endpoint-Load-Metrics", "X-Never-Ran")
+		if err := c.memory.reserve(fieldCopies * countedBytes(head.Size)); err != nil {
+			return c.failed(ex, result, err)
+		}
+		result.Fields = http1.AppendForwardedFields(c.newFields(head), head, "Endpoint-Load-Metrics", "X-Never-Ran")
 	}
+	reader.ReleaseHead()
+	c.memory.releaseHead()
 	if ex.isStreamable(head) {
 		return c.stream(reader, ex, head, result)
 	}
-	result.ReservedBytes = c.reserve(reader, head.Length)
+	if err := c.reserveBody(reader, head); err != nil {
+		return c.failed(ex, result, err)
+	}
 	result.Body, err = reader.Body(head.Length, head.Chunked)
 	if err != nil {
 		return c.failed(ex, result, err)
@@ -168,20 +181,33 @@
 	return c.completed(reader, ex, head, result)
 }
 
-// reserve reserves memory for a body over http1.DefaultMaxBytes, or of unknown length if length is negative, and raises
-// the reader's limit accordingly. It returns the reserved bytes; if it reserved none, reading a larger body fails.
-func (c *connection) reserve(reader *http1.Reader, length int) int64 {
+// newFields returns the buffer for the fields that are copied from a head.
+func (c *connection) newFields(head *http1.Head) []byte {
+	if countedBytes(head.Size) == 0 {
+		return nil
+	}
+	return make([]byte, 0, head.Size)
+}
+
+// reserveBody reserves memory for a body that is stored. For one over http1.DefaultMaxBytes, or of unknown length, it
+// also raises the reader's limit if memory is available; if not, reading a larger body fails.
+func (c *connection) reserveBody(reader *http1.Reader, head *http1.Head) error {
+	length := head.Length
 	if length >= 0 && length <= http1.DefaultMaxBytes {
-		return 0
+		return c.memory.reserve(countedBytes(length))
 	}
+	limit := length
 	if length < 0 {
-		length = maxReservedBytes
+		limit = maxReservedBytes
 	}
-	if length > maxReservedBytes || !c.pool.ReserveMemory(int64(length)) {
-		return 0
+	if limit <= maxReservedBytes && c.memory.tryReserve(int64(limit)) {
+		reader.SetMaxBytes(limit)
+		return nil
+	}
+	if length < 0 {
+		return c.memory.reserve(http1.DefaultMaxBytes)
 	}
-	reader.SetMaxBytes(length)
-	return int64(length)
+	return nil
 }
 
 // failed completes the result of an exchange without a complete response, and closes the connection.
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -37,6 +37,28 @@
 	}
 }
 
+// UnreadBytes returns how many bytes of a connection the system holds unread; 0 if that is unknown.
+func UnreadBytes(conn net.Conn) int {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unread := 0
+	err = raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
+			unread = n
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return unread
+}
+
 // ClosedByPeer reports whether the peer has closed a connection or its sending side, even if there are unread bytes. It
 // returns false for a connection that is not a socket, and true for one that was closed by this process.
 func ClosedByPeer(conn net.Conn) bool {
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -21,6 +21,9 @@
 	streamStartBytes = 16 << 10
 	// streamBufferBytes is the size of the buffer between reading and writing.
 	streamBufferBytes = 16 << 10
+	// streamMemory is the memory reserved for a response that streams: for the buffers at both ends of the pipe, and for
+	// streamStartBytes of its body.
+	streamMemory = 2*streamBufferBytes + streamStartBytes
 	// maxStreamBytes is the largest Content-Length that a server of the platform may announce; a larger one is malformed.
 	maxStreamBytes = 64 << 20
 )
@@ -66,11 +69,18 @@
 	if head.Length > http1.DefaultMaxBytes {
 		s.startBytes = streamStartBytes
 	}
+	if err := c.memory.reserve(streamMemory); err != nil {
+		return c.failed(ex, result, err)
+	}
 	// Without the timer, bytes already stored would be held back while the server sends nothing more.
 	timer := time.AfterFunc(streamStartDelay, s.startAfterDelay)
 	defer timer.Stop()
 	err := s.copy(reader.StreamBody(head.Length, head.Chunked))
-	if !s.finish(err) {
+	complete := s.finish(err)
+	if s.out != nil { // what was stored has been passed on
+		c.memory.release(c.memory.reserved)
+	}
+	if !complete {
 		return s.result, false
 	}
 	return s.result, !closes && ex.fullyWritten && !reader.Buffered()
@@ -134,6 +144,9 @@
 	if s.out != nil {
 		return false
 	}
+	if !s.mayStore(len(read)) { // the response starts to stream early
+		s.startBytes = 0
+	}
 	s.stored = append(s.stored, read...)
 	if err != nil {
 		s.ended = true
@@ -145,6 +158,16 @@
 	return true
 }
 
+// mayStore reports whether memory is reserved for more stored bytes. It reserves the memory for all that may be stored
+// at once.
+func (s *responseStream) mayStore(bytes int) bool {
+	stored := len(s.stored)
+	if stored+bytes <= streamStartBytes || stored > streamStartBytes {
+		return true
+	}
+	return s.conn.memory.tryReserve(2 * http1.DefaultMaxBytes)
+}
+
 // finish completes the result when the body has ended with err, and reports whether the response is complete.
 func (s *responseStream) finish(err error) bool {
 	s.result.EndedAt = time.Now()
--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -24,8 +24,8 @@
 // connection's goroutine. The zero value with conn set is ready for use.
 type admission struct {
 	conn         *clientConn
-	occupiesCore bool  // the request counts against requestsPerCore, and end, not the owner, calls requestLeftCore
-	reserved     int64 // bytes of the memory budget, released by end
+	occupiesCore bool     // the request counts against requestsPerCore, and end, not the owner, calls requestLeftCore
+	served       *request // the request that was passed to the owner; nil: none
 }
 
 // awaitAdmission waits until the overload queue admits or rejects the request, and reports whether it is admitted.
@@ -45,8 +45,9 @@
 	if req.stream.upload != nil {
 		c.startUpload(req)
 	}
-	shed := !a.reserve(int64(len(req.head)+len(req.body))) || c.overflow || !p.admitsRequests()
-	a.occupiesCore = false
+	c.memory.settle(req.countedBytes())
+	shed := c.overflow || !p.admitsRequests()
+	a.occupiesCore, a.served = false, req
 	p.post(func() {
 		defer p.requestLeftCore() // also after a panic, which would otherwise reduce the core's capacity for good
 		p.admit(req, info, shed)
@@ -59,26 +60,32 @@
 	return resp, err
 }
 
-// reserve reserves bytes of the memory budget, which end releases. It reports whether they were available.
-func (a *admission) reserve(bytes int64) bool {
-	if !a.conn.proxy.memory.reserve(bytes) {
-		return false
-	}
-	a.reserved = bytes
-	return true
-}
-
-// end releases the reserved memory. If the request was not passed to the owner, it also stops counting against
-// requestsPerCore.
+// end releases the memory reserved for the request, once no attempt needs it. If the request was not passed to the
+// owner, it also stops counting against requestsPerCore.
 func (a *admission) end() {
-	if a.reserved > 0 {
-		a.conn.proxy.memory.release(a.reserved)
+	if reserved := a.conn.memory.take(); reserved > 0 {
+		a.release(reserved)
 	}
 	if a.occupiesCore {
 		a.conn.proxy.requestLeftCore()
 	}
 }
 
+func (a *admission) release(reserved int64) {
+	p, req := a.conn.proxy, a.served
+	if req == nil {
+		p.memory.release(reserved)
+		return
+	}
+	p.post(func() {
+		if req.handle == nil || req.released {
+			p.memory.release(reserved)
+			return
+		}
+		req.reservedBytes = reserved
+	})
+}
+
 // awaitResponse waits for a request's response, and returns an error if the client disconnects before. While a body is
 // streamed, its reader detects a disconnect. Otherwise a read watches the connection, but only after clientWatchDelay,
 // since a watch costs a goroutine and two scheduler switches. Bytes that the client sends before its response stay in
@@ -163,11 +170,10 @@
 }
 
 // admit passes a request to the balancer. With shed set, it rejects the request without the balancer: its connection is
-// over maxServed, the memory budget is used up, or the process admits no more requests. It is called by the owner.
+// over maxServed, or the process admits no more requests. It is called by the owner.
 func (p *Proxy) admit(req *request, info balance.RequestInfo, shed bool) {
 	if shed {
-		p.counters.Requests++
-		p.counters.ShedOverLimit++
+		p.countShed()
 		p.respond(req, balance.Rejected, p.bootstrap.MaxRetryAfter)
 		return
 	}
@@ -199,6 +205,12 @@
 	})
 }
 
+// countShed counts a request that is rejected because a limit was reached. It is called by the owner.
+func (p *Proxy) countShed() {
+	p.counters.Requests++
+	p.counters.ShedOverLimit++
+}
+
 // requestQuota is a request's part of its route's limits and its pool's capacity.
 type requestQuota struct {
 	limits      *limits.Limits
--- a/proxy/admission_test.go
+++ b/proxy/admission_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,31 +31,6 @@
 	})
 }
 
-// Guards against running out of memory for the bodies of waiting requests: the proxy would be killed and all admitted
-// requests lost.
-func TestMemoryBudget(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		env := startEnv(t, map[string][]string{"b1": {noResponse}}, func(l *BootstrapConfig) { l.Limits.Memory = 1000 })
-		first := env.connect()
-		go write(first, nonIdempotentRequest)
-		synctest.Wait()
-		status, _, _, err := env.roundTrip(strings.Replace(nonIdempotentRequest, "Content-Length: 3\r\n\r\nabc",
-			"Content-Length: 200\r\n\r\n"+
-				strings.Repeat("x", 200), 1))
-		assert.NoError(t, err)
-		assert.Equal(t, 503, status)
-		assert.Equal(t, 1, env.counters.ShedOverLimit)
-		first.Close()
-		time.Sleep(clientWatchDelay)
-		synctest.Wait()
-		env.behaviors["b1"] = []string{okResponse}
-		status, _, _, err = env.roundTrip(nonIdempotentRequest)
-		assert.NoError(t, err)
-		assert.Equal(t, 200, status)
-		env.stopAndWait()
-	})
-}
-
 // Checks that a request over a limit is rejected at once with Retry-After, and not sent.
 func TestRateLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -43,6 +43,7 @@
 	bodyStreamed    bool                 // an upload goroutine was started, which may still read from the connection
 	uploadDone      chan error           // receives the result of the running upload goroutine; nil: there is none
 	admissionResult chan bool            // receives whether the overload queue admitted the queued request
+	memory          requestMemory        // held by the current request
 
 	connSignals
 	queueState
@@ -56,6 +57,7 @@
 	closeRequested atomic.Bool   // close once the requests received so far are answered, see requestClose
 	evicted        atomic.Bool   // close without lingering, to make room for another connection
 	abortReads     atomic.Bool   // do not wait for the unsent rest of the current request
+	awaitsMemory   atomic.Bool   // the current request is incomplete, and no more of it is read for lack of memory
 }
 
 // serve serves the connection's requests until it closes.
@@ -197,6 +199,10 @@
 	body := text
 	var invalid *http1.Error
 	switch {
+	case errors.Is(err, errMemoryFull):
+		c.proxy.post(c.proxy.countShed)
+		c.lost = c.writeResponse(c.proxy.overloadResponse(), true) != nil
+		return false
 	case errors.As(err, &invalid):
 		status = invalid.Status
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -234,7 +240,7 @@
 		return
 	}
 	c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	discard(c.source)
+	c.Discard(maxLingerBytes)
 }
 
 // discard reads up to maxLingerBytes and drops them. Read errors are ignored, since the caller closes the connection.
--- a/proxy/decide.go
+++ b/proxy/decide.go
@@ -77,6 +77,10 @@
 	req.released = true
 	p.loop.timers.cancel(&req.timer)
 	req.releaseQuota()
+	p.memory.release(req.reservedBytes)
+	if failure := req.serverFailure; failure != nil {
+		p.memory.release(failure.reservedBytes)
+	}
 	if req.stream.upload != nil {
 		req.stream.upload.Stop()
 	}
--- a/proxy/eviction.go
+++ b/proxy/eviction.go
@@ -44,7 +44,8 @@
 //
 // A new connection looks idle while its first request is on the way, so it gets newConnectionGracePeriod; after that a
 // client that sends nothing, or a part of a request only, must not keep others out. A connection with unread bytes is
-// skipped: its request was received but not read yet, because the core is busy, and would be lost. A request that is
+// skipped: its request was received but not read yet, because the core is busy, and would be lost; but not if what was
+// received is an incomplete request that waits for memory. A request that is
 // still on the way when the connection closes would be lost too, so a connection that has had a response is evicted
 // only from longIdle. At most maxIdleChecks connections of each queue are checked, since each check is a system call
 // and this runs for every connection that arrives at capacity. The limit counts for each queue, so that lingering
@@ -57,7 +58,7 @@
 			if c.recent && time.Since(c.queuedAt) < newConnectionGracePeriod {
 				break
 			}
-			if !upstream.HasUnreadBytes(c.conn) {
+			if c.awaitsMemory.Load() || !upstream.HasUnreadBytes(c.conn) {
 				return c
 			}
 			checks--
--- a/proxy/listener.go
+++ b/proxy/listener.go
@@ -51,6 +51,8 @@
 		acceptedAt:      time.Now(),
 		admissionResult: make(chan bool, 1),
 	}
+	c.memory.conn = c
+	c.ReserveHead = c.reserveHead
 	c.wake = make(chan struct{}, 1)
 	c.idleWait = p.conns.idleConns.Add(conn, func(peerClosed bool) {
 		c.peerClosed.Store(peerClosed)
--- a/proxy/operatorroute.go
+++ b/proxy/operatorroute.go
@@ -239,7 +239,7 @@
 
 // operatorHead returns the head that is sent to a server, without Content-Length and X-Expires-In.
 func operatorHead(head *http1.Head, upstreamPath string, target *routeTarget, id string) []byte {
-	out := http1.AppendRequestLine(make([]byte, 0, initialHeadBytes), head.Method, []byte(upstreamPath))
+	out := http1.AppendRequestLine(make([]byte, 0, forwardedHeadBytes(head.Size)), head.Method, []byte(upstreamPath))
 	out = http1.AppendForwardedFields(out, head, replacedFields...)
 	if target.hostField == "" && target.host != "" {
 		out = http1.AppendField(out, "Host", target.host)
--- a/proxy/outcome.go
+++ b/proxy/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"lockloom/balance"
+	"lockloom/internal/http1"
 	"lockloom/internal/invariant"
 	"lockloom/internal/upstream"
 )
@@ -31,8 +32,7 @@
 			resp.reservedBytes = result.ReservedBytes
 			req.response <- resp
 		}()
-	} else {
-		p.keepServerFailure(req, &result)
+	} else if !p.keepServerFailure(req, &result) {
 		p.memory.release(result.ReservedBytes)
 	}
 	answered, sentAt := req.answered, att.sentAt
@@ -56,13 +56,21 @@
 	}
 }
 
-// keepServerFailure keeps a server's response that reports its own failure. It is relayed to a client of an operator's
-// listener if no later attempt gets a better response.
-func (p *Proxy) keepServerFailure(req *request, result *upstream.Result) {
-	if result.Outcome == balance.ServerError && req.passthrough && result.ReservedBytes == 0 {
-		resp := req.serverResponse(result)
-		req.serverFailure = &resp
+// keepServerFailure keeps a server's response that reports its own failure, with the memory reserved for it, and
+// reports whether it did. It is relayed to a client of an operator's listener if no later attempt gets a better
+// response.
+func (p *Proxy) keepServerFailure(req *request, result *upstream.Result) bool {
+	if result.Outcome != balance.ServerError || !req.passthrough || len(result.Body) > http1.DefaultMaxBytes ||
+		req.answered {
+		return false
 	}
+	if previous := req.serverFailure; previous != nil {
+		p.memory.release(previous.reservedBytes)
+	}
+	resp := req.serverResponse(result)
+	resp.reservedBytes = result.ReservedBytes
+	req.serverFailure = &resp
+	return true
 }
 
 // responseStarted reports to the balancer that an attempt has received the start of a large response. This attempt then
--- a/proxy/platformhead.go
+++ b/proxy/platformhead.go
@@ -50,7 +50,7 @@
 		id:        string(head.Get("X-Trace-Id")),
 		response:  make(chan response, 1),
 	}
-	r.req.head = http1.AppendRequestLine(make([]byte, 0, initialHeadBytes), head.Method, head.Target)
+	r.req.head = http1.AppendRequestLine(make([]byte, 0, forwardedHeadBytes(head.Size)), head.Method, head.Target)
 	r.req.head = http1.AppendForwardedFields(r.req.head, head, "X-Expires-In")
 	return nil
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -151,7 +151,8 @@
 func (p *Proxy) newUpstreamPool() *upstream.Pool {
 	dialNow := func(ctx context.Context, addr string) (net.Conn, error) { return p.Dial(ctx, addr) }
 	pool := upstream.New(dialNow, p.post)
-	pool.MaxConnections, pool.ReserveMemory = p.maxServerConns, p.memory.reserve
+	pool.MaxConnections, pool.ReserveMemory = p.maxServerConns, p.memory.reserveForResponse
+	pool.ReleaseMemory = p.memory.release
 	pool.ConnectTimeout, pool.IdleTimeout = defaultConnectTimeout, defaultServerIdleTimeout
 	pool.ReuseDelay = serverReuseDelay
 	if timeout := p.bootstrap.ConnectTimeout; timeout > 0 {
--- a/proxy/readrequest.go
+++ b/proxy/readrequest.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"time"
 
@@ -17,6 +18,10 @@
 	headTimeout       = 2500 * time.Millisecond // time from the first byte to the end of any head: some clients take 2 s
 	maxUploadDuration = 15 * time.Minute        // time from a request's arrival to the end of its streamed body
 	initialHeadBytes  = 512                     // initial buffer capacity for a forwarded head
+
+	initialChunkedBytes = 2 << 10 // initial buffer capacity for a chunked body
+	chunkedGrowth       = 4       // factor by which that capacity grows
+	dropBufferBytes     = 2 << 10 // buffer for a body that is dropped
 )
 
 // requestReader reads one request of a client connection: its head, which it interprets, and its body, unless that is
@@ -64,6 +69,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.reserveHeadCopy(head.Size); err != nil {
+		return err
+	}
 	// Counted from here, the request's latency includes the time in which the received head waited for this core, but not
 	// the time that a slow client took to send it.
 	r.receivedAt = c.receivedAt()
@@ -75,13 +83,46 @@
 	return nil
 }
 
+// reserveHeadCopy reserves memory for the copy of a large head that is forwarded.
+func (r *requestReader) reserveHeadCopy(size int) error {
+	if size <= http1.BufferBytes {
+		return nil
+	}
+	c := r.conn
+	total := c.memory.reserved + int64(forwardedHeadBytes(size))
+	return c.memory.reserve(total, incompleteUse(total), unknownLength, c.readDeadline)
+}
+
+// forwardedHeadBytes returns the buffer capacity for the head that is forwarded for a received one of this size.
+func forwardedHeadBytes(size int) int {
+	if size <= http1.BufferBytes {
+		return initialHeadBytes
+	}
+	return size + initialHeadBytes // for fields that are added, and for white space that is normalized
+}
+
 // interpretHead makes the request, or the direct response, from the head: by the operator file's routes or by the
-// platform's own fields. A request without a body waits here for its admission to this core.
+// platform's own fields. A request without a body waits here for its admission to this core. The memory of a large head
+// is then released: what is forwarded of it was copied.
 func (r *requestReader) interpretHead() error {
+	interpret := r.interpretPlatformHead
 	if r.conn.httpListener {
-		return r.interpretOperatorHead()
+		interpret = r.interpretOperatorHead
 	}
-	return r.interpretPlatformHead()
+	if err := interpret(); err != nil {
+		return err
+	}
+	r.conn.ReleaseHead()
+	r.conn.memory.settle(r.countedBytes())
+	return nil
+}
+
+// countedBytes returns how many bytes of what was read and is kept count against the memory budget.
+func (r *requestReader) countedBytes() int64 {
+	if r.req == nil {
+		return 0
+	}
+	return r.req.countedBytes()
 }
 
 // hasBody reports whether a body follows the head.
@@ -124,8 +165,7 @@
 		return errBodyTooLarge()
 	}
 	streamed := length > http1.DefaultMaxBytes || chunked && c.httpListener
-	if streamed && r.req == nil {
-		// The body is not read: its bytes must not be parsed as the next request.
+	if streamed && r.req == nil { // the body is not read: its bytes must not be parsed as the next request
 		r.closing = true
 		return nil
 	}
@@ -136,19 +176,20 @@
 		return nil
 	}
 	body := r.bodyReader(length, chunked)
+	if r.req == nil {
+		return r.dropBody(body)
+	}
 	var received []byte
 	if !streamed {
 		var err error
-		if received, err = io.ReadAll(io.LimitReader(body, http1.DefaultMaxBytes+1)); err != nil {
+		if received, err = r.receiveBody(body, length, chunked); err != nil {
 			return err
 		}
 		streamed = len(received) > http1.DefaultMaxBytes // chunked and too large to buffer
 	}
 	switch {
-	case r.req == nil:
-		r.closing = r.closing || streamed // the rest must not be parsed as the next request
 	case streamed:
-		r.streamRequest(body, received, length, chunked)
+		return r.streamRequest(body, received, length, chunked)
 	case !r.admission.awaitAdmission(r.req.class, r.info.Tenant, len(received)):
 		r.rejectOverload()
 	default:
@@ -157,6 +198,74 @@
 	return nil
 }
 
+// dropBody reads and drops a body that is not needed. If it is larger than a body that is buffered, the connection
+// closes: the rest must not be parsed as the next request.
+func (r *requestReader) dropBody(body io.Reader) error {
+	buffer := make([]byte, dropBufferBytes)
+	for dropped := 0; dropped <= http1.DefaultMaxBytes; {
+		n, err := body.Read(buffer)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		dropped += n
+	}
+	r.closing = true
+	return nil
+}
+
+// receiveBody reads a body that is buffered. A chunked one may be larger than http1.DefaultMaxBytes: then one byte more
+// than that is read.
+func (r *requestReader) receiveBody(body *pacedBodyReader, length int, chunked bool) ([]byte, error) {
+	if chunked {
+		return r.receiveChunks(body)
+	}
+	if err := r.reserveBody(body, length, length); err != nil {
+		return nil, err
+	}
+	received := make([]byte, length)
+	_, err := io.ReadFull(body, received)
+	return received, err
+}
+
+// receiveChunks reads a chunked body to memory that grows with it.
+func (r *requestReader) receiveChunks(body *pacedBodyReader) ([]byte, error) {
+	received := make([]byte, 0, initialChunkedBytes)
+	for {
+		n, err := body.Read(received[len(received):cap(received)])
+		received = received[:len(received)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return received, nil
+		case err != nil || len(received) > http1.DefaultMaxBytes:
+			return received, err
+		case len(received) < cap(received):
+			continue
+		}
+		size := min(chunkedGrowth*cap(received), http1.DefaultMaxBytes+1)
+		if err := r.reserveBody(body, size, unknownLength); err != nil {
+			return nil, err
+		}
+		received = append(make([]byte, 0, size), received...)
+	}
+}
+
+// reserveBody reserves memory for so many bytes of the body. The time in which this waits counts as time in which the
+// client has not sent.
+func (r *requestReader) reserveBody(body *pacedBodyReader, size, missing int) error {
+	counted := countedBytes(size)
+	if counted == 0 {
+		return nil
+	}
+	start := time.Now()
+	total := countedBytes(cap(r.req.head)) + counted
+	err := r.conn.memory.reserve(total, incompleteUse(total), missing, start.Add(body.maxWait()))
+	body.waited += time.Since(start)
+	return err
+}
+
 // bodyReader returns a reader of the body that enforces a minimum rate.
 func (r *requestReader) bodyReader(length int, chunked bool) *pacedBodyReader {
 	c := r.conn
@@ -179,8 +288,12 @@
 
 // streamRequest prepares a request whose body is forwarded while it is received. received is the part that was read
 // already and is forwarded first. The deadline extends to maxUploadDuration until the body is complete.
-func (r *requestReader) streamRequest(body *pacedBodyReader, received []byte, length int, chunked bool) {
+func (r *requestReader) streamRequest(body *pacedBodyReader, received []byte, length int, chunked bool) error {
 	req := r.req
+	total := req.countedBytes() + countedBytes(cap(received)) + uploadBufferBytes
+	if err := r.conn.memory.reserve(total, useIncomplete, unknownLength, time.Now().Add(body.maxWait())); err != nil {
+		return err
+	}
 	req.body = received
 	req.stream = bodyStream{
 		upload:     upstream.NewUpload(chunked),
@@ -195,6 +308,7 @@
 	} else {
 		req.head = http1.AppendContentLength(req.head, length)
 	}
+	return nil
 }
 
 // completeRequest completes a request whose body is received, or that has none. Its arrival and its deadline count from
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -39,6 +39,15 @@
 	headOnly    bool // the method is HEAD: the response has no body
 }
 
+// countedBytes returns how many bytes of the request count against the memory budget.
+func (f *forwardedRequest) countedBytes() int64 {
+	counted := countedBytes(cap(f.head)) + countedBytes(cap(f.body))
+	if f.stream.upload != nil {
+		counted += uploadBufferBytes
+	}
+	return counted
+}
+
 // requestState is the owner's state of a request. The zero value is the state before admission.
 type requestState struct {
 	ref             int // index in requestTable.byRef
@@ -48,6 +57,7 @@
 	serverFailure   *response // the last response in which a server reported its own failure; kept only with passthrough
 	answered        bool      // a response was sent, or the client has gone
 	released        bool      // the balancer needs no further call about the request
+	reservedBytes   int64     // of the memory budget, released with the request; 0 while its connection holds them
 	deadlineLimited bool      // limitDeadlines shortened the deadline; the balancer does not know this
 }
 
@@ -255,10 +265,12 @@
 	switch {
 	case req.serverFailure != nil && last == balance.ServerError:
 		p.counters.Failed++
-		if req.serverFailure.status == http1.StatusServiceUnavailable { // to a client, 503 means that a retry is safe
-			req.serverFailure.status = http1.StatusBadGateway
+		failure := *req.serverFailure
+		req.serverFailure = nil                               // its memory is now released with the response
+		if failure.status == http1.StatusServiceUnavailable { // to a client, 503 means that a retry is safe
+			failure.status = http1.StatusBadGateway
 		}
-		return *req.serverFailure
+		return failure
 	case reply == balance.Rejected:
 		p.counters.Rejected++
 		return response{
--- a/proxy/requestbody.go
+++ b/proxy/requestbody.go
@@ -22,6 +22,7 @@
 	firstBodyGraceDeadline = 2900 * time.Millisecond // from accepting a connection until the grace of its first body ends
 	maxBodyBytes           = 40 << 20                // largest body of a request to the platform listener
 	streamBufferBytes      = 16 << 10                // copy buffer for streamed bodies
+	uploadBufferBytes      = 2 * streamBufferBytes   // of one streamed body: of copyBody and of the upload
 )
 
 func errBodyTooLarge() error {
@@ -41,10 +42,15 @@
 	waited     time.Duration // time spent in reads so far
 }
 
+// maxWait returns how long the body may still be waited for before its next byte.
+func (b *pacedBodyReader) maxWait() time.Duration {
+	allowed := b.grace + time.Duration(b.received)*time.Second/minBodyBytesPerSecond
+	return min(allowed-b.waited, bodyGracePeriod)
+}
+
 // Read implements io.Reader.
 func (b *pacedBodyReader) Read(p []byte) (int, error) {
-	allowed := b.grace + time.Duration(b.received)*time.Second/minBodyBytesPerSecond
-	maxWait := min(allowed-b.waited, bodyGracePeriod)
+	maxWait := b.maxWait()
 	if maxWait <= 0 {
 		return 0, b.tooSlow(os.ErrDeadlineExceeded)
 	}
