Admin: a call's head is bounded by the read buffer

Change: a head over 4 KiB is answered with 431; a call takes a tenth of that. Test: a row of TestCallsAndAnswers; before the change it got 200.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -90,6 +90,7 @@
 		{"PUT /-/drain\nContent-Length: 0", 200, &Call{Action: Drain}, "done\n"},
 		{"PUT /-/drain\nContent-Length: 3", 400, nil, "a call has no body\n"},
 		{"PUT /-/drain\nX: " + strings.Repeat("x", http1.DefaultMaxBytes), 431, nil, "head too large\n"},
+		{"PUT /-/drain\nX: " + strings.Repeat("x", http1.BufferBytes), 431, nil, "head too large\n"},
 		{"nonsense", 400, nil, "malformed request line\n"},
 	} {
 		line, field, _ := strings.Cut(c.line, "\n")
--- a/internal/admin/call.go
+++ b/internal/admin/call.go
@@ -15,6 +15,7 @@
 	statusBadRequest       = 400
 	statusNotFound         = 404
 	statusMethodNotAllowed = 405
+	statusHeadTooLarge     = 431
 )
 
 // Action is the operation that a call requests.
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -99,13 +99,20 @@
 func (s *Server) receive(conn net.Conn) (Call, error) {
 	defer s.removeUnread(conn)
 	conn.SetReadDeadline(time.Now().Add(readTimeout))
-	head, err := http1.NewReader(conn).Request()
+	reader := http1.NewReader(conn)
+	reader.ReserveHead = rejectLargeHead
+	head, err := reader.Request()
 	if err != nil {
 		return Call{}, err
 	}
 	return readCall(head)
 }
 
+// rejectLargeHead rejects a head over http1.BufferBytes: a call needs less, and nothing counts the memory of others.
+func rejectLargeHead(int) error {
+	return &http1.Error{Status: statusHeadTooLarge, Text: "head too large"}
+}
+
 func (s *Server) log(conn net.Conn, call Call, status int, text string) {
 	s.Log.WithFields(logrus.Fields{
 		"call":    call.Action.String(),
