--- a/proxy/readrequest.go
+++ b/proxy/readrequest.go
@@ -105,11 +105,13 @@
 // platform's own fields. A request without a body waits here for its admission to this core. The memory of a large head
 // is then released: what is forwarded of it was copied.
 func (r *requestReader) interpretHead() error {
-	interpret := r.interpretPlatformHead
+	var err error
 	if r.conn.httpListener {
-		interpret = r.interpretOperatorHead
+		err = r.interpretOperatorHead()
+	} else {
+		err = r.interpretPlatformHead()
 	}
-	if err := interpret(); err != nil {
+	if err != nil {
 		return err
 	}
 	r.conn.ReleaseHead()
