--- a/internal/cli/proxycmd/memory_test.go
+++ b/internal/cli/proxycmd/memory_test.go
@@ -179,13 +179,13 @@
 // and all requests that it holds are lost. Once only admitted requests were counted, so that clients that sent the
 // halves of large requests filled the memory.
 func TestMemoryLimitHoldsForAnySender(t *testing.T) {
-	const halves = 0 // index in hostileClients
+	halves := hostileClients[0]
 	for _, hostile := range hostileClients {
 		testMemoryLimit(t, hostile, 32, 1024)
 	}
-	testMemoryLimit(t, hostileClients[halves], 32, 256)
-	testMemoryLimit(t, hostileClients[halves], 64, 1024)
-	testMemoryLimit(t, hostileClients[halves], 192, 1024)
+	testMemoryLimit(t, halves, 32, 256)
+	testMemoryLimit(t, halves, 64, 1024)
+	testMemoryLimit(t, halves, 192, 1024)
 }
 
 // testMemoryLimit runs hostile clients, on as many connections as the platform's clients may have, and usual clients
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -160,7 +160,7 @@
 	// Reading the body invalidates the head's slices, so the fields to keep are copied first.
 	neverRan := string(head.Get("X-Never-Ran")) == "1"
 	if head.Status == 200 || ex.Passthrough {
-		if err := c.memory.reserve(fieldCopies * countedBytes(head.Size)); err != nil {
+		if err := c.memory.reserve(fieldCopies * CountedBytes(head.Size)); err != nil {
 			return c.failed(ex, result, err)
 		}
 		result.Fields = http1.AppendForwardedFields(c.newFields(head), head, "Endpoint-Load-Metrics", "X-Never-Ran")
@@ -183,7 +183,7 @@
 
 // newFields returns the buffer for the fields that are copied from a head.
 func (c *connection) newFields(head *http1.Head) []byte {
-	if countedBytes(head.Size) == 0 {
+	if CountedBytes(head.Size) == 0 {
 		return nil
 	}
 	return make([]byte, 0, head.Size)
@@ -194,7 +194,7 @@
 func (c *connection) reserveBody(reader *http1.Reader, head *http1.Head) error {
 	length := head.Length
 	if length >= 0 && length <= http1.DefaultMaxBytes {
-		return c.memory.reserve(countedBytes(length))
+		return c.memory.reserve(CountedBytes(length))
 	}
 	limit := length
 	if length < 0 {
--- a/internal/upstream/responsememory.go
+++ b/internal/upstream/responsememory.go
@@ -83,8 +83,9 @@
 	return taken
 }
 
-// countedBytes returns how many bytes of a buffer of this size are reserved.
-func countedBytes(size int) int64 {
+// CountedBytes returns how many bytes of a buffer of this size are reserved: none up to http1.BufferBytes, since the
+// number of connections bounds these.
+func CountedBytes(size int) int64 {
 	if size <= http1.BufferBytes {
 		return 0
 	}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -24,6 +24,8 @@
 	// streamMemory is the memory reserved for a response that streams: for the buffers at both ends of the pipe, and for
 	// streamStartBytes of its body.
 	streamMemory = 2*streamBufferBytes + streamStartBytes
+	// storedMemory is the memory reserved to store more of a response of unknown length: its buffer grows by doubling.
+	storedMemory = 2 * http1.DefaultMaxBytes
 	// maxStreamBytes is the largest Content-Length that a server of the platform may announce; a larger one is malformed.
 	maxStreamBytes = 64 << 20
 )
@@ -48,10 +50,11 @@
 	ex         *Exchange
 	result     Result    // at first only what the head determines; completed by finish
 	startBytes int       // streaming starts once this many bytes are stored
+	reserved   int64     // memory to store more than streamStartBytes, until the stored bytes are passed on
 	startBy    time.Time // streaming starts at this time if any bytes are stored
 
 	mu     sync.Mutex
-	stored []byte         // body bytes received before streaming starts
+	stored []byte         // body bytes received before streaming starts; at first streamStartBytes at most
 	out    *io.PipeWriter // nil until streaming starts
 	ended  bool           // the body ended before streaming started; it must not start any more
 }
@@ -127,6 +130,8 @@
 			if _, writeErr := s.out.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
 			}
+			s.conn.memory.release(s.reserved) // the client has taken what was stored
+			s.reserved = 0
 		}
 		// The time for which a slow client blocked the write above does not count as idle time of the server.
 		s.conn.netConn.SetReadDeadline(time.Now().Add(streamIdleTimeout))
@@ -159,13 +164,16 @@
 }
 
 // mayStore reports whether memory is reserved for more stored bytes. It reserves the memory for all that may be stored
-// at once.
+// before streaming starts at once.
 func (s *responseStream) mayStore(bytes int) bool {
-	stored := len(s.stored)
-	if stored+bytes <= streamStartBytes || stored > streamStartBytes {
+	if s.reserved > 0 || s.startBytes <= streamStartBytes || len(s.stored)+bytes <= streamStartBytes {
 		return true
 	}
-	return s.conn.memory.tryReserve(2 * http1.DefaultMaxBytes)
+	if !s.conn.memory.tryReserve(storedMemory) {
+		return false
+	}
+	s.reserved = storedMemory
+	return true
 }
 
 // finish completes the result when the body has ended with err, and reports whether the response is complete.
--- a/proxy/listener.go
+++ b/proxy/listener.go
@@ -83,5 +83,6 @@
 // recycle returns the reader to connReaders. No goroutine may read from it any more.
 func (r *connReader) recycle() {
 	r.source.Reset(nil)
+	r.Reset(nil) // drops the references to the connection and to its last head
 	connReaders.Put(r)
 }
--- a/proxy/memory.go
+++ b/proxy/memory.go
@@ -4,7 +4,6 @@
 	"math"
 	"sync/atomic"
 
-	"lockloom/internal/http1"
 	"lockloom/internal/invariant"
 )
 
@@ -35,8 +34,8 @@
 const smallRequestBytes = 16 << 10
 
 // memoryBudget bounds the bytes that are buffered at a time: requests while they are read and until no attempt needs
-// them, and servers' responses. Parts of up to http1.BufferBytes are not counted: the number of connections bounds
-// them. It is safe for concurrent use, except for init.
+// them, and servers' responses; upstream.CountedBytes returns which bytes count. It is safe for concurrent use, except
+// for init.
 type memoryBudget struct {
 	reserved atomic.Int64 // bytes
 	limit    atomic.Int64 // bytes; this process's share of total
@@ -78,11 +77,3 @@
 	left := m.reserved.Add(-bytes)
 	invariant.Holds(left >= 0, "no more memory is released than was reserved")
 }
-
-// countedBytes returns how many bytes of a buffer of this size count against the budget.
-func countedBytes(size int) int64 {
-	if size <= http1.BufferBytes {
-		return 0
-	}
-	return int64(size)
-}
--- a/proxy/readrequest.go
+++ b/proxy/readrequest.go
@@ -257,12 +257,12 @@
 // reserveBody reserves memory for so many bytes of the body. The time in which this waits counts as time in which the
 // client has not sent.
 func (r *requestReader) reserveBody(body *pacedBodyReader, size, missing int) error {
-	counted := countedBytes(size)
+	counted := upstream.CountedBytes(size)
 	if counted == 0 {
 		return nil
 	}
 	start := time.Now()
-	total := countedBytes(cap(r.req.head)) + counted
+	total := upstream.CountedBytes(cap(r.req.head)) + counted
 	err := r.conn.memory.reserve(total, incompleteUse(total), missing, start.Add(body.maxWait()))
 	body.waited += time.Since(start)
 	return err
@@ -292,7 +292,7 @@
 // already and is forwarded first. The deadline extends to maxUploadDuration until the body is complete.
 func (r *requestReader) streamRequest(body *pacedBodyReader, received []byte, length int, chunked bool) error {
 	req := r.req
-	total := req.countedBytes() + countedBytes(cap(received)) + uploadBufferBytes
+	total := req.countedBytes() + upstream.CountedBytes(cap(received)) + uploadBufferBytes
 	if err := r.conn.memory.reserve(total, useIncomplete, unknownLength, time.Now().Add(body.maxWait())); err != nil {
 		return err
 	}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -41,7 +41,7 @@
 
 // countedBytes returns how many bytes of the request count against the memory budget.
 func (f *forwardedRequest) countedBytes() int64 {
-	counted := countedBytes(cap(f.head)) + countedBytes(cap(f.body))
+	counted := upstream.CountedBytes(cap(f.head)) + upstream.CountedBytes(cap(f.body))
 	if f.stream.upload != nil {
 		counted += uploadBufferBytes
 	}
