Test: a server's error page of unknown length is relayed, and its memory released

A row of TestOperatorRequests, and for all rows that no memory stays reserved. On the row got 502: a response for which memory was reserved was not kept.

--- a/proxy/operatorroute_test.go
+++ b/proxy/operatorroute_test.go
@@ -15,6 +15,7 @@
 	const notFound = "HTTP/1.1 404 x\r\nContent-Length: 4\r\n\r\nnone"
 	const redirect = "HTTP/1.1 302 x\r\nLocation: /there\r\nContent-Length: 0\r\n\r\n"
 	const serverError = "HTTP/1.1 500 x\r\nX-From: b\r\nContent-Length: 5\r\n\r\nsorry"
+	const chunkedError = "HTTP/1.1 500 x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsorry\r\n0\r\n\r\n"
 	const noContent = "HTTP/1.1 204 x\r\n\r\n"
 	post := "Content-Length: 3\r\n\r\nabc"
 	for name, c := range map[string]struct {
@@ -29,6 +30,7 @@
 		"no content":              {plainRequest("GET", "/a", ""), noContent, "Content-Length", "204", 1},
 		"post, cut: may have run": {plainRequest("POST", "/a", post), closeConnection, "", "502 forfeited", 1},
 		"post, error":             {plainRequest("POST", "/a", post), serverError, "X-From", "500 b sorry", 1},
+		"post, error in chunks":   {plainRequest("POST", "/a", post), chunkedError, "", "500 sorry", 1},
 		"post, its own 503":       {plainRequest("POST", "/a", post), plain503Response, "", "502", 1},
 		"other, error":            {plainRequest("GET", "/other", ""), serverError, "", "500 sorry", 1},
 		"post, never ran":         {plainRequest("POST", "/a", post), neverRanResponse, "", "200 body", 2},
@@ -73,6 +75,7 @@
 			assert.Less(t, time.Since(began), 800*time.Millisecond, name)
 			assert.Len(t, env.received, c.sent, name)
 			env.stopAndWait()
+			assert.Zero(t, env.memory.reserved.Load(), "%s: all reserved memory is released", name)
 		})
 	}
 }
