Upstream: what a client has not taken of a streamed response stays counted

By arithmetic 64 KiB for each client connection, uncounted. Cause: the reading goroutine released the whole reservation at the end of the stream; nothing waits for the client there. Change: the reservation for fields and stored bytes is handed over with the first Result and released once the response is written, dropped or has no receiver.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -72,7 +72,7 @@
 	Length        int            // of the body in bytes; for HEAD: the announced Content-Length; -1: unknown
 	Fields        []byte         // header field lines to forward, if the status is 200 or with Passthrough
 	Body          []byte         // the complete body, or in OnResponseStarted its first bytes
-	ReservedBytes int64          // memory reserved for Body, which the receiver of the Result must release
+	ReservedBytes int64          // memory reserved for Fields and Body, which the receiver of the Result must release
 	Stream        *io.PipeReader // in OnResponseStarted: the rest of the body; must be read to its end or closed
 }
 
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -21,10 +21,10 @@
 	streamStartBytes = 16 << 10
 	// streamBufferBytes is the size of the buffer between reading and writing.
 	streamBufferBytes = 16 << 10
-	// streamMemory is the memory reserved for a response that streams: for the buffers at both ends of the pipe, and for
-	// streamStartBytes of its body.
-	streamMemory = 2*streamBufferBytes + streamStartBytes
-	// storedMemory is the memory reserved to store more of a response of unknown length: its buffer grows by doubling.
+	// streamBuffersMemory is the memory reserved for the buffers at both ends of the pipe.
+	streamBuffersMemory = 2 * streamBufferBytes
+	// storedMemory is the memory reserved to store more than streamStartBytes of a response of unknown length. Its buffer
+	// grows by doubling.
 	storedMemory = 2 * http1.DefaultMaxBytes
 	// maxStreamBytes is the largest Content-Length that a server of the platform may announce; a larger one is malformed.
 	maxStreamBytes = 64 << 20
@@ -50,13 +50,15 @@
 	ex         *Exchange
 	result     Result    // at first only what the head determines; completed by finish
 	startBytes int       // streaming starts once this many bytes are stored
-	reserved   int64     // memory to store more than streamStartBytes, until the stored bytes are passed on
+	fields     int64     // memory reserved for the fields of the result
+	storable   int64     // memory reserved for stored
 	startBy    time.Time // streaming starts at this time if any bytes are stored
 
 	mu     sync.Mutex
 	stored []byte         // body bytes received before streaming starts; at first streamStartBytes at most
 	out    *io.PipeWriter // nil until streaming starts
 	ended  bool           // the body ended before streaming started; it must not start any more
+	handed int64          // memory whose release was handed over with the first Result
 }
 
 // stream reads a large response. It returns the result of the exchange and whether the connection can be reused.
@@ -66,21 +68,24 @@
 		conn:       c,
 		ex:         ex,
 		result:     result,
+		fields:     c.memory.reserved,
 		startBytes: http1.DefaultMaxBytes + 1,
 		startBy:    time.Now().Add(streamStartDelay),
 	}
 	if head.Length > http1.DefaultMaxBytes {
 		s.startBytes = streamStartBytes
 	}
-	if err := c.memory.reserve(streamMemory); err != nil {
+	if err := c.memory.reserve(streamBuffersMemory + streamStartBytes); err != nil {
 		return c.failed(ex, result, err)
 	}
+	s.storable = streamStartBytes
 	// Without the timer, bytes already stored would be held back while the server sends nothing more.
 	timer := time.AfterFunc(streamStartDelay, s.startAfterDelay)
 	defer timer.Stop()
 	err := s.copy(reader.StreamBody(head.Length, head.Chunked))
 	complete := s.finish(err)
-	if s.out != nil { // what was stored has been passed on
+	if s.out != nil {
+		s.releaseStored()
 		c.memory.release(c.memory.reserved)
 	}
 	if !complete {
@@ -111,6 +116,8 @@
 	started := s.result
 	started.Body = s.stored
 	started.Stream = in
+	s.handed = s.fields + min(CountedBytes(cap(s.stored)), s.storable)
+	started.ReservedBytes = s.handed
 	s.stored = nil
 	s.conn.pool.post(func() { s.ex.OnResponseStarted(started) })
 }
@@ -130,8 +137,7 @@
 			if _, writeErr := s.out.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
 			}
-			s.conn.memory.release(s.reserved) // the client has taken what was stored
-			s.reserved = 0
+			s.releaseStored()
 		}
 		// The time for which a slow client blocked the write above does not count as idle time of the server.
 		s.conn.netConn.SetReadDeadline(time.Now().Add(streamIdleTimeout))
@@ -166,16 +172,25 @@
 // mayStore reports whether memory is reserved for more stored bytes. It reserves the memory for all that may be stored
 // before streaming starts at once.
 func (s *responseStream) mayStore(bytes int) bool {
-	if s.reserved > 0 || s.startBytes <= streamStartBytes || len(s.stored)+bytes <= streamStartBytes {
+	if s.storable > streamStartBytes || s.startBytes <= streamStartBytes || len(s.stored)+bytes <= streamStartBytes {
 		return true
 	}
 	if !s.conn.memory.tryReserve(storedMemory) {
 		return false
 	}
-	s.reserved = storedMemory
+	s.storable += storedMemory
 	return true
 }
 
+// releaseStored ends the reservation for the fields and the stored bytes once streaming has started: the receiver of
+// the first Result releases what it holds, and the rest is released here.
+func (s *responseStream) releaseStored() {
+	memory := &s.conn.memory
+	memory.reserved -= s.handed
+	memory.release(s.fields + s.storable - s.handed)
+	s.fields, s.storable, s.handed = 0, 0, 0
+}
+
 // finish completes the result when the body has ended with err, and reports whether the response is complete.
 func (s *responseStream) finish(err error) bool {
 	s.result.EndedAt = time.Now()
--- a/proxy/outcome.go
+++ b/proxy/outcome.go
@@ -77,6 +77,7 @@
 // answers the request, whatever the others return, and its response is streamed to the client.
 func (p *Proxy) responseStarted(req *request, att *attempt, result upstream.Result) {
 	if req.answered || att.ended {
+		p.memory.release(result.ReservedBytes)
 		closeStream(result.Stream)
 		return
 	}
@@ -87,6 +88,6 @@
 		return req.handle.ResponseStarted(now, att.number)
 	})
 	resp := req.serverResponse(&result)
-	resp.stream = result.Stream
+	resp.stream, resp.reservedBytes = result.Stream, result.ReservedBytes
 	req.response <- resp
 }
--- a/proxy/response_test.go
+++ b/proxy/response_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -55,10 +56,38 @@
 			assert.Greater(t, time.Since(startedAt), 3*time.Second, "the response may end after the deadline")
 			conn.Close()
 			env.stopAndWait()
+			assert.Zero(t, env.memory.reserved.Load(), "%s: all reserved memory is released", c.name)
 		})
 	}
 }
 
+// Guards against releasing the memory of a response when its server has sent the end, though the client has not taken
+// what was stored before streaming began.
+func TestUnreadStreamHoldsItsMemory(t *testing.T) {
+	const size = 30_000
+	synctest.Test(t, func(t *testing.T) {
+		env := newEnv(t, map[string][]string{"b1": {okResponse}}, nil)
+		env.respondWith = func(end net.Conn) {
+			write(end, fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", size))
+			write(end, strings.Repeat("x", size))
+			time.Sleep(50 * time.Millisecond) // streaming begins with what is stored
+			write(end, "\r\n0\r\n\r\n")
+		}
+		env.start()
+		conn := env.connect()
+		go write(conn, idempotentRequest)
+		time.Sleep(500 * time.Millisecond)
+		assert.GreaterOrEqual(t, env.memory.reserved.Load(), int64(size))
+		_, _, body, err := readResponse(conn)
+		assert.NoError(t, err)
+		assert.Len(t, body, size)
+		synctest.Wait()
+		assert.Zero(t, env.memory.reserved.Load())
+		conn.Close()
+		env.stopAndWait()
+	})
+}
+
 // A response that breaks off before any of it was relayed may be replaced by another attempt. One that breaks off later
 // reaches the client incomplete.
 func TestBrokenLargeResponses(t *testing.T) {
