--- /dev/null
+++ b/review/stand-2/rig/proxy.go
@@ -0,0 +1,186 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// readyWithin is how long the platform waits for a proxy to be ready.
+const readyWithin = 30 * time.Second
+
+// Object is a JSON object.
+type Object = map[string]any
+
+// Launch is what the platform tells a proxy at its start.
+type Launch struct {
+	Name      string
+	Discovery *Discovery
+	Settings  Object
+	MemoryMB  int
+	Sockets   int
+	Folder    string // TMPDIR of the process; empty: a new one
+	Admin     bool   // the proxy gets an address for operators
+}
+
+// Proxy is a proxy that the deploy file's run line has started, in a process of its own.
+type Proxy struct {
+	Name   string
+	Addr   string
+	Admin  string // the address for operators, if there is one
+	Folder string
+	cmd    *exec.Cmd
+	ended  chan struct{}
+}
+
+var (
+	proxiesMu sync.Mutex
+	proxies   []*Proxy
+	folders   []string
+)
+
+// TempFolder makes a folder that is removed at the end of the case.
+func TempFolder() string {
+	folder, err := os.MkdirTemp("", "review-2-")
+	if err != nil {
+		Fatal("temporary folder: %v", err)
+	}
+	proxiesMu.Lock()
+	defer proxiesMu.Unlock()
+	folders = append(folders, folder)
+	return folder
+}
+
+// FreeAddr returns a free address in 127.0.0.0/8.
+func FreeAddr() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		Fatal("free port: %v", err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// RunLine returns the run line of the deploy file.
+func RunLine() string {
+	text, err := os.ReadFile("deploy/balancer.toml")
+	if err != nil {
+		Fatal("deploy file: %v", err)
+	}
+	for text := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(text, `run = "`); ok {
+			line, _, _ := strings.Cut(rest, `"`)
+			return line
+		}
+	}
+	Fatal("deploy file: no run line")
+	return ""
+}
+
+// StartProxy starts a proxy as the platform does and waits until it is ready.
+func StartProxy(record *Record, launch Launch) *Proxy {
+	p := &Proxy{Name: launch.Name, Addr: FreeAddr(), Folder: launch.Folder, ended: make(chan struct{})}
+	if p.Folder == "" {
+		p.Folder = TempFolder()
+	}
+	config := filepath.Join(TempFolder(), "launch.json")
+	text, err := json.Marshal(Object{
+		"name": launch.Name, "listen": p.Addr, "discovery": launch.Discovery.Addr(), "seed": "8c1f30d27a5be964",
+		"limits":   Object{"cores": 1.0, "memory_mb": launch.MemoryMB, "sockets": launch.Sockets},
+		"known":    launch.Discovery.Known(),
+		"settings": launch.Settings,
+	})
+	if err == nil {
+		err = os.WriteFile(config, text, 0o600)
+	}
+	if err != nil {
+		Fatal("launch file: %v", err)
+	}
+	logFile, err := os.Create(p.Folder + ".log")
+	if err != nil {
+		Fatal("log: %v", err)
+	}
+	p.cmd = exec.Command("/bin/sh", "-c", RunLine())
+	p.cmd.Stdout, p.cmd.Stderr = logFile, logFile
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	p.cmd.Env = append(os.Environ(), "ROUTER_NAME="+launch.Name, "ROUTER_LISTEN="+p.Addr,
+		"ROUTER_DISCOVERY="+launch.Discovery.Addr(), "ROUTER_CONFIG="+config, "TMPDIR="+p.Folder)
+	if launch.Admin {
+		p.Admin = FreeAddr()
+		p.cmd.Env = append(p.cmd.Env, "ROUTER_OPERATOR="+p.Admin)
+	}
+	if err := p.cmd.Start(); err != nil {
+		Fatal("start of the proxy: %v", err)
+	}
+	_ = logFile.Close()
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.ended)
+	}()
+	proxiesMu.Lock()
+	proxies = append(proxies, p)
+	folders = append(folders, p.Folder+".log")
+	proxiesMu.Unlock()
+	for end := time.Now().Add(readyWithin); ; time.Sleep(20 * time.Millisecond) {
+		if Get(p.Addr, "/up") == 200 {
+			break
+		}
+		if !p.Alive() || time.Now().After(end) {
+			text, _ := os.ReadFile(p.Folder + ".log")
+			Fatal("the proxy is not ready: %s", text)
+		}
+	}
+	record.Line("proxy %s is ready at %s", p.Name, p.Addr)
+	return p
+}
+
+// Alive reports whether the process still runs.
+func (p *Proxy) Alive() bool {
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Signal sends a signal to the program that the run line started.
+func (p *Proxy) Signal(s syscall.Signal) {
+	if err := p.cmd.Process.Signal(s); err != nil {
+		Fatal("signal: %v", err)
+	}
+}
+
+// Log returns what the proxy has written.
+func (p *Proxy) Log() string {
+	text, _ := os.ReadFile(p.Folder + ".log")
+	return string(text)
+}
+
+// EndProxies kills all proxies and removes the temporary folders.
+func EndProxies() {
+	proxiesMu.Lock()
+	defer proxiesMu.Unlock()
+	for _, p := range proxies {
+		if p.Alive() {
+			_ = p.cmd.Process.Signal(syscall.SIGCONT)
+			_ = syscall.Kill(-p.cmd.Process.Pid, syscall.SIGKILL)
+			<-p.ended
+		}
+	}
+	for _, folder := range folders {
+		if os.Getenv("KEEP") == "" {
+			_ = os.RemoveAll(folder)
+		} else {
+			fmt.Println("kept", folder)
+		}
+	}
+	proxies, folders = nil, nil
+}
--- /dev/null
+++ b/review/stand-2/rig/settings.go
@@ -0,0 +1,86 @@
+package rig
+
+// Petitions returns settings of a small deployment of jhb-petitions.
+func Petitions(proxies int) Object {
+	return Object{
+		"ReplicasOfMe": proxies, "SlotNo": 0, "KindOfService": "proxy", "Discovery": "automatic",
+		"Zone": "jhb-dc1", "Zones": []string{"jhb-dc1"}, "HostTypes": []string{"type-a", "type-b"},
+		"ValuePer": "work", "Weights": "off", "QuantumMs": 2, "Clients": Object{"MarksRetry": true},
+		"FamilyInfo": Object{"WarmKeys": true},
+		"Feedback":   Object{"Via": "inline", "Fields": []string{"utilization", "recent_ms"}},
+		"Ceilings": Object{
+			"Cancel": true, "ConnIdleMs": 5000, "ConnectTimeoutMs": 75, "MaxLegs": 4, "RetryAfter": true,
+			"MaxRetryAfterMs": 1200, "ParallelTries": true, "StreamsPerConn": 1, "Probes": false, "PeerMessages": false,
+		},
+		"Rules": Object{
+			"StopSendingWithinMs": 2500, "ColdFrom": 0.17, "ColdMs": 22000, "FallMultiple": 3, "OverloadForMs": 1000,
+			"AnswerSlackMs": 50,
+		},
+		"Profiles": []Object{
+			{"Name": "view-petition", "Effect": "retryable", "DueTimeMs": 300, "HardStopMs": 1000, "Value": 1},
+			{"Name": "check-member", "Effect": "retryable", "DueTimeMs": 150, "HardStopMs": 400, "Value": 5},
+			{
+				"Name": "add-signature", "Effect": "dedup", "DedupScope": "cell", "WindowMs": 300,
+				"DueTimeMs": 200, "HardStopMs": 500, "Value": 10,
+			},
+			{"Name": "send-sms", "Effect": "fragile", "DueTimeMs": 300, "HardStopMs": 1200, "Value": 2},
+		},
+	}
+}
+
+// Maintenance returns settings of a small deployment of vrancea-mentenanta with one proxy.
+func Maintenance() Object {
+	return Object{
+		"ReplicasOfMe": 1, "SlotNo": 0, "KindOfService": "proxy", "Discovery": "subscribe",
+		"Zone": "focsani-sala1", "Zones": []string{"focsani-sala1"}, "HostTypes": []string{"std-2c", "lent-2c"},
+		"ValuePer": "work", "Weights": "rough", "QuantumMs": 4, "Clients": Object{"MarksRetry": true},
+		"FamilyInfo": Object{"WarmKeys": true},
+		"Feedback":   Object{"Via": "on_probe", "Fields": []string{"recent_ms", "throughput", "errors_per_s", "backlog"}},
+		"Ceilings": Object{
+			"Cancel": true, "ConnIdleMs": 15000, "ConnectTimeoutMs": 100, "MaxLegs": 3, "RetryAfter": true,
+			"MaxRetryAfterMs": 3000, "ParallelTries": true, "StreamsPerConn": 1, "Probes": true, "PeerMessages": false,
+		},
+		"Tariffs": Object{"Probe": 0.01, "Handshake": 0.12, "Waste": 0.3, "LateFail": 0.05},
+		"Rules": Object{
+			"StopSendingWithinMs": 500, "ColdFrom": 0.12, "ColdMs": 23000, "FallMultiple": 3, "OverloadForMs": 3000,
+			"AnswerSlackMs": 50, "GoneIsAdvice": true, "AskEveryMs": 2000,
+		},
+		"Profiles": []Object{
+			{"Name": "stare-statie", "Effect": "retryable", "DueTimeMs": 400, "HardStopMs": 1500, "Value": 5, "LateValue": 0.5},
+			{
+				"Name": "raport-calibrare", "Effect": "dedup", "DedupScope": "all", "WindowMs": 5000,
+				"DueTimeMs": 1000, "HardStopMs": 5000, "Value": 2, "LateValue": 0.5,
+			},
+		},
+	}
+}
+
+// Branches returns settings of a small deployment of the Tainan site with one proxy. A connection carries one request
+// at a time, as the protocol page has it.
+func Branches() Object {
+	return Object{
+		"ReplicasOfMe": 1, "SlotNo": 0, "KindOfService": "mesh", "Discovery": "automatic",
+		"Zone": "anping-room", "Zones": []string{"anping-room", "east-room"},
+		"HostTypes": []string{"gen3", "gen2", "gen1"},
+		"ValuePer":  "work", "Weights": "rough", "QuantumMs": 5, "Clients": Object{"MarksRetry": false},
+		"FamilyInfo": Object{"WarmKeys": false},
+		"Feedback":   Object{"Via": "on_probe", "Fields": []string{"throughput", "backlog"}},
+		"Ceilings": Object{
+			"Cancel": true, "ConnIdleMs": 60000, "ConnectTimeoutMs": 120, "MaxLegs": 5, "RetryAfter": true,
+			"MaxRetryAfterMs": 1200, "ParallelTries": true, "StreamsPerConn": 1, "Probes": true, "PeerMessages": false,
+		},
+		"Tariffs": Object{"Probe": 0.05, "Connection": 0.03, "Handshake": 0.03, "Waste": 0.02, "LateFail": 0.03},
+		"Rules": Object{
+			"StopSendingWithinMs": 250, "ColdFrom": 0.14, "ColdMs": 17000, "FallMultiple": 2, "OverloadForMs": 1500,
+			"AnswerSlackMs": 50,
+		},
+		"Profiles": []Object{
+			{"Name": "search", "Effect": "retryable", "DueTimeMs": 250, "HardStopMs": 1000, "Value": 1, "LateValue": 0.3},
+			{"Name": "hold", "Effect": "fragile", "DueTimeMs": 400, "HardStopMs": 1500, "Value": 8, "LateValue": 0.3},
+			{
+				"Name": "loan", "Effect": "dedup", "DedupScope": "zone", "WindowMs": 12000,
+				"DueTimeMs": 1000, "HardStopMs": 2500, "Value": 10, "LateValue": 0.3,
+			},
+		},
+	}
+}
