--- a/review/stand-2/rig/proxy.go
+++ b/review/stand-2/rig/proxy.go
@@ -26,8 +26,8 @@
 	Settings  Object
 	MemoryMB  int
 	Sockets   int
-	Folder    string // TMPDIR of the process; empty: a new one
 	Admin     bool   // the proxy gets an address for operators
+	Beside    *Proxy // an upgrade: the process starts beside this one, with its address and TMPDIR; nil: it does not
 }
 
 // Proxy is a proxy that the deploy file's run line has started, in a process of its own.
@@ -36,6 +36,7 @@
 	Addr   string
 	Admin  string // the address for operators, if there is one
 	Folder string
+	log    string
 	cmd    *exec.Cmd
 	ended  chan struct{}
 }
@@ -86,9 +87,11 @@
 
 // StartProxy starts a proxy as the platform does and waits until it is ready.
 func StartProxy(record *Record, launch Launch) *Proxy {
-	p := &Proxy{Name: launch.Name, Addr: FreeAddr(), Folder: launch.Folder, ended: make(chan struct{})}
-	if p.Folder == "" {
-		p.Folder = TempFolder()
+	p := &Proxy{Name: launch.Name, ended: make(chan struct{})}
+	if old := launch.Beside; old != nil {
+		p.Addr, p.Folder = old.Addr, old.Folder
+	} else {
+		p.Addr, p.Folder = FreeAddr(), TempFolder()
 	}
 	config := filepath.Join(TempFolder(), "launch.json")
 	text, err := json.Marshal(Object{
@@ -103,7 +106,8 @@
 	if err != nil {
 		Fatal("launch file: %v", err)
 	}
-	logFile, err := os.Create(p.Folder + ".log")
+	p.log = filepath.Join(TempFolder(), "log")
+	logFile, err := os.Create(p.log)
 	if err != nil {
 		Fatal("log: %v", err)
 	}
@@ -126,21 +130,24 @@
 	}()
 	proxiesMu.Lock()
 	proxies = append(proxies, p)
-	folders = append(folders, p.Folder+".log")
 	proxiesMu.Unlock()
-	for end := time.Now().Add(readyWithin); ; time.Sleep(20 * time.Millisecond) {
-		if Get(p.Addr, "/up") == 200 {
-			break
-		}
+	for end := time.Now().Add(readyWithin); !p.ready(); time.Sleep(20 * time.Millisecond) {
 		if !p.Alive() || time.Now().After(end) {
-			text, _ := os.ReadFile(p.Folder + ".log")
-			Fatal("the proxy is not ready: %s", text)
+			Fatal("the proxy is not ready: %s", p.Log())
 		}
 	}
 	record.Line("proxy %s is ready at %s", p.Name, p.Addr)
 	return p
 }
 
+// ready reports whether the process takes clients.
+func (p *Proxy) ready() bool {
+	if p.Admin != "" {
+		return Get(p.Admin, "/-/ready") == 200
+	}
+	return Get(p.Addr, "/up") == 200
+}
+
 // Alive reports whether the process still runs.
 func (p *Proxy) Alive() bool {
 	select {
@@ -160,7 +167,7 @@
 
 // Log returns what the proxy has written.
 func (p *Proxy) Log() string {
-	text, _ := os.ReadFile(p.Folder + ".log")
+	text, _ := os.ReadFile(p.log)
 	return string(text)
 }
 
