--- a/review/9/case/main.go
+++ b/review/9/case/main.go
@@ -69,6 +69,11 @@
 		time.Sleep(every)
 	}
 	clients.Wait()
+	return judge(record, servers, count)
+}
+
+// judge counts the pairs that were both served, and the ids that backends were sent twice.
+func judge(record *rig.Record, servers []*rig.Backend, count *tally) int {
 	record.Say("usual clients were answered %v; the others, with the id of an open request, %v", count.usual, count.bad)
 	runs := map[string]int{}
 	twice := 0
--- a/review/stand-2/rig/client.go
+++ b/review/stand-2/rig/client.go
@@ -66,6 +66,23 @@
 	return time.Now(), nil
 }
 
+// Ask sends the request on a connection of its own and returns the status of the answer; 0: there is none.
+func (r *Request) Ask(addr string) int {
+	client, err := Dial(addr)
+	if err != nil {
+		return 0
+	}
+	defer client.Conn.Close()
+	if _, err := client.Send(r); err != nil {
+		return 0
+	}
+	status, _, _, err := client.Receive(time.Now().Add(2 * r.Wait))
+	if err != nil {
+		return 0
+	}
+	return status
+}
+
 // Receive reads an answer, and returns an error if it is not whole by a time.
 func (c *Client) Receive(until time.Time) (status int, body string, closes bool, err error) {
 	c.Conn.SetReadDeadline(until)
--- a/review/stand-2/rig/discovery.go
+++ b/review/stand-2/rig/discovery.go
@@ -42,6 +42,35 @@
 	changed *sync.Cond
 	list    []Entry
 	changes []change // changes[i] leads to version i+2
+	crowded bool     // calls are let wait for crowdWait and then turned away
+	crowds  int      // how often that has begun: a watch from before ends
+}
+
+// crowdWait is how long a call waits where discovery is crowded.
+const crowdWait = 700 * time.Millisecond
+
+// Crowd makes discovery crowded, which also ends all watches, or ends that.
+func (d *Discovery) Crowd(crowded bool) {
+	d.mu.Lock()
+	if d.crowded = crowded; crowded {
+		d.crowds++
+	}
+	d.mu.Unlock()
+	d.changed.Broadcast()
+	d.record.Line("discovery is crowded: %v", crowded)
+}
+
+// turnedAway reports whether a call is turned away, after letting it wait, and which crowds were before it.
+func (d *Discovery) turnedAway() (away bool, crowds int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.crowded {
+		return false, d.crowds
+	}
+	d.mu.Unlock()
+	time.Sleep(crowdWait)
+	d.mu.Lock()
+	return true, d.crowds
 }
 
 // NewDiscovery starts an agent that has version 1 of the list.
@@ -110,6 +139,12 @@
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 		return
 	}
+	away, crowds := d.turnedAway()
+	d.record.Line("discovery gets a call from %s, turned away: %v", conn.RemoteAddr(), away)
+	if away {
+		fmt.Fprint(conn, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		return
+	}
 	version := 0
 	_, _ = fmt.Sscan(request.URL.Query().Get("index"), &version)
 	if _, err := fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
@@ -129,6 +164,9 @@
 	}()
 	for first := true; ; first = false {
 		line, next := d.next(version, first)
+		if d.crowdedSince(crowds) {
+			return
+		}
 		version = next
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(line), line); err != nil {
 			return
@@ -136,6 +174,13 @@
 	}
 }
 
+// crowdedSince reports whether a crowd has begun after so many.
+func (d *Discovery) crowdedSince(crowds int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.crowds != crowds
+}
+
 // next returns the next line of a watch whose proxy has a version, and the version after it.
 func (d *Discovery) next(version int, first bool) (line string, next int) {
 	d.mu.Lock()
--- a/review/stand-2/rig/proxy.go
+++ b/review/stand-2/rig/proxy.go
@@ -27,6 +27,7 @@
 	MemoryMB  int
 	Sockets   int
 	Admin     bool   // the proxy gets an address for operators
+	Peers     Object // of the launch file; nil: there are none
 	Beside    *Proxy // an upgrade: the process starts beside this one, with its address and TMPDIR; nil: it does not
 }
 
@@ -87,6 +88,26 @@
 
 // StartProxy starts a proxy as the platform does and waits until it is ready.
 func StartProxy(record *Record, launch Launch) *Proxy {
+	p := Start(launch)
+	if !p.AwaitReady(readyWithin) {
+		Fatal("the proxy is not ready: %s", p.Log())
+	}
+	record.Line("proxy %s is ready at %s", p.Name, p.Addr)
+	return p
+}
+
+// AwaitReady waits until the proxy is ready, and reports whether it is within a time.
+func (p *Proxy) AwaitReady(within time.Duration) bool {
+	for end := time.Now().Add(within); !p.ready(); time.Sleep(20 * time.Millisecond) {
+		if !p.Alive() || time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
+// Start starts a proxy as the platform does.
+func Start(launch Launch) *Proxy {
 	p := &Proxy{Name: launch.Name, ended: make(chan struct{})}
 	if old := launch.Beside; old != nil {
 		p.Addr, p.Folder = old.Addr, old.Folder
@@ -94,12 +115,16 @@
 		p.Addr, p.Folder = FreeAddr(), TempFolder()
 	}
 	config := filepath.Join(TempFolder(), "launch.json")
-	text, err := json.Marshal(Object{
+	file := Object{
 		"name": launch.Name, "listen": p.Addr, "discovery": launch.Discovery.Addr(), "seed": "8c1f30d27a5be964",
 		"limits":   Object{"cores": 1.0, "memory_mb": launch.MemoryMB, "sockets": launch.Sockets},
 		"known":    launch.Discovery.Known(),
 		"settings": launch.Settings,
-	})
+	}
+	if launch.Peers != nil {
+		file["peers"] = launch.Peers
+	}
+	text, err := json.Marshal(file)
 	if err == nil {
 		err = os.WriteFile(config, text, 0o600)
 	}
@@ -131,12 +156,6 @@
 	proxiesMu.Lock()
 	proxies = append(proxies, p)
 	proxiesMu.Unlock()
-	for end := time.Now().Add(readyWithin); !p.ready(); time.Sleep(20 * time.Millisecond) {
-		if !p.Alive() || time.Now().After(end) {
-			Fatal("the proxy is not ready: %s", p.Log())
-		}
-	}
-	record.Line("proxy %s is ready at %s", p.Name, p.Addr)
 	return p
 }
 
--- a/review/stand-2/rig/settings.go
+++ b/review/stand-2/rig/settings.go
@@ -55,6 +55,15 @@
 	}
 }
 
+// MaintenanceFleet returns the same for one of several proxies, which send each other messages.
+func MaintenanceFleet(proxies, number int) Object {
+	settings := Maintenance()
+	settings["ReplicasOfMe"], settings["SlotNo"] = proxies, number
+	settings["Ceilings"].(Object)["PeerMessages"] = true
+	settings["Tariffs"].(Object)["Peer"] = 0.04
+	return settings
+}
+
 // Branches returns settings of a small deployment of the Tainan site with one proxy. A connection carries one request
 // at a time, as the protocol page has it.
 func Branches() Object {
