--- a/review/stand-2/rig/discovery.go
+++ b/review/stand-2/rig/discovery.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -43,7 +44,9 @@
 	list    []Entry
 	changes []change // changes[i] leads to version i+2
 	crowded bool     // calls are let wait for crowdWait and then turned away
-	crowds  int      // how often that has begun: a watch from before ends
+	crowds  int      // how often that has begun, or Slow was called: a watch from before ends
+
+	slow time.Duration // that writing a list takes
 }
 
 // crowdWait is how long a call waits where discovery is crowded.
@@ -60,6 +63,42 @@
 	d.record.Line("discovery is crowded: %v", crowded)
 }
 
+// Slow ends all watches. From then on each list is the whole one, and writing it takes a time; 0: as before.
+func (d *Discovery) Slow(takes time.Duration) {
+	d.mu.Lock()
+	d.slow = takes
+	d.crowds++
+	d.mu.Unlock()
+	d.changed.Broadcast()
+	d.record.Line("discovery ends all watches; writing a list takes %v", takes)
+}
+
+// slowness returns how long writing a list takes.
+func (d *Discovery) slowness() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.slow
+}
+
+// writeChunk writes a line of a watch as a chunk, in pieces if discovery is slow.
+func (d *Discovery) writeChunk(conn net.Conn, line string) error {
+	const pieces = 40
+	text := fmt.Sprintf("%x\r\n%s\r\n", len(line), line)
+	slow := d.slowness()
+	if slow == 0 || len(line) < 2*pieces {
+		_, err := io.WriteString(conn, text)
+		return err
+	}
+	for size := len(text)/pieces + 1; len(text) > 0; text = text[min(size, len(text)):] {
+		if _, err := io.WriteString(conn, text[:min(size, len(text))]); err != nil {
+			return err
+		}
+		time.Sleep(slow / pieces)
+	}
+	d.record.Line("discovery has written a list of %d bytes to %s", len(line), conn.RemoteAddr())
+	return nil
+}
+
 // turnedAway reports whether a call is turned away, after letting it wait, and which crowds were before it.
 func (d *Discovery) turnedAway() (away bool, crowds int) {
 	d.mu.Lock()
@@ -168,7 +207,7 @@
 			return
 		}
 		version = next
-		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(line), line); err != nil {
+		if err := d.writeChunk(conn, line); err != nil {
 			return
 		}
 	}
@@ -191,7 +230,7 @@
 	}
 	var value any
 	switch {
-	case version < 1 || version > current():
+	case version < 1 || version > current() || first && d.slow > 0:
 		value = d.full()
 	case version == current() && !first:
 		return "\n", version
