--- a/review/stand-2/rig/backend.go
+++ b/review/stand-2/rig/backend.go
@@ -21,15 +21,22 @@
 // Backend is a backend of one process.
 type Backend struct {
 	Entry
-	Work    time.Duration // of a request
-	OnHead  func()        // called with each head, before the body is read; nil: nothing
-	AfterOK func(conn net.Conn)
-	record  *Record
-	ln      net.Listener
-	hang    atomic.Bool
+	Work   time.Duration // of a request
+	Closes bool          // it closes each connection after its first answer
+	record *Record
+	ln     net.Listener
+	hang   atomic.Bool
 
-	mu  sync.Mutex
-	got []Got
+	mu     sync.Mutex
+	got    []Got
+	onBody func(id string, body []byte)
+}
+
+// SetOnBody sets a function that is called with each body that was received whole.
+func (b *Backend) SetOnBody(call func(id string, body []byte)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.onBody = call
 }
 
 // NewBackend starts a backend on a free port.
@@ -104,10 +111,7 @@
 		if err != nil {
 			return
 		}
-		if b.OnHead != nil {
-			b.OnHead()
-		}
-		received, err := io.Copy(io.Discard, request.Body)
+		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
 		}
@@ -119,16 +123,18 @@
 		got := Got{ID: id, FirstAt: source.firstAt, At: time.Now()}
 		b.mu.Lock()
 		b.got = append(b.got, got)
+		onBody := b.onBody
 		b.mu.Unlock()
-		b.record.LineAt(got.At, "backend %s runs %s (%d bytes)", b.ID, id, received)
+		b.record.LineAt(got.At, "backend %s runs %s (%d bytes)", b.ID, id, len(body))
+		if onBody != nil {
+			onBody(id, body)
+		}
 		time.Sleep(b.Work)
 		b.standStill()
-		body := "made for " + id
-		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
+		answer := "made for " + id
+		_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+		if err != nil {
 			return
 		}
-		if b.AfterOK != nil {
-			b.AfterOK(conn)
-		}
 	}
 }
