--- a/review/10/case/main.go
+++ b/review/10/case/main.go
@@ -1,4 +1,4 @@
-// Command case lets a backend drain after discovery was crowded for some seconds. See claim.txt.
+// Command case disables a backend that the list has left out while it still serves. See claim.txt.
 package main
 
 import (
@@ -11,17 +11,13 @@
 )
 
 const (
-	fleet     = 300 // proxies, of which this case starts some
-	started   = 3
-	backends  = 20
-	every     = 200 * time.Millisecond // between two requests to one proxy
-	wait      = 500 * time.Millisecond
-	crowdAt   = 3 * time.Second
-	crowdFor  = 8 * time.Second
-	drainAt   = crowdAt + crowdFor + time.Second
-	toldAfter = 6 * time.Second         // at the latest
-	grace     = 2550 * time.Millisecond // Rules.StopSendingWithinMs, and 50 ms on sockets
-	playFor   = 60 * time.Second
+	backends  = 5
+	every     = 15 * time.Millisecond // between two requests
+	wait      = 1200 * time.Millisecond
+	grace     = 550 * time.Millisecond // Rules.StopSendingWithinMs, and 50 ms on sockets
+	leftAt    = 2 * time.Second
+	disableAt = 4 * time.Second
+	playFor   = 10 * time.Second
 )
 
 func main() { rig.Main(play) }
@@ -30,64 +26,63 @@
 	var list []rig.Entry
 	var servers []*rig.Backend
 	for i := range backends {
-		server := rig.NewBackend(record, fmt.Sprintf("s-%d", i+1), "jhb-dc1", "type-a", i/8, 20*time.Millisecond)
+		server := rig.NewBackend(record, fmt.Sprintf("s-%d", i+1), "focsani-sala1", "std-2c", i/3, 30*time.Millisecond)
 		servers, list = append(servers, server), append(list, server.Entry)
 	}
 	discovery := rig.NewDiscovery(record, list)
+	proxy := rig.StartProxy(record, rig.Launch{
+		Name: "n0", Discovery: discovery, Settings: rig.Maintenance(), MemoryMB: 192, Sockets: 1024, Admin: true,
+	})
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	var served atomic.Int64
-	for i := range started {
-		proxy := rig.StartProxy(record, rig.Launch{
-			Name: fmt.Sprintf("n%d", i), Discovery: discovery, Settings: rig.Petitions(fleet), MemoryMB: 192, Sockets: 1024,
-		})
-		clients.Go(func() { traffic(record, proxy, stop, &served) })
-	}
-	time.Sleep(crowdAt)
+	clients.Go(func() { traffic(record, proxy.Addr, stop, &served) })
+	time.Sleep(leftAt)
 	if rig.Trouble() {
-		discovery.Crowd(true)
-		time.Sleep(crowdFor)
-		discovery.Crowd(false)
+		gone := servers[0].Entry
+		gone.State = "left"
+		discovery.Set(gone)
 	}
-	time.Sleep(drainAt - crowdAt - crowdFor)
-	var drained []*rig.Backend
-	var since time.Time
-	for _, server := range servers[:backends/4] {
-		leaving := server.Entry
-		leaving.State = "leaving"
-		since = discovery.Set(leaving)
-		drained = append(drained, server)
+	time.Sleep(disableAt - leftAt)
+	status := rig.Call(proxy.Admin, "PUT", "/-/backends/s-1/disable")
+	saidYes := time.Now()
+	record.Say("PUT /-/backends/s-1/disable: %d", status)
+	if status/100 != 2 {
+		return rig.NotRun
 	}
-	time.Sleep(playFor - drainAt)
+	time.Sleep(playFor - disableAt)
 	close(stop)
 	clients.Wait()
-	return judge(record, drained, since.Add(toldAfter+grace), served.Load())
+	return judge(record, servers[0], saidYes, served.Load())
 }
 
-// judge counts what the draining backends got after a time.
-func judge(record *rig.Record, servers []*rig.Backend, after time.Time, served int64) int {
-	late, latest := 0, time.Duration(0)
-	for _, server := range servers {
-		for _, got := range server.Got() {
-			if over := got.FirstAt.Sub(after); over > 0 {
-				late, latest = late+1, max(latest, over)
-				record.Line("sent to %s %.3f s after the grace: %s", server.ID, over.Seconds(), got.ID)
-			}
+// judge counts what the disabled backend got, by the time of its first byte.
+func judge(record *rig.Record, server *rig.Backend, saidYes time.Time, served int64) int {
+	before, within, after := 0, 0, 0
+	for _, got := range server.Got() {
+		switch since := got.FirstAt.Sub(saidYes); {
+		case since <= 0:
+			before++
+		case since <= grace:
+			within++
+		default:
+			after++
+			record.Line("sent to s-1 %.3f s after the yes: %s", since.Seconds(), got.ID)
 		}
 	}
-	record.Say("served %d; sent to draining backends after the grace: %d, the last %.1f s after it",
-		served, late, latest.Seconds())
+	record.Say("served %d; s-1 got %d before it was disabled, %d within the grace, %d after it",
+		served, before, within, after)
 	switch {
-	case served == 0:
+	case served == 0 || before == 0:
 		return rig.NotRun
-	case late > 0:
+	case after > 0:
 		return rig.Broken
 	}
 	return rig.Held
 }
 
-// traffic sends requests to a proxy at a fixed rate, each on a connection of its own, until stop is closed.
-func traffic(record *rig.Record, proxy *rig.Proxy, stop chan struct{}, served *atomic.Int64) {
+// traffic sends requests at a fixed rate, each on a connection of its own, until stop is closed.
+func traffic(record *rig.Record, addr string, stop chan struct{}, served *atomic.Int64) {
 	var open sync.WaitGroup
 	defer open.Wait()
 	for n := 1; ; n++ {
@@ -96,9 +91,9 @@
 			return
 		case <-time.After(every):
 		}
-		request := &rig.Request{ID: fmt.Sprintf("%s%014x", proxy.Name, n), Class: "view-petition", Get: true, Wait: wait}
+		request := &rig.Request{ID: fmt.Sprintf("%016x", n), Class: "stare-statie", Get: true, Wait: wait}
 		open.Go(func() {
-			client, err := rig.Dial(proxy.Addr)
+			client, err := rig.Dial(addr)
 			if err != nil {
 				record.Line("client %s: %v", request.ID, err)
 				return
--- a/review/6/case/main.go
+++ b/review/6/case/main.go
@@ -1,10 +1,12 @@
-// Command case plays long request bodies while one backend of four hangs. See claim.txt.
+// Command case holds a proxy up while long bodies in chunks are about to be sent on. See claim.txt.
 package main
 
 import (
 	"fmt"
-	"net"
+	"io"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -12,175 +14,122 @@
 )
 
 const (
-	backends  = 4
-	hanging   = 2                      // of them
-	wait      = 600 * time.Millisecond // of a client: half of the hard stop of send-sms
-	slack     = 550 * time.Millisecond // an answer up to half a second late earns nothing; 50 ms on sockets
-	playFor   = 14 * time.Second
-	hangAfter = 3 * time.Second
-	every     = 30 * time.Millisecond // between two requests; every second one is long
-	watchFor  = 4 * time.Second       // from the last byte: later answers are not awaited
-	piece     = 16 << 10              // of a write
-	sizeFrom  = 96 << 10              // of the long bodies, above what sizesFor measures
-	sizeStep  = 32 << 10
-	sizeSteps = 8
+	backends  = 2
+	work      = 10 * time.Millisecond
+	senders   = 2
+	wait      = 250 * time.Millisecond // half of the hard stop of add-signature
+	records   = 2800                   // of 24 bytes each, in a body
+	chunk     = 350                    // records in a chunk
+	heldFor   = 145 * time.Millisecond // a proxy may be held up for 0.15 s
+	heldEvery = 250 * time.Millisecond
+	playFor   = 40 * time.Second
 )
 
-// sizesFor returns the sizes of the long bodies, in bytes: a little over the number that the systems of two machines
-// take in for a backend that hangs, so that the rest lies at the proxy's machine. The pages allow 32 MB.
-func sizesFor(record *rig.Record) (sizes []int) {
-	server := rig.NewBackend(record, "measure", "jhb-dc1", "type-a", 0, 0)
-	server.Hang()
-	conn, err := net.Dial("tcp", server.Addr)
-	if err != nil {
-		rig.Fatal("measure: %v", err)
-	}
-	defer conn.Close()
-	held := 0
-	for err == nil {
-		conn.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
-		var n int
-		n, err = conn.Write(make([]byte, piece))
-		held += n
-	}
-	record.Say("a connection to a backend that hangs holds %d bytes", held)
-	for i := range sizeSteps {
-		sizes = append(sizes, held+sizeFrom+i*sizeStep)
-	}
-	return sizes
-}
-
-// tally counts how requests ended.
+// tally counts what clients and backends saw.
 type tally struct {
-	sync.Mutex
-	served, refused, failed, lost, untaken int
-	lostSizes                              map[int]int
+	sent, served, other atomic.Int64
+	mu                  sync.Mutex
+	wrong               []string
 }
 
 func main() { rig.Main(play) }
 
 func play(record *rig.Record) int {
+	count := &tally{}
 	var list []rig.Entry
-	var servers []*rig.Backend
 	for i := range backends {
-		server := rig.NewBackend(record, fmt.Sprintf("s-%d", i+1), "jhb-dc1", "type-a", 0, 15*time.Millisecond)
-		servers, list = append(servers, server), append(list, server.Entry)
+		server := rig.NewBackend(record, fmt.Sprintf("s-%d", i+1), "jhb-dc1", "type-a", 0, work)
+		server.SetOnBody(func(id string, body []byte) { count.check(record, server.ID, id, body) })
+		list = append(list, server.Entry)
 	}
-	sizes := sizesFor(record)
 	proxy := rig.StartProxy(record, rig.Launch{
 		Name: "n0", Discovery: rig.NewDiscovery(record, list), Settings: rig.Petitions(1), MemoryMB: 192, Sockets: 1024,
 	})
-	count := &tally{lostSizes: map[int]int{}}
+	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	began := time.Now()
-	hung := false
-	for n := 0; time.Since(began) < playFor; n++ {
-		if !hung && rig.Trouble() && time.Since(began) > hangAfter {
-			for _, server := range servers[:hanging] {
-				server.Hang()
-			}
-			hung = true
-		}
-		size := 0
-		if n%2 == 0 {
-			size = sizes[n/2%len(sizes)]
+	for i := range senders {
+		clients.Go(func() { count.send(proxy.Addr, i, stop) })
+	}
+	time.Sleep(2 * time.Second)
+	holds := 0
+	for began := time.Now(); time.Since(began) < playFor; holds++ {
+		if rig.Trouble() {
+			proxy.Signal(syscall.SIGSTOP)
+			time.Sleep(heldFor)
+			proxy.Signal(syscall.SIGCONT)
 		}
-		request := &rig.Request{ID: fmt.Sprintf("%016x", n+1), Class: "send-sms", Wait: wait, Body: make([]byte, size)}
-		clients.Go(func() { count.ask(record, proxy.Addr, request) })
-		time.Sleep(every)
+		time.Sleep(heldEvery - heldFor)
 	}
+	close(stop)
 	clients.Wait()
-	record.Say("served %d, refused %d, failed %d, not whole at the proxy's machine %d, lost %d, by size of the body %v",
-		count.served, count.refused, count.failed, count.untaken, count.lost, count.lostSizes)
+	record.Say("sent %d, served %d, otherwise answered %d; held up %d times; bodies that no client sent: %d",
+		count.sent.Load(), count.served.Load(), count.other.Load(), holds, len(count.wrong))
 	switch {
-	case !proxy.Alive() || count.served == 0:
-		record.Say("nothing was served, or the proxy has ended")
+	case count.served.Load() == 0:
 		return rig.NotRun
-	case count.lost > 0:
+	case len(count.wrong) > 0:
 		return rig.Broken
 	}
 	return rig.Held
 }
 
-// ask sends one request on a connection of its own and counts how it ended.
-func (t *tally) ask(record *rig.Record, addr string, request *rig.Request) {
-	client, err := rig.Dial(addr)
-	if err != nil {
-		record.Line("client %s: %v", request.ID, err)
-		return
-	}
-	defer client.Conn.Close()
-	answered := make(chan string, 1)
-	var answeredAt time.Time
-	go func() {
-		status, _, _, err := client.Receive(time.Now().Add(20 * time.Second))
-		answeredAt = time.Now()
-		answered <- fmt.Sprintf("%d %v", status, err)
-		t.count(status)
-	}()
-	client.Conn.SetWriteDeadline(time.Now().Add(watchFor))
-	sentAt, err := client.Send(request)
-	if err == nil {
-		err = acknowledged(client.Conn, time.Now().Add(watchFor))
-		sentAt = time.Now()
-	}
-	if err != nil { // the proxy's machine has not accepted the last byte: the proxy has not taken the request
-		record.Line("client %s (%d bytes): not written whole: %v", request.ID, len(request.Body), err)
-		t.Lock()
-		t.untaken++
-		t.Unlock()
-		return
-	}
-	select {
-	case answer := <-answered:
-		record.LineAt(answeredAt, "client %s (%d bytes): answered %s, %.3f s after its last byte", request.ID,
-			len(request.Body), answer, answeredAt.Sub(sentAt).Seconds())
-		if answeredAt.Sub(sentAt) <= wait+slack {
+// line returns a record of a body.
+func line(id string, n int) string { return fmt.Sprintf("%s %06d\n", id, n) }
+
+// check compares a body that a backend has received whole with the one that was sent.
+func (t *tally) check(record *rig.Record, server, id string, body []byte) {
+	lines := strings.Split(strings.TrimSuffix(string(body), "\n"), "\n")
+	for i, got := range lines {
+		if got+"\n" != line(id, i) {
+			t.add(record, fmt.Sprintf("%s runs %s: record %d is %q", server, id, i, got))
 			return
 		}
-	case <-time.After(time.Until(sentAt.Add(watchFor))):
-		record.Line("client %s (%d bytes): no answer %.1f s after its last byte; it waits %.1f s", request.ID,
-			len(request.Body), watchFor.Seconds(), wait.Seconds())
 	}
-	t.Lock()
-	t.lost++
-	t.lostSizes[len(request.Body)]++
-	t.Unlock()
+	if len(lines) != records {
+		t.add(record, fmt.Sprintf("%s runs %s with %d records of %d", server, id, len(lines), records))
+	}
 }
 
-func (t *tally) count(status int) {
-	t.Lock()
-	defer t.Unlock()
-	switch {
-	case status == 200:
-		t.served++
-	case status == 429 || status == 503:
-		t.refused++
-	case status > 0:
-		t.failed++
-	}
+func (t *tally) add(record *rig.Record, text string) {
+	record.Line("%s", text)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wrong = append(t.wrong, text)
 }
 
-// acknowledged waits until the peer's machine has acknowledged all bytes that were written to a connection.
-func acknowledged(conn net.Conn, until time.Time) error {
-	raw, err := conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return err
-	}
-	for {
-		left := int32(1)
-		var failed syscall.Errno
-		err := raw.Control(func(fd uintptr) { left, failed = rig.Unacknowledged(fd) })
-		switch {
-		case err != nil:
-			return err
-		case failed != 0:
-			return failed
-		case left == 0:
-			return nil
-		case time.Now().After(until):
-			return fmt.Errorf("%d bytes not accepted by the proxy's machine", left)
+// send sends requests with long bodies in chunks, one after the other, each on a connection of its own.
+func (t *tally) send(addr string, sender int, stop chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		client, err := rig.Dial(addr)
+		if err != nil {
+			continue
+		}
+		id := fmt.Sprintf("%04x%012x", sender, n)
+		var text strings.Builder
+		fmt.Fprintf(&text, "POST /add-signature HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: %s\r\n"+
+			"X-Qos: add-signature\r\nIdempotency-Key: k%s\r\nX-Expires-In: %.3f\r\nTransfer-Encoding: chunked\r\n\r\n",
+			id, id, wait.Seconds())
+		for from := 0; from < records; from += chunk {
+			var part strings.Builder
+			for i := from; i < from+chunk; i++ {
+				part.WriteString(line(id, i))
+			}
+			fmt.Fprintf(&text, "%x\r\n%s\r\n", part.Len(), part.String())
+		}
+		text.WriteString("0\r\n\r\n")
+		t.sent.Add(1)
+		if _, err := io.WriteString(client.Conn, text.String()); err == nil {
+			if status, _, _, err := client.Receive(time.Now().Add(2 * time.Second)); err == nil && status == 200 {
+				t.served.Add(1)
+			} else {
+				t.other.Add(1)
+			}
 		}
-		time.Sleep(2 * time.Millisecond)
+		client.Conn.Close()
 	}
 }
--- a/review/stand-2/rig/backend.go
+++ b/review/stand-2/rig/backend.go
@@ -22,7 +22,6 @@
 type Backend struct {
 	Entry
 	Work   time.Duration // of a request
-	Closes bool          // it closes each connection after its first answer
 	record *Record
 	ln     net.Listener
 	hang   atomic.Bool
--- a/review/stand-2/rig/discovery.go
+++ b/review/stand-2/rig/discovery.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -43,73 +42,6 @@
 	changed *sync.Cond
 	list    []Entry
 	changes []change // changes[i] leads to version i+2
-	crowded bool     // calls are let wait for crowdWait and then turned away
-	crowds  int      // how often that has begun, or Slow was called: a watch from before ends
-
-	slow time.Duration // that writing a list takes
-}
-
-// crowdWait is how long a call waits where discovery is crowded.
-const crowdWait = 700 * time.Millisecond
-
-// Crowd makes discovery crowded, which also ends all watches, or ends that.
-func (d *Discovery) Crowd(crowded bool) {
-	d.mu.Lock()
-	if d.crowded = crowded; crowded {
-		d.crowds++
-	}
-	d.mu.Unlock()
-	d.changed.Broadcast()
-	d.record.Line("discovery is crowded: %v", crowded)
-}
-
-// Slow ends all watches. From then on each list is the whole one, and writing it takes a time; 0: as before.
-func (d *Discovery) Slow(takes time.Duration) {
-	d.mu.Lock()
-	d.slow = takes
-	d.crowds++
-	d.mu.Unlock()
-	d.changed.Broadcast()
-	d.record.Line("discovery ends all watches; writing a list takes %v", takes)
-}
-
-// slowness returns how long writing a list takes.
-func (d *Discovery) slowness() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.slow
-}
-
-// writeChunk writes a line of a watch as a chunk, in pieces if discovery is slow.
-func (d *Discovery) writeChunk(conn net.Conn, line string) error {
-	const pieces = 40
-	text := fmt.Sprintf("%x\r\n%s\r\n", len(line), line)
-	slow := d.slowness()
-	if slow == 0 || len(line) < 2*pieces {
-		_, err := io.WriteString(conn, text)
-		return err
-	}
-	for size := len(text)/pieces + 1; len(text) > 0; text = text[min(size, len(text)):] {
-		if _, err := io.WriteString(conn, text[:min(size, len(text))]); err != nil {
-			return err
-		}
-		time.Sleep(slow / pieces)
-	}
-	d.record.Line("discovery has written a list of %d bytes to %s", len(line), conn.RemoteAddr())
-	return nil
-}
-
-// turnedAway reports whether a call is turned away, after letting it wait, and which crowds were before it.
-func (d *Discovery) turnedAway() (away bool, crowds int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.crowded {
-		return false, d.crowds
-	}
-	d.mu.Unlock()
-	time.Sleep(crowdWait)
-	d.mu.Lock()
-	return true, d.crowds
 }
 
 // NewDiscovery starts an agent that has version 1 of the list.
@@ -178,12 +110,6 @@
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 		return
 	}
-	away, crowds := d.turnedAway()
-	d.record.Line("discovery gets a call from %s, turned away: %v", conn.RemoteAddr(), away)
-	if away {
-		fmt.Fprint(conn, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-		return
-	}
 	version := 0
 	_, _ = fmt.Sscan(request.URL.Query().Get("index"), &version)
 	if _, err := fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
@@ -203,23 +129,13 @@
 	}()
 	for first := true; ; first = false {
 		line, next := d.next(version, first)
-		if d.crowdedSince(crowds) {
-			return
-		}
 		version = next
-		if err := d.writeChunk(conn, line); err != nil {
+		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(line), line); err != nil {
 			return
 		}
 	}
 }
 
-// crowdedSince reports whether a crowd has begun after so many.
-func (d *Discovery) crowdedSince(crowds int) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.crowds != crowds
-}
-
 // next returns the next line of a watch whose proxy has a version, and the version after it.
 func (d *Discovery) next(version int, first bool) (line string, next int) {
 	d.mu.Lock()
@@ -230,7 +146,7 @@
 	}
 	var value any
 	switch {
-	case version < 1 || version > current() || first && d.slow > 0:
+	case version < 1 || version > current():
 		value = d.full()
 	case version == current() && !first:
 		return "\n", version
--- a/review/stand-2/rig/settings.go
+++ b/review/stand-2/rig/settings.go
@@ -63,33 +63,3 @@
 	settings["Tariffs"].(Object)["Peer"] = 0.04
 	return settings
 }
-
-// Branches returns settings of a small deployment of the Tainan site with one proxy. A connection carries one request
-// at a time, as the protocol page has it.
-func Branches() Object {
-	return Object{
-		"ReplicasOfMe": 1, "SlotNo": 0, "KindOfService": "mesh", "Discovery": "automatic",
-		"Zone": "anping-room", "Zones": []string{"anping-room", "east-room"},
-		"HostTypes": []string{"gen3", "gen2", "gen1"},
-		"ValuePer":  "work", "Weights": "rough", "QuantumMs": 5, "Clients": Object{"MarksRetry": false},
-		"FamilyInfo": Object{"WarmKeys": false},
-		"Feedback":   Object{"Via": "on_probe", "Fields": []string{"throughput", "backlog"}},
-		"Ceilings": Object{
-			"Cancel": true, "ConnIdleMs": 60000, "ConnectTimeoutMs": 120, "MaxLegs": 5, "RetryAfter": true,
-			"MaxRetryAfterMs": 1200, "ParallelTries": true, "StreamsPerConn": 1, "Probes": true, "PeerMessages": false,
-		},
-		"Tariffs": Object{"Probe": 0.05, "Connection": 0.03, "Handshake": 0.03, "Waste": 0.02, "LateFail": 0.03},
-		"Rules": Object{
-			"StopSendingWithinMs": 250, "ColdFrom": 0.14, "ColdMs": 17000, "FallMultiple": 2, "OverloadForMs": 1500,
-			"AnswerSlackMs": 50,
-		},
-		"Profiles": []Object{
-			{"Name": "search", "Effect": "retryable", "DueTimeMs": 250, "HardStopMs": 1000, "Value": 1, "LateValue": 0.3},
-			{"Name": "hold", "Effect": "fragile", "DueTimeMs": 400, "HardStopMs": 1500, "Value": 8, "LateValue": 0.3},
-			{
-				"Name": "loan", "Effect": "dedup", "DedupScope": "zone", "WindowMs": 12000,
-				"DueTimeMs": 1000, "HardStopMs": 2500, "Value": 10, "LateValue": 0.3,
-			},
-		},
-	}
-}
