--- a/review/6/case/main.go
+++ b/review/6/case/main.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,15 +15,15 @@
 )
 
 const (
-	backends  = 2
-	work      = 10 * time.Millisecond
-	senders   = 2
-	wait      = 250 * time.Millisecond // half of the hard stop of add-signature
-	records   = 2800                   // of 24 bytes each, in a body
-	chunk     = 350                    // records in a chunk
-	heldFor   = 145 * time.Millisecond // a proxy may be held up for 0.15 s
-	heldEvery = 250 * time.Millisecond
-	playFor   = 40 * time.Second
+	backends = 2
+	work     = 23 * time.Millisecond
+	senders  = 3
+	wait     = 250 * time.Millisecond // half of the hard stop of add-signature
+	records  = 2800                   // of 24 bytes each, in a body
+	chunk    = 350                    // records in a chunk
+	heldFor  = 145 * time.Millisecond // a proxy may be held up for 0.15 s
+	minGap   = 80 * time.Millisecond  // between two holds; the longest is twice as much
+	playFor  = 40 * time.Second
 )
 
 // tally counts what clients and backends saw.
@@ -52,13 +53,14 @@
 	}
 	time.Sleep(2 * time.Second)
 	holds := 0
-	for began := time.Now(); time.Since(began) < playFor; holds++ {
+	for began := time.Now(); time.Since(began) < playFor; {
 		if rig.Trouble() {
 			proxy.Signal(syscall.SIGSTOP)
 			time.Sleep(heldFor)
 			proxy.Signal(syscall.SIGCONT)
+			holds++
 		}
-		time.Sleep(heldEvery - heldFor)
+		time.Sleep(minGap + time.Duration(rand.Int63n(int64(minGap))))
 	}
 	close(stop)
 	clients.Wait()
