--- a/review/10/case/main.go
+++ b/review/stand-2/case10/main.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"lockloom/review/stand-2/rig"
+	"review/stand-2/rig"
 )
 
 const (
--- a/review/6/case/main.go
+++ b/review/stand-2/case6/main.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"lockloom/review/stand-2/rig"
+	"review/stand-2/rig"
 )
 
 const (
--- a/review/7/case/main.go
+++ b/review/stand-2/case7/main.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"lockloom/review/stand-2/rig"
+	"review/stand-2/rig"
 )
 
 const (
--- a/review/8/case/main.go
+++ b/review/stand-2/case8/main.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"lockloom/review/stand-2/rig"
+	"review/stand-2/rig"
 )
 
 const (
