Upstream: a streamed request body is claimed by one attempt, just before its first byte

Cause: whether an upload had started was checked when an attempt was ordered. An attempt may wait after that, for its connection's reuse delay or for it to open; a hedge ordered meanwhile read from the same pipe. Evidence: TestUploadIsReadByOneAttempt, seen red before the fix, without a proxy or a hold-up: "should have 1 item(s), but has 2" bodies that a server took for a whole request. Change: an exchange claims the upload atomically in the step that decides whether its first byte is written. One that cannot ends as not sent. A claim is released if the head could not be written; only the holder stops the upload.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -18,6 +18,7 @@
 	errCanceled      = errors.New("canceled")
 	errTooLate       = errors.New("send-by time of the request would pass before it reaches the server")
 	errDraining      = errors.New("the server is draining")
+	errUploadClaimed = errors.New("another attempt sends the request body")
 	errEarlyResponse = errors.New("response received before the request was written")
 )
 
@@ -30,7 +31,7 @@
 	Passthrough      bool        // responses are forwarded unchanged; only a status of 500 or above is a server error
 	HeadOnly         bool        // the request is a HEAD request: its response has no body
 
-	Upload          *Upload       // streams the rest of a body that is not stored; nil: Body is complete
+	Upload          *Upload       // streams a body that is not stored, if no other exchange does; nil: Body is complete
 	ResponseTimeout time.Duration // limit for the response, from the end of the Upload; 0: Deadline applies
 
 	// Both callbacks run on the owner's goroutine.
@@ -79,8 +80,8 @@
 // awaitWriteDone waits until writing the request has ended. An upload is stopped first: it may be waiting for its
 // client, which may be waiting for the response.
 func (ex *Exchange) awaitWriteDone() {
-	if ex.Upload != nil && ex.Upload.Started() {
-		ex.Upload.Stop()
+	if ex.Upload != nil {
+		ex.Upload.stopIfClaimedBy(ex)
 	}
 	<-ex.writeDone
 }
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -22,6 +22,7 @@
 //	a 200 received before the request was fully written    ConnectFailed    no: it cannot be its response
 //	not written: canceled, client gone, too late, draining NotSent          no
 //	not written: connection closed, or bytes unread        NotSent          no
+//	not written: another attempt sends the upload          NotSent          no
 //	canceled, request not fully written                    NotSent          no
 //	canceled, request fully written                        Canceled         yes
 //	the deadline passed, request fully written             TimedOut         yes
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -26,14 +26,18 @@
 	}
 }
 
-// startWriting decides whether a request is written: if the connection is usable and notSent is nil. A connection with
-// unread bytes is unusable, since these, such as a second copy of the last response, would be read as the response to
-// the request. So is one that the server has closed: after writing to it, the request would count as possibly run.
+// startWriting decides whether a request is written: if the connection is usable and notSent is nil. The exchange has
+// then claimed its upload, if it has one. A connection with unread bytes is unusable, since these, such as a second
+// copy of the last response, would be read as the response to the request. So is one that the server has closed: after
+// writing to it, the request would count as possibly run.
 func (c *connection) startWriting(ex *Exchange) (usable bool, notSent error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	usable = !c.closed && !c.hasUnread()
 	notSent = c.notSentReason(ex)
+	if usable && notSent == nil && ex.Upload != nil && !ex.Upload.claim(ex) {
+		notSent = errUploadClaimed
+	}
 	ex.writeStarted = usable && notSent == nil
 	ex.writeStartedAt = time.Now()
 	if usable && notSent != nil {
@@ -76,7 +80,11 @@
 	ex.sentAt = ex.writeStartedAt.Add(-ex.connectTime)
 	n, err := http1.WriteCounted(c.netConn, ex.Head, ex.Tail, ex.Body)
 	ex.partlyWritten = n > 0
-	if err != nil || ex.Upload == nil {
+	if ex.Upload == nil {
+		return err
+	}
+	if err != nil {
+		ex.Upload.release(ex)
 		return err
 	}
 	if err := ex.Upload.sendTo(c.netConn); err != nil {
--- /dev/null
+++ b/internal/upstream/upload_test.go
@@ -0,0 +1,145 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lockloom/balance"
+	"lockloom/internal/http1"
+)
+
+// uploadBody is longer than one buffer of an upload.
+var uploadBody = strings.Repeat("0123456789abcdef", 3*streamBufferBytes/16)
+
+// uploadExchange returns an exchange that sends upload, and the slice to which its results are appended.
+func uploadExchange(upload *Upload) (*Exchange, *[]Result) {
+	results := &[]Result{}
+	ex := newExchange(time.Second, func(r Result) { *results = append(*results, r) })
+	ex.Head = []byte("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n")
+	if !upload.Chunked {
+		ex.Head = http1.AppendContentLength([]byte("POST /a HTTP/1.1\r\n"), len(uploadBody))
+	}
+	ex.Upload = upload
+	return ex, results
+}
+
+// sendUploadBody writes the whole body to an upload in pieces that a second reader could take one of.
+func sendUploadBody(upload *Upload) {
+	for body := uploadBody; len(body) > 0; body = body[streamBufferBytes/2:] {
+		if _, err := io.WriteString(upload.In, body[:streamBufferBytes/2]); err != nil {
+			return
+		}
+	}
+	_ = upload.In.Close() // never fails
+}
+
+// serveUpload reads requests on the server's side of a connection, sends each body to received and answers it.
+func serveUpload(serverConn net.Conn, received chan<- string) {
+	reader := http1.NewReader(serverConn)
+	reader.AllowLargeBodies = true
+	for {
+		head, err := reader.Request()
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(reader.StreamBody(head.Length, head.Chunked))
+		if err != nil {
+			return
+		}
+		received <- string(body)
+		respond(serverConn, okResponse)
+	}
+}
+
+// Guards against two attempts that read one request body: each server receives a part of it as a whole request. Both
+// attempts are ordered before either may send; then their connections become ready at the same time.
+func TestUploadIsReadByOneAttempt(t *testing.T) {
+	const readyAfter = 20 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		reused bool // the first attempt waits for its idle connection, instead of for a new one to open
+	}{{"both connections open slowly", false}, {"the first attempt waits to reuse its connection", true}} {
+		for _, chunked := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				p := newTestPool()
+				dial := p.dial
+				received := make(chan string, 10)
+				serve := func(ctx context.Context, addr string) (net.Conn, error) {
+					conn, err := dial(ctx, addr)
+					go serveUpload(<-p.serverConns, received)
+					return conn, err
+				}
+				p.dial = serve
+				if c.reused {
+					p.attempt(0)
+					p.runUntilIdle()
+					require.Empty(t, <-received)
+					p.ReuseDelay = readyAfter
+					p.servers[0].responseTime = time.Second
+				}
+				p.dial = func(ctx context.Context, addr string) (net.Conn, error) {
+					time.Sleep(readyAfter)
+					return serve(ctx, addr)
+				}
+				upload := NewUpload(chunked)
+				first, firstResults := uploadExchange(upload)
+				second, secondResults := uploadExchange(upload)
+				require.True(t, p.Send(0, first))
+				require.True(t, p.Send(1, second))
+				go sendUploadBody(upload)
+				time.Sleep(2 * readyAfter)
+				p.runUntilIdle()
+				time.Sleep(time.Second)
+				p.runUntilIdle()
+				if assert.Len(t, received, 1, "%s: bodies that a server took for a whole request", c.name) {
+					assert.True(t, <-received == uploadBody, "%s: the body is the one that was sent", c.name)
+				}
+				results := append(*firstResults, *secondResults...)
+				if assert.Len(t, results, 2) {
+					outcomes := []balance.Outcome{results[0].Outcome, results[1].Outcome}
+					assert.ElementsMatch(t, []balance.Outcome{balance.Succeeded, balance.NotSent}, outcomes, c.name)
+				}
+				p.Close()
+				p.runUntilIdle()
+			})
+		}
+	}
+}
+
+// Checks that an attempt whose connection ends before it has sent anything leaves the body to another attempt, and that
+// its late end does not stop the other one.
+func TestUploadIsTakenOverFromAnAttemptThatSentNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPool()
+		received := make(chan string, 1)
+		upload := NewUpload(true)
+		first, firstResults := uploadExchange(upload)
+		require.True(t, p.Send(0, first))
+		(<-p.serverConns).Close()
+		synctest.Wait()
+		second, secondResults := uploadExchange(upload)
+		require.True(t, p.Send(1, second))
+		go serveUpload(<-p.serverConns, received)
+		go sendUploadBody(upload)
+		synctest.Wait()
+		first.awaitWriteDone() // of the attempt that does not have the body
+		p.runUntilIdle()
+		if assert.Len(t, *firstResults, 1) {
+			assert.Equal(t, balance.ConnectFailed, (*firstResults)[0].Outcome)
+		}
+		if assert.Len(t, *secondResults, 1) {
+			assert.Equal(t, balance.Succeeded, (*secondResults)[0].Outcome)
+			assert.True(t, <-received == uploadBody, "the body is the one that was sent")
+		}
+		p.Close()
+		p.runUntilIdle()
+	})
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -53,7 +53,7 @@
 		invariant.Holds(now <= sendEnd, "nothing is sent past the grace of a drain") &&
 		invariant.Holds(req.class.Idempotency != balance.NonIdempotent || req.safeToRetry(now),
 			"a non-idempotent request is sent again only if it never ran") &&
-		(req.stream.upload == nil || !req.stream.upload.Started()) &&
+		(req.stream.upload == nil || !req.stream.upload.Claimed()) && // else it would open a connection and not use it
 		!p.retryDenied(req)
 }
 
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -161,7 +161,7 @@
 // answers the request if no more than backstopMarginSeconds is left until its deadline.
 func (p *Proxy) requestTimerFired(req *request) {
 	// While the client still sends the body, the attempt is not overdue and its server is not at fault.
-	uploading := req.stream.upload != nil && req.stream.upload.Started() && req.stream.completedAt == 0
+	uploading := req.stream.upload != nil && req.stream.upload.Claimed() && req.stream.completedAt == 0
 	if !req.released && !uploading {
 		p.decideRequest(req, req.handle.TimerFired)
 	}
