Sockets: the queries of a connection's socket are a package of their own

internal/upstream held HasUnreadBytes, UnreadBytes, ClosedByPeer and the connect time, which the client side uses as much. They are now internal/socket, in the lowest layer beside poller and recvtime. No change of behavior; the names lose what the package's name says.

--- a/internal/architecture/layers_test.go
+++ b/internal/architecture/layers_test.go
@@ -17,7 +17,7 @@
 // that ends in a slash stands for all packages below it.
 var layers = [][]string{
 	{"internal/graphcodec", "internal/histogram", "internal/invariant", "internal/pcg", "internal/poller",
-		"internal/recvtime"},
+		"internal/recvtime", "internal/socket"},
 	{"assignment", "balance", "lifecycle", "limits", "routes"},
 	{"internal/bootstrap", "internal/config", "internal/settings", "internal/tomlfile"},
 	{"internal/admin", "internal/discovery", "internal/discovery/notification", "internal/gossip", "internal/hotrestart",
@@ -34,7 +34,7 @@
 }
 
 // impure are the packages that make system calls. Packages of the decision layer must not import them.
-var impure = []string{"internal/poller", "internal/recvtime"}
+var impure = []string{"internal/poller", "internal/recvtime", "internal/socket"}
 
 const decisionLayer = 1 // index in layers
 
--- a/internal/upstream/socket.go
+++ b/internal/socket/socket.go
@@ -1,4 +1,6 @@
-package upstream
+// Package socket answers questions about the TCP socket of a connection that reading and writing it cannot: what the
+// system holds unread, whether the peer has closed, how long opening it took. The caller owns the connection.
+package socket
 
 import (
 	"errors"
@@ -9,14 +11,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// HasUnreadBytes reports whether the system holds unread bytes of a connection, or the peer has closed its sending
+// HasUnread reports whether the system holds unread bytes of a connection, or the peer has closed its sending
 // side. There may be unread bytes even while a goroutine is blocked in a read, since the goroutine may not have been
 // scheduled yet. The result is false for a connection that is not a socket, and true for one that is closed.
-func HasUnreadBytes(conn net.Conn) bool { return unreadProbe(conn)() }
+func HasUnread(conn net.Conn) bool { return UnreadProbe(conn)() }
 
-// unreadProbe returns a function that does what HasUnreadBytes does for conn, but does not allocate. It is not safe for
+// UnreadProbe returns a function that does what HasUnread does for conn, but does not allocate. It is not safe for
 // concurrent use.
-func unreadProbe(conn net.Conn) func() bool {
+func UnreadProbe(conn net.Conn) func() bool {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return func() bool { return false }
@@ -79,10 +81,10 @@
 	return hungUp || err != nil
 }
 
-// connectTime returns how long a connection took to open, given the time that this process measured. A busy process may
+// ConnectTime returns how long a connection took to open, given the time that this process measured. A busy process may
 // have noticed the open connection late, which is no fault of the peer: the kernel's round-trip time is used instead if
 // it is shorter and the kernel did not have to retransmit.
-func connectTime(conn net.Conn, measured time.Duration) time.Duration {
+func ConnectTime(conn net.Conn, measured time.Duration) time.Duration {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return measured
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lockloom/balance"
+	"lockloom/internal/socket"
 )
 
 // maxRoundTrip caps the round-trip time that is subtracted from an exchange's SendBy: if a connection took longer to
@@ -28,7 +29,7 @@
 	unsolicited bool // set by the reading goroutine, before it ends, if it received bytes that belong to no response
 
 	unusable  chan struct{}  // closed by the reading goroutine when no further request may be written
-	hasUnread func() bool    // see HasUnreadBytes; called by the writing goroutine with mu held
+	hasUnread func() bool    // see socket.HasUnread; called by the writing goroutine with mu held
 	memory    responseMemory // of the response that is being read; belongs to the reading goroutine
 	roundTrip time.Duration  // estimated from the connect time, at most maxRoundTrip
 
@@ -124,11 +125,11 @@
 	if err != nil {
 		return err
 	}
-	ex.connectTime = connectTime(netConn, time.Since(began))
+	ex.connectTime = socket.ConnectTime(netConn, time.Since(began))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.netConn = netConn
-	c.hasUnread = unreadProbe(netConn)
+	c.hasUnread = socket.UnreadProbe(netConn)
 	c.roundTrip = min(ex.connectTime, maxRoundTrip)
 	c.setReadDeadline(ex.Deadline)
 	return nil
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"lockloom/balance"
+	"lockloom/internal/socket"
 )
 
 // Guards against a retry that reaches its server after the deduplication window, because its connection was slow to
@@ -57,12 +58,12 @@
 		assert.NoError(t, err)
 		serverConn, err := ln.Accept()
 		assert.NoError(t, err)
-		assert.False(t, HasUnreadBytes(clientConn))
+		assert.False(t, socket.HasUnread(clientConn))
 		respond(serverConn, unsolicited)
 		if unsolicited == "" {
 			assert.NoError(t, serverConn.(*net.TCPConn).CloseWrite())
 		}
-		for !HasUnreadBytes(clientConn) {
+		for !socket.HasUnread(clientConn) {
 			time.Sleep(time.Millisecond)
 		}
 		posted := make(chan func(), 2)
@@ -75,7 +76,7 @@
 			progress: progress{writeDone: make(chan struct{})},
 		}
 		c := newConnection(p, p.servers[0], ex)
-		c.hasUnread = unreadProbe(clientConn)
+		c.hasUnread = socket.UnreadProbe(clientConn)
 		c.netConn = clientConn
 		c.write(ex)
 		go c.read()
@@ -123,7 +124,7 @@
 			progress: progress{writeDone: make(chan struct{})},
 		}
 		conn := newConnection(p, p.servers[0], ex)
-		conn.hasUnread = unreadProbe(clientConn)
+		conn.hasUnread = socket.UnreadProbe(clientConn)
 		conn.roundTrip = roundTrip
 		conn.netConn = clientConn
 		conn.readDeadline = ex.Deadline
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -10,7 +10,7 @@
 
 	"lockloom/internal/http1"
 	"lockloom/internal/poller"
-	"lockloom/internal/upstream"
+	"lockloom/internal/socket"
 )
 
 const (
@@ -262,4 +262,4 @@
 }
 
 // peerHasGone queries the socket for whether the client has closed the connection, even after bytes that were not read.
-func (c *clientConn) peerHasGone() bool { return upstream.ClosedByPeer(c.conn) }
+func (c *clientConn) peerHasGone() bool { return socket.ClosedByPeer(c.conn) }
--- a/proxy/conntable_test.go
+++ b/proxy/conntable_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lockloom/internal/http1"
-	"lockloom/internal/upstream"
+	"lockloom/internal/socket"
 )
 
 func TestConnectionBounds(t *testing.T) {
@@ -180,7 +180,7 @@
 		clients, clientEnds = append(clients, c), append(clientEnds, end)
 	}
 	write(clientEnds[0], idempotentRequest)
-	for !upstream.HasUnreadBytes(clients[0].conn) {
+	for !socket.HasUnread(clients[0].conn) {
 		time.Sleep(time.Millisecond)
 	}
 	assert.Nil(t, table.evictionCandidate(), "a recently used connection is not evicted")
--- a/proxy/eviction.go
+++ b/proxy/eviction.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"lockloom/internal/upstream"
+	"lockloom/internal/socket"
 	"lockloom/lifecycle"
 )
 
@@ -58,7 +58,7 @@
 			if c.recent && time.Since(c.queuedAt) < newConnectionGracePeriod {
 				break
 			}
-			if c.awaitsMemory.Load() || !upstream.HasUnreadBytes(c.conn) {
+			if c.awaitsMemory.Load() || !socket.HasUnread(c.conn) {
 				return c
 			}
 			checks--
@@ -99,7 +99,7 @@
 			return
 		}
 		next := c.next
-		if !upstream.HasUnreadBytes(c.conn) {
+		if !socket.HasUnread(c.conn) {
 			c.requestClose()
 			t.dequeue(c)
 		}
@@ -116,7 +116,7 @@
 		ordered := queue != &t.pending // pending is not ordered by closeAt
 		for c := queue.first; c != nil && (!ordered || !c.closeAt.After(now)); {
 			next := c.next
-			if !c.receivingRequest && !c.closeAt.After(now) && !upstream.HasUnreadBytes(c.conn) {
+			if !c.receivingRequest && !c.closeAt.After(now) && !socket.HasUnread(c.conn) {
 				c.requestClose()
 				t.dequeue(c)
 			}
@@ -136,7 +136,7 @@
 	for _, queue := range []*connQueue{&t.longIdle, &t.idle, &t.pending} {
 		for c := queue.first; c != nil && n > 0; {
 			next := c.next
-			if !c.receivingRequest && !upstream.HasUnreadBytes(c.conn) && c.mayDrain(includeNew) {
+			if !c.receivingRequest && !socket.HasUnread(c.conn) && c.mayDrain(includeNew) {
 				c.requestClose()
 				t.dequeue(c)
 				n--
--- a/proxy/requestmemory.go
+++ b/proxy/requestmemory.go
@@ -5,7 +5,7 @@
 	"os"
 	"time"
 
-	"lockloom/internal/upstream"
+	"lockloom/internal/socket"
 )
 
 const (
@@ -91,7 +91,7 @@
 // receivedCompletely reports whether the system has received all that is missing of a request, or the client has closed
 // its sending side, so that reading the rest does not wait for the client.
 func (c *clientConn) receivedCompletely(missing int) bool {
-	if missing != unknownLength && c.BufferedBytes()+upstream.UnreadBytes(c.conn) >= missing {
+	if missing != unknownLength && c.BufferedBytes()+socket.UnreadBytes(c.conn) >= missing {
 		return true
 	}
 	return c.peerHasGone()
