Upstream: an attempt that has read nothing of an upload does not stop it for the others

Change: "claimed" and "read from" are two states of the upload under one lock. Only an exchange that has read from it stops it; one that ended before releases it.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -81,7 +81,7 @@
 // client, which may be waiting for the response.
 func (ex *Exchange) awaitWriteDone() {
 	if ex.Upload != nil {
-		ex.Upload.stopIfClaimedBy(ex)
+		ex.Upload.exchangeEnded(ex)
 	}
 	<-ex.writeDone
 }
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -83,13 +83,13 @@
 	if ex.Upload == nil {
 		return err
 	}
+	if err == nil {
+		err = ex.Upload.sendTo(c.netConn)
+	}
 	if err != nil {
 		ex.Upload.release(ex)
 		return err
 	}
-	if err := ex.Upload.sendTo(c.netConn); err != nil {
-		return err
-	}
 	if ex.ResponseTimeout > 0 {
 		c.expectResponse(ex, time.Now().Add(ex.ResponseTimeout))
 	}
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -4,7 +4,7 @@
 	"errors"
 	"io"
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"lockloom/internal/http1"
@@ -20,7 +20,11 @@
 	Chunked bool
 	In      *io.PipeWriter
 	out     *io.PipeReader
-	sender  atomic.Pointer[Exchange] // the exchange that has claimed the body; nil: none
+
+	mu      sync.Mutex
+	sender  *Exchange // the exchange that has claimed the body; nil: none
+	reading bool      // the sender reads the body: it keeps the claim
+	ended   bool      // the sender's exchange has ended: it must not begin to read the body
 }
 
 // NewUpload returns an upload, which is sent with chunked transfer coding if chunked is true, and unchanged otherwise.
@@ -32,28 +36,64 @@
 
 // Claimed reports whether an exchange sends the body, or has sent a part of it. Any other exchange ends without having
 // sent anything. It is safe for concurrent use.
-func (u *Upload) Claimed() bool { return u.sender.Load() != nil }
+func (u *Upload) Claimed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.sender != nil
+}
+
+// Stop makes writes to In fail with ErrUploadStopped: the rest of the body is not needed.
+func (u *Upload) Stop() { u.out.CloseWithError(ErrUploadStopped) }
 
 // claim makes an exchange the one that sends the body, and reports whether it is. The exchange must not write anything
 // if it is not.
-func (u *Upload) claim(ex *Exchange) bool { return u.sender.CompareAndSwap(nil, ex) }
+func (u *Upload) claim(ex *Exchange) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.sender != nil {
+		return false
+	}
+	u.sender, u.ended = ex, false
+	return true
+}
 
-// release gives back the claim of an exchange that has read nothing of the body, so that another one may send it.
-func (u *Upload) release(ex *Exchange) { u.sender.CompareAndSwap(ex, nil) }
+// beginReading records that the sender reads the body from now on, and reports whether it may.
+func (u *Upload) beginReading() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.reading = !u.ended
+	return u.reading
+}
 
-// stopIfClaimedBy does what Stop does if the exchange sends the body.
-func (u *Upload) stopIfClaimedBy(ex *Exchange) {
-	if u.sender.Load() == ex {
-		u.Stop()
+// release ends the claim of an exchange that has read nothing of the body, so that another one may send it.
+func (u *Upload) release(ex *Exchange) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.sender == ex && !u.reading {
+		u.sender = nil
 	}
 }
 
-// Stop makes writes to In fail with ErrUploadStopped: the rest of the body is not needed.
-func (u *Upload) Stop() { u.out.CloseWithError(ErrUploadStopped) }
+// exchangeEnded ends the sending of the body if the exchange is its sender: it does what Stop does, unless the exchange
+// has not begun to read the body, and now never will.
+func (u *Upload) exchangeEnded(ex *Exchange) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case u.sender != ex:
+	case u.reading:
+		u.Stop()
+	default:
+		u.ended = true
+	}
+}
 
 // sendTo writes the body to a server as it is received from the client. The caller is the exchange that has claimed it.
 // Only the writes have a timeout; how long the client may take is not bounded here.
 func (u *Upload) sendTo(conn net.Conn) error {
+	if !u.beginReading() {
+		return ErrUploadStopped
+	}
 	var body io.Writer = conn
 	if u.Chunked {
 		body = http1.Chunked{Conn: conn}
