Memory: a waiting request is known to be complete in any form, and waits in its client's time

Cause: a request that waits for memory was known to be complete only if its body had a length. Chunks, large heads and bodies about to stream waited as incomplete ones, up to 2.5 s at each buffer, whatever their client's time. Evidence: TestCompleteRequestOfAnyFormIsReadBesideIncompleteOnes and TestWaitForMemoryEndsInTheClientsTime, seen red before the fix: "expected: 200, actual: 503" for seven of nine forms, "2.511188952s is not less than 1.1s". Change: the unread rest is parsed where it lies (socket.PeekReader, http1.Lookahead), with the ordinary parser. A complete request has the complete ones' share and waits 0.1 s or its client's time in all its waits together.

--- a/internal/http1/parse.go
+++ b/internal/http1/parse.go
@@ -17,6 +17,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return r.parseRequest(raw)
+}
+
+// parseRequest parses the complete head of a request.
+func (r *Reader) parseRequest(raw []byte) (*Head, error) {
 	line, rest := cutLine(raw)
 	h := &r.head
 	*h = Head{Fields: h.Fields[:0], Length: -1, Size: len(raw)}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -86,6 +86,7 @@
 	conns          connTable
 	overload       overloadMonitor
 	memory         memoryBudget
+	lookahead      requestLookahead
 	process        *processState
 	shutdown       shutdownState
 	loop           eventLoop
--- a/proxy/readrequest.go
+++ b/proxy/readrequest.go
@@ -63,13 +63,13 @@
 	if err != nil {
 		return err
 	}
+	r.head = head
 	if err := r.reserveHeadCopy(head.Size); err != nil {
 		return err
 	}
 	// Counted from here, the request's latency includes the time in which the received head waited for this core, but not
 	// the time that a slow client took to send it.
 	r.receivedAt = c.receivedAt()
-	r.head = head
 	method := string(head.Method)
 	r.isHead = method == http1.MethodHead
 	r.isGet = r.isHead || method == http1.MethodGet
@@ -84,7 +84,8 @@
 	}
 	c := r.conn
 	total := c.memory.reserved + int64(forwardedHeadBytes(size))
-	return c.memory.reserve(total, incompleteUse(total), unknownLength, c.readDeadline)
+	body := c.StreamBody(r.head.Length, r.head.Chunked)
+	return c.memory.reserve(total, incompleteUse(total), body, c.readDeadline)
 }
 
 // forwardedHeadBytes returns the buffer capacity for the head that is forwarded for a received one of this size.
@@ -108,8 +109,12 @@
 	if err != nil {
 		return err
 	}
+	memory := &r.conn.memory
+	if r.req != nil {
+		memory.clientWait = seconds(r.info.Deadline - r.req.arrivedAt)
+	}
 	r.conn.ReleaseHead()
-	r.conn.memory.settle(r.countedBytes())
+	memory.settle(r.countedBytes())
 	return nil
 }
 
@@ -219,7 +224,8 @@
 func (r *requestReader) streamRequest(body *pacedBodyReader, received []byte, length int, chunked bool) error {
 	req := r.req
 	total := req.countedBytes() + upstream.CountedBytes(cap(received)) + uploadBufferBytes
-	if err := r.conn.memory.reserve(total, useIncomplete, unknownLength, time.Now().Add(body.maxWait())); err != nil {
+	waitUntil := time.Now().Add(body.maxWait())
+	if err := r.conn.memory.reserve(total, useIncomplete, body.source, waitUntil); err != nil {
 		return err
 	}
 	req.body = received
--- a/proxy/receivebody.go
+++ b/proxy/receivebody.go
@@ -39,7 +39,7 @@
 	if chunked {
 		return r.receiveChunks(body)
 	}
-	if err := r.reserveBody(body, length, length); err != nil {
+	if err := r.reserveBody(body, length); err != nil {
 		return nil, err
 	}
 	received := make([]byte, length)
@@ -62,7 +62,7 @@
 			continue
 		}
 		size := min(chunkedGrowth*cap(received), http1.DefaultMaxBytes+1)
-		if err := r.reserveBody(body, size, unknownLength); err != nil {
+		if err := r.reserveBody(body, size); err != nil {
 			return nil, err
 		}
 		received = append(make([]byte, 0, size), received...)
@@ -71,14 +71,14 @@
 
 // reserveBody reserves memory for so many bytes of the body. The time in which this waits counts as time in which the
 // client has not sent.
-func (r *requestReader) reserveBody(body *pacedBodyReader, size, missing int) error {
+func (r *requestReader) reserveBody(body *pacedBodyReader, size int) error {
 	counted := upstream.CountedBytes(size)
 	if counted == 0 {
 		return nil
 	}
 	start := time.Now()
 	total := upstream.CountedBytes(cap(r.req.head)) + counted
-	err := r.conn.memory.reserve(total, incompleteUse(total), missing, start.Add(body.maxWait()))
+	err := r.conn.memory.reserve(total, incompleteUse(total), body.source, start.Add(body.maxWait()))
 	body.waited += time.Since(start)
 	return err
 }
--- a/proxy/requestmemory_test.go
+++ b/proxy/requestmemory_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"lockloom/internal/http1"
 )
@@ -113,3 +114,99 @@
 	assert.NoError(t, half.Close())
 	s.memory.release(limit / 2)
 }
+
+// chunkedRequestOf returns a request like requestOf, with its body in chunks.
+func chunkedRequestOf(id string, head, body int) string {
+	const size = 8 << 10
+	text, _, _ := strings.Cut(requestOf(id, head, 0), "Content-Length")
+	chunks := ""
+	for ; body > 0; body -= size {
+		n := min(body, size)
+		chunks += fmt.Sprintf("%x\r\n%s\r\n", n, strings.Repeat("b", n))
+	}
+	return text + "Transfer-Encoding: chunked\r\n\r\n" + chunks + "0\r\n\r\n"
+}
+
+// waitingForms are forms of a request whose reading needs memory at different times.
+var waitingForms = map[string]string{
+	"chunks":                   chunkedRequestOf("chunks", 0, 40_000),
+	"large head":               requestOf("head", 30_000, 3),
+	"large head, body":         requestOf("head-body", 30_000, 30_000),
+	"large head, chunks":       chunkedRequestOf("head-chunks", 30_000, 30_000),
+	"streamed":                 requestOf("streamed", 0, 100_000),
+	"streamed in chunks":       chunkedRequestOf("streamed-chunks", 0, 100_000),
+	"large head, streamed":     requestOf("head-streamed", 30_000, 100_000),
+	"a head's copy":            requestOf("copy", 5_000, 3),
+	"a head's copy and chunks": chunkedRequestOf("copy-chunks", 5_000, 20_000),
+}
+
+// startWaitingEnv starts a proxy whose sockets hold any of waitingForms unread.
+func startWaitingEnv(t *testing.T) *socketEnv {
+	t.Helper()
+	s := startSocketEnv(t, func(_ int, end net.Conn) { write(end, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") })
+	close(s.dialGate)
+	raw, err := s.listener.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		assert.NoError(t, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 1<<20))
+	}))
+	return s
+}
+
+// Guards against a usual client that waits beside clients that stop within a request, since its request was not known
+// to be received completely: only bodies with a length were, so chunks and large heads waited for the memory of
+// incomplete requests until their clients had given up.
+func TestCompleteRequestOfAnyFormIsReadBesideIncompleteOnes(t *testing.T) {
+	s := startWaitingEnv(t)
+	limit := s.memory.limit.Load()
+	require.True(t, s.memory.reserve(limit/2, useIncomplete), "incomplete requests hold all that they may")
+	defer s.memory.release(limit / 2)
+	for name, request := range waitingForms {
+		for _, pieces := range []int{1, 50} {
+			conn := s.connect()
+			sendInPieces(conn, strings.Replace(request, "Trace-Id: ", fmt.Sprint("Trace-Id: ", pieces), 1), pieces)
+			status, _, _, err := readResponse(conn)
+			assert.NoError(t, err, name)
+			assert.Equal(t, 200, status, "%s, sent in %d pieces", name, pieces)
+			conn.Close()
+		}
+	}
+	for name, request := range waitingForms {
+		before := s.memory.waits.Load()
+		conn := s.connect()
+		write(conn, request[:len(request)-1])
+		require.Eventually(t, func() bool { return s.memory.waits.Load() > before }, 5*time.Second, time.Millisecond, name)
+		time.Sleep(2 * memoryPollInterval)
+		assert.Equal(t, limit/2, s.memory.reserved.Load(), "%s: a request without its last byte is not read", name)
+		conn.Close()
+		require.Eventually(t, func() bool { return s.memory.reserved.Load() == limit/2 }, 5*time.Second, time.Millisecond)
+	}
+}
+
+func sendInPieces(conn net.Conn, text string, pieces int) {
+	for size := len(text)/pieces + 1; len(text) > 0; text = text[min(size, len(text)):] {
+		write(conn, text[:min(size, len(text))])
+	}
+}
+
+// Guards against an answer that comes after the client has given up: a request that was received completely waits for
+// memory no longer than its client, in all of its waits together.
+func TestWaitForMemoryEndsInTheClientsTime(t *testing.T) {
+	const lateAnswer = 500 * time.Millisecond // after the client's time: a later answer counts as none
+	for _, wait := range []time.Duration{600 * time.Millisecond, 20 * time.Millisecond} {
+		s := startWaitingEnv(t)
+		limit := s.memory.limit.Load()
+		require.True(t, s.memory.reserve(limit, useResponse), "there is no memory")
+		for name, request := range waitingForms {
+			conn := s.connect()
+			write(conn, strings.Replace(request, "Expires-In: 1", fmt.Sprintf("Expires-In: %.3f", wait.Seconds()), 1))
+			sentAt := time.Now()
+			status, _, _, err := readResponse(conn)
+			assert.NoError(t, err, name)
+			assert.Equal(t, 503, status, name)
+			assert.Less(t, time.Since(sentAt), wait+lateAnswer, name)
+			conn.Close()
+		}
+		s.memory.release(limit)
+	}
+}
--- a/proxy/socketenv_test.go
+++ b/proxy/socketenv_test.go
@@ -89,7 +89,9 @@
 
 func (s *socketEnv) runServer(end net.Conn) {
 	defer end.Close()
-	for r := http1.NewReader(end); ; {
+	r := http1.NewReader(end)
+	r.AllowLargeBodies = true
+	for {
 		h, err := r.Request()
 		if err != nil {
 			return
