Proxy: a streamed body that its server does not read is answered in its client's time

Cause: the client's time counts from its last byte, which was known only once the proxy had read it. The goroutine that reads was blocked in its write to the server; meanwhile the deadline was the 15 minutes of a body under way. Change: while a body waits for its server, what lies unread at the client's socket is looked at, by length or chunks. Once the last byte is there, the attempt times out in the client's time (Pool.LimitResponse), counts against its server, and the request is answered. A last byte that is read late counts from when the system received it.

--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -10,7 +10,7 @@
 
 const (
 	peekWindowBytes = 64 << 10 // what one system call returns at most
-	maxPeekBytes    = 1 << 20  // since a call copies all bytes before its window too
+	maxPeekBytes    = 4 << 20  // since a call copies all bytes before its window too
 )
 
 // PeekReader reads the bytes that the system holds unread of a connection, without consuming them: they are read again
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -57,7 +57,7 @@
 	ex.conn = c
 	ex.writeAt = writeAt
 	c.current = ex
-	c.setReadDeadline(ex.Deadline)
+	c.setReadDeadline(ex.limited(ex.Deadline))
 	c.requests <- ex // never blocks: the writer received the previous exchange before that exchange ended
 	return true
 }
@@ -84,6 +84,16 @@
 	}
 }
 
+// limitResponse makes an exchange time out at the given time at the latest, unless its response is being streamed.
+func (c *connection) limitResponse(ex *Exchange, by time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ex.responseBy = ex.limited(by)
+	if c.current == ex && c.netConn != nil && !ex.isStreaming {
+		c.setReadDeadline(ex.limited(c.readDeadline))
+	}
+}
+
 func (c *connection) isCanceled(ex *Exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -131,7 +141,7 @@
 	c.netConn = netConn
 	c.hasUnread = socket.UnreadProbe(netConn)
 	c.roundTrip = min(ex.connectTime, maxRoundTrip)
-	c.setReadDeadline(ex.Deadline)
+	c.setReadDeadline(ex.limited(ex.Deadline))
 	return nil
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -50,9 +50,10 @@
 
 	// Guarded by the connection's lock.
 	writeStartedAt time.Time
-	canceled       bool // the request must not be sent any more; if it was being sent, its connection is closed
-	writeStarted   bool // from now on, bytes of the request may be sent
-	isStreaming    bool // streaming its response has started
+	responseBy     time.Time // see Pool.LimitResponse; zero: no limit
+	canceled       bool      // the request must not be sent any more; if it was being sent, its connection is closed
+	writeStarted   bool      // from now on, bytes of the request may be sent
+	isStreaming    bool      // streaming its response has started
 
 	// Set by the writer before it closes writeDone. Other goroutines read them only once writeDone is closed.
 	writeDone     chan struct{}
@@ -77,6 +78,15 @@
 	Stream        *io.PipeReader // in OnResponseStarted: the rest of the body; must be read to its end or closed
 }
 
+// limited returns a time limit for the response, or that of Pool.LimitResponse if it is earlier. The caller holds the
+// connection's lock.
+func (ex *Exchange) limited(by time.Time) time.Time {
+	if !ex.responseBy.IsZero() && ex.responseBy.Before(by) {
+		return ex.responseBy
+	}
+	return by
+}
+
 // awaitWriteDone waits until writing the request has ended. An upload is stopped first: it may be waiting for its
 // client, which may be waiting for the response.
 func (ex *Exchange) awaitWriteDone() {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -142,6 +142,11 @@
 // exchange continues.
 func (p *Pool) CancelUnwritten(ex *Exchange) { ex.conn.cancelUnwritten(ex) }
 
+// LimitResponse makes an exchange time out at the given time, if its Deadline or ResponseTimeout is later and its
+// response is not being streamed by then. An exchange whose server has not accepted the whole request until then ends
+// with the outcome ConnectFailed, or ConnectionLost with Passthrough.
+func (p *Pool) LimitResponse(ex *Exchange, by time.Time) { ex.conn.limitResponse(ex, by) }
+
 // CloseExpired closes the connections that have been idle for IdleTimeout.
 func (p *Pool) CloseExpired() {
 	now := time.Now()
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -102,6 +102,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.current == ex && !ex.isStreaming {
-		c.setReadDeadline(by)
+		c.setReadDeadline(ex.limited(by))
 	}
 }
--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -89,8 +89,8 @@
 // awaitResponse waits for a request's response, and returns an error if the client disconnects before. While a body is
 // streamed, its reader detects a disconnect. Otherwise a read watches the connection, but only after clientWatchDelay,
 // since a watch costs a goroutine and two scheduler switches. Bytes that the client sends before its response stay in
-// the buffer. When the buffer is full, or an upload has stopped reading, a read cannot detect the disconnect and the
-// socket is queried every clientCheckInterval.
+// the buffer. When the buffer is full, or an upload reads or has stopped reading, a read cannot detect the disconnect and
+// the socket is queried every clientCheckInterval; while a body waits for its server, it is also checked for its end.
 func (c *clientConn) awaitResponse(req *request) (response, error) {
 	if c.watchTimer == nil {
 		c.watchTimer = time.NewTimer(clientWatchDelay)
@@ -101,6 +101,7 @@
 	uploadDone := c.uploadDone
 	var watchDone chan error
 	unreadable := c.uploadDone != nil // a watch cannot detect a disconnect
+	upload := newUploadWatch(req)
 	for {
 		select {
 		case resp := <-req.response:
@@ -116,6 +117,7 @@
 			return resp, nil
 		case err := <-uploadDone:
 			stopped := uploadStopped(err)
+			upload.ended = true
 			c.uploadDone, uploadDone, unreadable = nil, nil, stopped
 			if err != nil && !stopped {
 				return response{}, err
@@ -134,7 +136,7 @@
 			if c.peerHasGone() {
 				return response{}, errClientGone
 			}
-			c.watchTimer.Reset(clientCheckInterval)
+			c.watchTimer.Reset(upload.check())
 		}
 	}
 }
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -43,7 +43,9 @@
 		p.loop.afterCall(func() {
 			p.recordOutcome(req, att, upstream.Result{Outcome: balance.NotSent, EndedAt: time.Now()})
 		})
+		return
 	}
+	p.limitUpload(req, att)
 }
 
 // mayStartAttempt checks the rules that hold whatever the balancer decides.
@@ -94,7 +96,10 @@
 		OnDone:            func(result upstream.Result) { p.recordOutcome(req, att, result) },
 	}
 	if req.stream.upload != nil { // the upload includes the first bytes of the body
-		att.exchange.Body, deadline = nil, att.sentAt+req.stream.clientWait
+		att.exchange.Body = nil
+		if deadline = req.deadline; req.stream.receivedAt == 0 { // the client still sends
+			deadline = att.sentAt + req.stream.clientWait
+		}
 	}
 	wait := http1.AppendSeconds(nil, max(deadline-att.sentAt, minForwardedWaitSeconds))
 	att.exchange.Tail = append(http1.AppendField(nil, "X-Expires-In", wait), "\r\n"...)
--- a/proxy/lookahead.go
+++ b/proxy/lookahead.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync"
+	"time"
 
 	"lockloom/internal/http1"
 	"lockloom/internal/socket"
@@ -31,27 +32,55 @@
 	return l.http.BodyEnds(body, &l.unread, count)
 }
 
-// unreceivedRest is the rest of a request that waits for memory, as its connection's goroutine sees it.
+// lookPauseFactor is the ratio of the pause after a look to the time that the look took, so that a client that sends
+// little at a time behind much that is not read yet can't use up this core.
+const lookPauseFactor = 10
+
+// arrival tells whether the rest of a request was received.
+type arrival int
+
+const (
+	arrivalUnknown arrival = iota // not examined now
+	arrivalMissing                // a part of the rest was not received
+	arrivalWhole                  // all of it was received, or the client sends no more: reading it does not wait
+)
+
+// unreceivedRest is the rest of a request that waits for memory or for its server, as its connection's goroutine sees
+// it.
 type unreceivedRest struct {
 	conn     *clientConn
 	body     io.Reader // see restReceived
-	examined int       // unread bytes at the last look: without more of them its result would be the same
+	examined restState // at the last look, whose result would be the same as long as this is
+	nextLook time.Time
 }
 
+// restState tells how far a request was received.
+type restState struct{ read, unread int } // bytes of its body that were read, and bytes that the system holds unread
+
 func newUnreceivedRest(conn *clientConn, body io.Reader) *unreceivedRest {
-	return &unreceivedRest{conn: conn, body: body, examined: -1}
+	return &unreceivedRest{conn: conn, body: body, examined: restState{unread: -1}}
 }
 
-// received reports whether all of the rest was received, or the client has closed its sending side, so that reading the
-// rest does not wait for the client.
-func (r *unreceivedRest) received() bool {
+// arrival examines the rest. read is how many bytes of the body were read. Nothing may read from the connection
+// meanwhile.
+func (r *unreceivedRest) arrival(read int) arrival {
 	if r.conn.peerHasGone() {
-		return true
+		return arrivalWhole
+	}
+	began := time.Now()
+	state := restState{read, socket.UnreadBytes(r.conn.conn)}
+	switch {
+	case state == r.examined:
+		return arrivalMissing
+	case began.Before(r.nextLook):
+		return arrivalUnknown
 	}
-	count := socket.UnreadBytes(r.conn.conn)
-	if count == r.examined {
-		return false
+	r.examined = state
+	whole := r.conn.proxy.lookahead.restReceived(r.conn, r.body, state.unread)
+	now := time.Now()
+	r.nextLook = now.Add(lookPauseFactor * now.Sub(began))
+	if whole {
+		return arrivalWhole
 	}
-	r.examined = count
-	return r.conn.proxy.lookahead.restReceived(r.conn, r.body, count)
+	return arrivalMissing
 }
--- a/proxy/readrequest.go
+++ b/proxy/readrequest.go
@@ -220,7 +220,7 @@
 }
 
 // streamRequest prepares a request whose body is forwarded while it is received. received is the part that was read
-// already and is forwarded first. The deadline extends to maxUploadDuration until the body is complete.
+// already and is forwarded first. The deadline extends to maxUploadDuration until the last byte is received.
 func (r *requestReader) streamRequest(body *pacedBodyReader, received []byte, length int, chunked bool) error {
 	req := r.req
 	total := req.countedBytes() + upstream.CountedBytes(cap(received)) + uploadBufferBytes
@@ -231,11 +231,11 @@
 	req.body = received
 	req.stream = bodyStream{
 		upload:     upstream.NewUpload(chunked),
-		reader:     body,
+		reader:     &streamedBody{pacedBodyReader: body},
 		clientWait: r.info.Deadline - req.arrivedAt,
 	}
 	r.info.StreamingBody = true
-	r.info.Deadline = req.arrivedAt + maxUploadDuration.Seconds() // until bodyCompleted sets it
+	r.info.Deadline = req.arrivedAt + maxUploadDuration.Seconds() // until bodyReceived sets it
 	req.deadline = r.info.Deadline
 	if chunked {
 		req.head = http1.AppendField(req.head, "Transfer-Encoding", "chunked")
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -58,7 +58,7 @@
 	answered        bool      // a response was sent, or the client has gone
 	released        bool      // the balancer needs no further call about the request
 	reservedBytes   int64     // of the memory budget, released with the request; 0 while its connection holds them
-	deadlineLimited bool      // limitDeadlines shortened the deadline; the balancer does not know this
+	deadlineLimited bool      // the deadline is earlier than the one that the balancer knows
 }
 
 // requestTable holds the requests in flight. It belongs to the owner.
@@ -142,16 +142,47 @@
 	p.loop.timers.add(&req.timer, req.deadline-backstopMarginSeconds)
 }
 
-// bodyCompleted records when a streamed body was received completely. The client's wait counts from then.
-func (p *Proxy) bodyCompleted(req *request, at time.Time) {
-	if req.answered {
+// bodyReceived records when the last byte of a streamed body was received. The client's wait counts from then, so this
+// sets the request's deadline.
+func (p *Proxy) bodyReceived(req *request, at time.Time) {
+	if req.stream.receivedAt != 0 {
 		return
 	}
-	req.stream.completedAt = p.toUnixSeconds(at)
-	req.deadline = p.shutdown.bound(req.stream.completedAt+req.stream.clientWait, p.clock)
+	req.stream.receivedAt = p.toUnixSeconds(at)
+	req.deadline = p.shutdown.bound(req.stream.receivedAt+req.stream.clientWait, p.clock)
+	req.deadlineLimited = true
 	if req.timer.call != nil {
 		p.scheduleBackstop(req)
 	}
+}
+
+// uploadHeldUp records that the last byte of a streamed body was received although its server has not accepted the bytes
+// before. The attempt times out in the client's time.
+func (p *Proxy) uploadHeldUp(req *request, receivedAt time.Time) {
+	if req.answered {
+		return
+	}
+	p.bodyReceived(req, receivedAt)
+	for _, att := range req.attempts {
+		p.limitUpload(req, att)
+	}
+}
+
+// limitUpload makes an attempt whose streamed body was received before its server accepted it time out in the client's
+// time. If there is none to send the body, the backstop answers the request.
+func (p *Proxy) limitUpload(req *request, att *attempt) {
+	if req.stream.receivedAt != 0 && att.started && !att.ended {
+		p.upstream.LimitResponse(&att.exchange, p.fromUnixSeconds(req.deadline).Add(-uploadResponseMargin))
+	}
+}
+
+// bodyCompleted records that a streamed body was received and accepted to be sent completely, and when.
+func (p *Proxy) bodyCompleted(req *request, receivedAt, completedAt time.Time) {
+	if req.answered {
+		return
+	}
+	p.bodyReceived(req, receivedAt)
+	req.stream.completedAt = p.toUnixSeconds(completedAt)
 	if req.handle != nil && !req.released {
 		p.decideRequest(req, req.handle.BodyCompleted)
 	}
@@ -185,7 +216,8 @@
 	}
 }
 
-// abandonRequest answers a request that would outlast this process: as rejected if a retry is safe, else as failed.
+// abandonRequest answers a request at a deadline that the balancer does not know: as rejected if a retry is safe, else
+// as failed.
 func (p *Proxy) abandonRequest(req *request) {
 	reply := balance.Rejected
 	if !req.safeToRetry(p.now() + p.bootstrap.MaxRetryAfter) {
--- a/proxy/requestbody.go
+++ b/proxy/requestbody.go
@@ -77,13 +77,14 @@
 }
 
 // bodyStream is a request body that is forwarded while it is received, to one server and only once. The zero value is
-// for a request whose body is received before admission. completedAt belongs to the owner; the other fields do not
-// change.
+// for a request whose body is received before admission. receivedAt and completedAt belong to the owner; the other
+// fields do not change.
 type bodyStream struct {
 	upload      *upstream.Upload // nil: the body is not streamed
-	reader      *pacedBodyReader
+	reader      *streamedBody
 	clientWait  float64 // seconds that the client waits for a response after the last byte of the body
-	completedAt float64 // when the last byte was received, in seconds since 1970; 0: not yet
+	receivedAt  float64 // when the last byte was received, in seconds since 1970; 0: not yet, as far as is known
+	completedAt float64 // when the last byte was accepted to be sent to the server, in seconds since 1970; 0: not yet
 }
 
 // startUpload starts a goroutine that forwards a request's body. It sends its result to uploadDone.
@@ -100,8 +101,8 @@
 func (c *clientConn) forwardBody(req *request, done chan<- error) {
 	err := copyBody(req)
 	if err == nil {
-		completedAt := time.Now()
-		c.proxy.post(func() { c.proxy.bodyCompleted(req, completedAt) })
+		receivedAt, completedAt := c.receivedAt(), time.Now()
+		c.proxy.post(func() { c.proxy.bodyCompleted(req, receivedAt, completedAt) })
 	}
 	in := req.stream.upload.In
 	if !errors.Is(err, upstream.ErrUploadStopped) {
--- a/proxy/requestmemory.go
+++ b/proxy/requestmemory.go
@@ -40,7 +40,7 @@
 	rest := newUnreceivedRest(m.conn, body)
 	for {
 		now := time.Now()
-		if m.completeAt.IsZero() && rest.received() {
+		if m.completeAt.IsZero() && rest.arrival(0) == arrivalWhole { // nothing is read while this waits
 			m.completeAt = now
 		}
 		complete := !m.completeAt.IsZero()
