--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -14,9 +14,10 @@
 )
 
 // PeekReader reads the bytes that the system holds unread of a connection, without consuming them: they are read again
-// from the connection afterwards. Read returns io.EOF after the last byte that the system holds, or after maxPeekBytes.
-// The zero value returns io.EOF until Reset. A PeekReader has a buffer of peekWindowBytes and is not safe for concurrent
-// use.
+// from the connection afterwards. Read returns io.EOF after the last byte that the system holds, or after
+// maxPeekBytes.
+// The zero value returns io.EOF until Reset. A PeekReader has a buffer of peekWindowBytes. It is not safe for
+// concurrent use.
 type PeekReader struct {
 	raw    syscall.RawConn // nil: there is nothing to read
 	offset int             // how many unread bytes were copied to the window so far
--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -89,8 +89,9 @@
 // awaitResponse waits for a request's response, and returns an error if the client disconnects before. While a body is
 // streamed, its reader detects a disconnect. Otherwise a read watches the connection, but only after clientWatchDelay,
 // since a watch costs a goroutine and two scheduler switches. Bytes that the client sends before its response stay in
-// the buffer. When the buffer is full, or an upload reads or has stopped reading, a read cannot detect the disconnect and
-// the socket is queried every clientCheckInterval; while a body waits for its server, it is also checked for its end.
+// the buffer. When the buffer is full, or an upload reads or has stopped reading, a read cannot detect the disconnect,
+// and the socket is queried every clientCheckInterval. While a body waits for its server, it is also checked for its
+// end.
 func (c *clientConn) awaitResponse(req *request) (response, error) {
 	if c.watchTimer == nil {
 		c.watchTimer = time.NewTimer(clientWatchDelay)
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -156,8 +156,8 @@
 	}
 }
 
-// uploadHeldUp records that the last byte of a streamed body was received although its server has not accepted the bytes
-// before. The attempt times out in the client's time.
+// uploadHeldUp records that the last byte of a streamed body was received although its server has not accepted the
+// bytes before. The attempt times out in the client's time.
 func (p *Proxy) uploadHeldUp(req *request, receivedAt time.Time) {
 	if req.answered {
 		return
--- a/proxy/requestmemory.go
+++ b/proxy/requestmemory.go
@@ -29,8 +29,8 @@
 
 // reserve raises the reservation to a total, and waits for that until the given time, or until a request that was
 // received completely has waited for maxWait. body is the http1 reader of the request's body, nil while its head is
-// read. The error is errMemoryFull if the memory was not available in time, and os.ErrDeadlineExceeded if the connection
-// is to close.
+// read. The error is errMemoryFull if the memory was not available in time, and os.ErrDeadlineExceeded if the
+// connection is to close.
 func (m *requestMemory) reserve(total int64, use memoryUse, body io.Reader, until time.Time) error {
 	if total <= m.reserved || m.raise(total, use) {
 		return nil
--- a/proxy/requestmemory_test.go
+++ b/proxy/requestmemory_test.go
@@ -78,7 +78,7 @@
 			assert.Equal(t, 200, status, name)
 			assert.Len(t, env.received, 1, name)
 			assert.EqualValues(t, 1, env.memory.waits.Load(), name)
-			conn.Close()
+			assert.NoError(t, conn.Close())
 			env.stopAndWait()
 			assert.Zero(t, env.memory.reserved.Load(), name)
 		})
@@ -165,7 +165,7 @@
 			status, _, _, err := readResponse(conn)
 			assert.NoError(t, err, name)
 			assert.Equal(t, 200, status, "%s, sent in %d pieces", name, pieces)
-			conn.Close()
+			assert.NoError(t, conn.Close())
 		}
 	}
 	for name, request := range waitingForms {
@@ -175,7 +175,7 @@
 		require.Eventually(t, func() bool { return s.memory.waits.Load() > before }, 5*time.Second, time.Millisecond, name)
 		time.Sleep(2 * memoryPollInterval)
 		assert.Equal(t, limit/2, s.memory.reserved.Load(), "%s: a request without its last byte is not read", name)
-		conn.Close()
+		assert.NoError(t, conn.Close())
 		require.Eventually(t, func() bool { return s.memory.reserved.Load() == limit/2 }, 5*time.Second, time.Millisecond)
 	}
 }
@@ -202,7 +202,7 @@
 			assert.NoError(t, err, name)
 			assert.Equal(t, 503, status, name)
 			assert.Less(t, time.Since(sentAt), wait+lateAnswer, name)
-			conn.Close()
+			assert.NoError(t, conn.Close())
 		}
 		s.memory.release(limit)
 	}
--- a/proxy/uploadwatch_test.go
+++ b/proxy/uploadwatch_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -62,41 +63,35 @@
 // Guards against a request without any answer: its client has sent everything, but its server has stopped reading the
 // body, so that the proxy has not read the last byte, from which the client's time counts.
 func TestBodyThatItsServerDoesNotReadIsAnsweredInTime(t *testing.T) {
-	hangs := func(t *testing.T) func(io.Reader) {
-		return func(io.Reader) { <-t.Context().Done() }
-	}
+	hang := func(ctx context.Context, _ io.Reader) { <-ctx.Done() }
 	for name, c := range map[string]struct {
-		receiveBody func(t *testing.T) func(io.Reader)
+		receiveBody func(ctx context.Context, body io.Reader)
 		noDial      bool // connections to servers do not open
 		atFault     bool // the servers are
 	}{
-		"the server hangs": {hangs, false, true},
-		"the server stops reading": {func(t *testing.T) func(io.Reader) {
-			return func(body io.Reader) {
-				_, _ = io.CopyN(io.Discard, body, uploadTestBytes/5)
-				hangs(t)(body)
-			}
+		"the server hangs": {hang, false, true},
+		"the server stops reading": {func(ctx context.Context, body io.Reader) {
+			_, _ = io.CopyN(io.Discard, body, uploadTestBytes/5)
+			hang(ctx, body)
 		}, false, true},
-		"the server reads ever more slowly": {func(t *testing.T) func(io.Reader) {
-			return func(body io.Reader) {
-				for pause := time.Millisecond; t.Context().Err() == nil; pause = min(2*pause, time.Second) {
-					_, _ = io.CopyN(io.Discard, body, 1000)
-					time.Sleep(pause)
-				}
+		"the server reads ever more slowly": {func(ctx context.Context, body io.Reader) {
+			for pause := time.Millisecond; ctx.Err() == nil; pause = min(2*pause, time.Second) {
+				_, _ = io.CopyN(io.Discard, body, 1000)
+				time.Sleep(pause)
 			}
 		}, false, true},
-		"the connection does not open": {hangs, true, false},
+		"the connection does not open": {hang, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for form, request := range uploadRequests(uploadTestBytes) {
-				s := startUploadEnv(t, largeSocketBytes, c.receiveBody(t))
+				s := startUploadEnv(t, largeSocketBytes, func(body io.Reader) { c.receiveBody(t.Context(), body) })
 				if !c.noDial {
 					close(s.dialGate)
 				}
 				conn := s.connect()
 				write(conn, request)
 				sentAt := time.Now()
-				conn.SetReadDeadline(sentAt.Add(4 * time.Second))
+				require.NoError(t, conn.SetReadDeadline(sentAt.Add(4*time.Second)))
 				status, _, _, err := readResponse(conn)
 				require.NoError(t, err, form)
 				assert.Contains(t, []int{502, 503}, status, form)
@@ -120,13 +115,13 @@
 		close(s.dialGate)
 		conn := s.connect()
 		write(conn, request[:len(request)-1])
-		conn.SetReadDeadline(time.Now().Add(uploadWait + maxAnswerDelay))
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(uploadWait+maxAnswerDelay)))
 		_, err := conn.Read(make([]byte, 1))
 		var timeout net.Error
 		require.ErrorAs(t, err, &timeout, "%s: answered before the last byte", form)
 		write(conn, request[len(request)-1:])
 		sentAt := time.Now()
-		conn.SetReadDeadline(sentAt.Add(4 * time.Second))
+		require.NoError(t, conn.SetReadDeadline(sentAt.Add(4*time.Second)))
 		status, _, _, err := readResponse(conn)
 		require.NoError(t, err, form)
 		assert.Equal(t, 503, status, form)
@@ -135,8 +130,8 @@
 	}
 }
 
-// An upload that makes progress is not cut, however long it takes in all, if what lies between its client and its server
-// is sent on in the client's time.
+// An upload that makes progress is not cut, however long it takes in all, if what lies between its client and its
+// server is sent on in the client's time.
 func TestUploadToASlowServerIsNotCut(t *testing.T) {
 	const bytes, bytesPerRead, pause = 800_000, 10_000, 30 * time.Millisecond // 2.4 s for the whole body
 	for form, request := range uploadRequests(bytes) {
