Hot restart: the socket for gossip is handed over, and one process at a time reads it

Cause: a hand-over passed the listening TCP sockets alone; each process bound the address for gossip for itself. Change: the socket is handed over behind the listeners. The old process reads it until the new one serves, stops, and says so (GossipReleased); then the new one reads. If either ends, the other one reads.

--- a/internal/cli/proxycmd/installation_test.go
+++ b/internal/cli/proxycmd/installation_test.go
@@ -82,7 +82,7 @@
 		s.serverAddrs = append(s.serverAddrs, addr)
 		entries = append(entries, fmt.Sprintf(`{"id":%q,"addr":%q,"state":"active","started_ms":0}`, id, addr))
 	}
-	file := filepath.Join(s.dir, "launch.json")
+	file := s.launchFile()
 	limits := fmt.Sprintf(`{"cores":1,"memory_mb":%d,"sockets":%d}`, memoryMB, sockets)
 	text := `{"seed":"1","limits":` + limits + `,` +
 		`"known":{"version":1,"full":true,"servers":[` + strings.Join(entries, ",") + `]},` +
@@ -95,6 +95,9 @@
 	return s
 }
 
+// launchFile returns the path of the launch file.
+func (s *testEnvironment) launchFile() string { return filepath.Join(s.dir, "launch.json") }
+
 // startServer runs a server until the test ends, and returns its address.
 func (s *testEnvironment) startServer(id string) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -248,14 +251,12 @@
 // offeredState returns the state that the serving process would hand over now, nil if no process offers a hot restart.
 func (s *testEnvironment) offeredState() *hotrestart.State {
 	identity := hotrestart.Identity{Format: hotrestart.FormatVersion, Name: "n0", Listen: s.addr}
-	state, listeners, link, err := hotrestart.TakeOver(hotrestart.Path(s.dir, identity), identity)
+	state, sockets, link, err := hotrestart.TakeOver(hotrestart.Path(s.dir, identity), identity)
 	if err != nil {
 		return nil
 	}
 	link.Close()
-	for _, ln := range listeners {
-		ln.Close()
-	}
+	sockets.Close()
 	return state
 }
 
--- a/internal/gossip/link.go
+++ b/internal/gossip/link.go
@@ -2,17 +2,21 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"lockloom/balance"
 )
 
 const numberBytes = 2 // length of the sender's number, which precedes the message
 
+// pastDeadline is a read deadline in the past: a read fails at once.
+var pastDeadline = time.Unix(1, 0)
+
 // Link sends and receives the gossip messages of one proxy. Its methods are safe for concurrent use.
 type Link struct {
 	Sent     atomic.Int64 // messages sent
@@ -23,33 +27,101 @@
 	conn  *net.UDPConn
 	peers map[int]netip.AddrPort // by number in the fleet
 	done  chan struct{}          // closed when receive returns
+
+	mu      sync.Mutex
+	changed sync.Cond // signals a change of the fields below
+	paused  bool      // no datagram is to be read
+	waiting bool      // receive waits until paused ends
+	closed  bool
 }
 
-// Open opens the link of the proxy with the number self, which listens on the address listen. peers maps the numbers of
-// the fleet's other proxies to their addresses. All addresses consist of an IP address and a port. Until Close, a
-// goroutine of the link calls handle for each message, one at a time, with the number of the sender.
-func Open(
-	listen string, self int, peers map[int]string, handle func(from int, message balance.GossipMessage),
+// Listen opens the socket of a link that listens on an address, which consists of an IP address and a port.
+func Listen(listen string) (*net.UDPConn, error) {
+	addr, err := netip.ParseAddrPort(listen)
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	return conn, nil
+}
+
+// New returns the link of the proxy with the number self on a socket, which belongs to the link from then on. peers
+// maps the numbers of the fleet's other proxies to their addresses, which consist of an IP address and a port. The link
+// sends at once and receives once Resume is called: until Close, a goroutine of the link then calls handle for each
+// message, one at a time, with the number of the sender. After an error the socket is closed.
+func New(
+	conn *net.UDPConn, self int, peers map[int]string, handle func(from int, message balance.GossipMessage),
 ) (*Link, error) {
-	link := &Link{self: self, peers: map[int]netip.AddrPort{}, done: make(chan struct{})}
+	link := &Link{self: self, conn: conn, peers: map[int]netip.AddrPort{}, done: make(chan struct{}), paused: true}
+	link.changed.L = &link.mu
 	for number, addr := range peers {
 		peer, err := netip.ParseAddrPort(addr)
 		if err != nil {
+			_ = conn.Close() // the error above says more
 			return nil, fmt.Errorf("peer %d: %w", number, err)
 		}
 		link.peers[number] = peer
 	}
-	addr, err := netip.ParseAddrPort(listen)
+	go link.receive(handle)
+	return link, nil
+}
+
+// Open opens a link that listens on the address listen and receives at once; see Listen and New.
+func Open(
+	listen string, self int, peers map[int]string, handle func(from int, message balance.GossipMessage),
+) (*Link, error) {
+	conn, err := Listen(listen)
 	if err != nil {
-		return nil, fmt.Errorf("peers: %w", err)
+		return nil, err
 	}
-	if link.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr)); err != nil {
-		return nil, fmt.Errorf("peers: %w", err)
+	link, err := New(conn, self, peers, handle)
+	if err != nil {
+		return nil, err
 	}
-	go link.receive(handle)
+	link.Resume()
 	return link, nil
 }
 
+// Conn returns the link's socket, to be handed over to another process. Only the link may read from it.
+func (l *Link) Conn() *net.UDPConn { return l.conn }
+
+// Pause makes the link receive nothing until Resume. When it returns, the link does not read from the socket, and the
+// handler has returned: datagrams stay in the socket, for another process that shares it.
+func (l *Link) Pause() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paused = true
+	_ = l.conn.SetReadDeadline(pastDeadline) // ends a read that waits; it fails only if the link is closed
+	for !l.waiting && !l.closed {
+		l.changed.Wait()
+	}
+}
+
+// Resume makes the link receive again.
+func (l *Link) Resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paused = false
+	_ = l.conn.SetReadDeadline(time.Time{}) // fails only if the link is closed
+	l.changed.Broadcast()
+}
+
+// awaitResumed waits while the link is paused, and reports whether it is still open.
+func (l *Link) awaitResumed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting = true
+	l.changed.Broadcast()
+	for l.paused && !l.closed {
+		l.changed.Wait()
+	}
+	l.waiting = false
+	return !l.closed
+}
+
 // Addr returns the address on which the link listens.
 func (l *Link) Addr() string { return l.conn.LocalAddr().String() }
 
@@ -67,8 +139,12 @@
 	l.Sent.Add(1)
 }
 
-// Close closes the link and waits until the handler has returned.
+// Close closes the link and waits until the handler has returned. Another process that shares the socket keeps it.
 func (l *Link) Close() {
+	l.mu.Lock()
+	l.closed = true
+	l.changed.Broadcast()
+	l.mu.Unlock()
 	_ = l.conn.Close() // fails only if it is closed already
 	<-l.done
 }
@@ -77,13 +153,10 @@
 func (l *Link) receive(handle func(int, balance.GossipMessage)) {
 	defer close(l.done)
 	buffer := make([]byte, numberBytes+MaxBytes+1) // one byte more, so that a longer datagram is detected
-	for {
+	for l.awaitResumed() {
 		size, from, err := l.conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
 		if err != nil {
-			continue // on some systems, a send to a peer that is down makes the next read fail
+			continue // paused, closed, or, on some systems, a send to a peer that is down makes the next read fail
 		}
 		number, message, err := l.decode(buffer[:size], from)
 		if err != nil {
--- a/internal/gossip/link_test.go
+++ b/internal/gossip/link_test.go
@@ -85,6 +85,40 @@
 	assert.Zero(t, sender.Dropped.Load(), "the sender received no datagram")
 }
 
+// Guards against messages that two processes of one proxy split between them: a paused link reads nothing, and what is
+// sent meanwhile is received once it is resumed, by this link or by another one on the same socket.
+func TestPausedLinkLeavesMessagesInTheSocket(t *testing.T) {
+	sender, receiver, received := openPair(t)
+	receive := func(number float64) {
+		sender.Send(1, balance.GossipMessage{Rate: number})
+		assert.Equal(t, number, (<-received).Rate)
+	}
+	receive(1)
+	receiver.Pause()
+	receiver.Pause()
+	sender.Send(1, balance.GossipMessage{Rate: 2})
+	time.Sleep(20 * time.Millisecond)
+	assert.Empty(t, received)
+	file, err := receiver.Conn().File()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = file.Close() })
+	shared, err := net.FilePacketConn(file)
+	require.NoError(t, err)
+	peers := map[int]string{0: sender.Addr()}
+	other, err := New(shared.(*net.UDPConn), 1, peers, func(_ int, message balance.GossipMessage) { received <- message })
+	require.NoError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	assert.Empty(t, received, "a new link is paused")
+	other.Resume()
+	assert.EqualValues(t, 2, (<-received).Rate)
+	other.Close()
+	receiver.Resume()
+	receive(3)
+	assert.EqualValues(t, 2, receiver.Received.Load())
+	receiver.Close()
+	receiver.Pause() // returns at once
+}
+
 func TestOpenErrors(t *testing.T) {
 	_, err := Open("localhost:7100", 0, nil, nil)
 	assert.ErrorContains(t, err, "peers: ")
--- a/internal/hotrestart/client.go
+++ b/internal/hotrestart/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"os"
@@ -17,26 +16,26 @@
 var ErrNoPredecessor = errors.New("no process of this proxy offers a handover")
 
 // TakeOver connects to the predecessor, the process that offers a handover at path. It returns the predecessor's state
-// and listening sockets, and the link on which the two processes exchange updates from then on. It returns
-// ErrNoPredecessor if no process offers a handover at path, and another error if the predecessor's identity differs.
-// The caller must close the listeners and the link.
-func TakeOver(path string, identity Identity) (*State, []net.Listener, *Link, error) {
+// and sockets, and the link on which the two processes exchange updates from then on. It returns ErrNoPredecessor if no
+// process offers a handover at path, and another error if the predecessor's identity differs. The caller must close the
+// sockets and the link.
+func TakeOver(path string, identity Identity) (*State, InheritedSockets, *Link, error) {
 	if _, err := os.Lstat(path); err != nil {
-		return nil, nil, nil, ErrNoPredecessor
+		return nil, InheritedSockets{}, nil, ErrNoPredecessor
 	}
 	conn, err := dial(path)
 	if errors.Is(err, unix.ECONNREFUSED) {
-		return nil, nil, nil, ErrNoPredecessor
+		return nil, InheritedSockets{}, nil, ErrNoPredecessor
 	}
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, InheritedSockets{}, nil, err
 	}
-	state, listeners, err := requestState(conn, identity)
+	state, sockets, err := requestState(conn, identity)
 	if err != nil {
 		closeUnused(conn)
-		return nil, nil, nil, err
+		return nil, InheritedSockets{}, nil, err
 	}
-	return state, listeners, &Link{conn: conn}, nil
+	return state, sockets, &Link{conn: conn}, nil
 }
 
 func dial(path string) (*net.UnixConn, error) {
@@ -50,9 +49,9 @@
 }
 
 // requestState performs the successor's side of the handshake.
-func requestState(conn *net.UnixConn, identity Identity) (*State, []net.Listener, error) {
+func requestState(conn *net.UnixConn, identity Identity) (*State, InheritedSockets, error) {
 	if err := sendIdentity(conn, identity); err != nil {
-		return nil, nil, err
+		return nil, InheritedSockets{}, err
 	}
 	files, err := receiveSockets(conn)
 	defer func() {
@@ -61,20 +60,14 @@
 		}
 	}()
 	if err != nil {
-		return nil, nil, err
+		return nil, InheritedSockets{}, err
 	}
 	state, err := receiveState(conn, identity)
 	if err != nil {
-		return nil, nil, err
+		return nil, InheritedSockets{}, err
 	}
-	if len(files) != len(state.Listeners) {
-		return nil, nil, fmt.Errorf("received %d listening sockets for %d addresses", len(files), len(state.Listeners))
-	}
-	listeners, err := openListeners(files)
-	if err != nil {
-		return nil, nil, err
-	}
-	return state, listeners, nil
+	sockets, err := openSockets(files, state)
+	return state, sockets, err
 }
 
 func sendIdentity(conn *net.UnixConn, identity Identity) error {
--- a/internal/hotrestart/hotrestart_test.go
+++ b/internal/hotrestart/hotrestart_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -38,10 +39,10 @@
 	predecessor, err := Listen("127.0.0.1:0", 0)
 	require.NoError(t, err)
 	links := make(chan *Link, 10)
-	offer := func() (State, []*net.TCPListener) {
+	offer := func() (State, Sockets) {
 		state := testState()
 		state.Listeners, state.Identity = []string{predecessor.Addr().String()}, Identity{}
-		return state, []*net.TCPListener{predecessor.(*net.TCPListener)}
+		return state, Sockets{Listeners: []*net.TCPListener{predecessor.(*net.TCPListener)}}
 	}
 	server, err := Serve(path, testIdentity, offer, func(link *Link, err error) {
 		if assert.NoError(t, err) {
@@ -49,13 +50,13 @@
 		}
 	})
 	require.NoError(t, err)
-	state, listeners, link, err := TakeOver(path, testIdentity)
+	state, sockets, link, err := TakeOver(path, testIdentity)
 	require.NoError(t, err)
 	want, _ := offer()
 	want.Identity = testIdentity
 	assert.Equal(t, &want, state)
 
-	checkSharedAcceptQueue(t, predecessor, listeners[0])
+	checkSharedAcceptQueue(t, predecessor, sockets.Listeners[0])
 	checkUpdates(t, <-links, link, state)
 
 	server.Close()
@@ -66,6 +67,48 @@
 	server.Close()
 }
 
+// The socket for gossip is handed over behind the listeners, as many as there may be, and both processes share it.
+func TestTakeOverOfGossip(t *testing.T) {
+	path := Path(t.TempDir(), testIdentity)
+	own, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = own.Close() })
+	state, offered := testState(), Sockets{Gossip: own}
+	for range maxListeners {
+		listener, err := Listen("127.0.0.1:0", 0)
+		require.NoError(t, err)
+		defer listener.Close()
+		state.Listeners = append(state.Listeners, listener.Addr().String())
+		offered.Listeners = append(offered.Listeners, listener.(*net.TCPListener))
+	}
+	state.Gossip = own.LocalAddr().String()
+	offer := func() (State, Sockets) { return state, offered }
+	server, err := Serve(path, testIdentity, offer, func(link *Link, err error) {
+		if assert.NoError(t, err) {
+			link.Close()
+		}
+	})
+	require.NoError(t, err)
+	defer server.Close()
+	got, sockets, link, err := TakeOver(path, testIdentity)
+	require.NoError(t, err)
+	defer link.Close()
+	defer sockets.Close()
+	assert.Equal(t, state.Gossip, got.Gossip)
+	require.Len(t, sockets.Listeners, maxListeners)
+	for i, listener := range sockets.Listeners {
+		assert.Equal(t, state.Listeners[i], listener.Addr().String())
+	}
+	require.NoError(t, own.Close())
+	_, err = sockets.Gossip.WriteToUDPAddrPort([]byte("x"), netip.MustParseAddrPort(state.Gossip))
+	require.NoError(t, err)
+	require.NoError(t, sockets.Gossip.SetReadDeadline(time.Now().Add(5*time.Second)))
+	n, from, err := sockets.Gossip.ReadFromUDPAddrPort(make([]byte, 2))
+	require.NoError(t, err, "the socket is open although the predecessor has closed it")
+	assert.Equal(t, 1, n)
+	assert.Equal(t, state.Gossip, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String())
+}
+
 // checkSharedAcceptQueue checks that both listeners share one accept queue: the successor accepts a connection that was
 // made before the predecessor closed its listener, and that the predecessor did not accept. It closes both listeners.
 func checkSharedAcceptQueue(t *testing.T, predecessor, successor net.Listener) {
@@ -120,7 +163,11 @@
 		},
 		{
 			"addresses without sockets", greeting + frame(ownIdentity+`"Listeners":["x"]}`),
-			"received 0 listening sockets for 1 addresses",
+			"received 0 sockets for 1 addresses",
+		},
+		{
+			"address of gossip without a socket", greeting + frame(ownIdentity+`"Gossip":"127.0.0.1:2"}`),
+			"received 0 sockets for 1 addresses",
 		},
 		{
 			"invalid endpoint list",
@@ -165,7 +212,7 @@
 	dir := filepath.Join(t.TempDir(), strings.Repeat("d", 120))
 	require.NoError(t, os.Mkdir(dir, 0o700))
 	path, results := Path(dir, testIdentity), make(chan error, 10)
-	offer := func() (State, []*net.TCPListener) { return testState(), nil }
+	offer := func() (State, Sockets) { return testState(), Sockets{} }
 	server, err := Serve(path, testIdentity, offer, func(_ *Link, err error) { results <- err })
 	require.NoError(t, err)
 	defer server.Close()
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -34,7 +34,8 @@
 // State is what the serving process hands over to its successor.
 type State struct {
 	Identity
-	Listeners  []string             `json:"Listeners"` // addresses of the listening sockets, in the order sent
+	Listeners  []string             `json:"Listeners"`        // addresses of the listening sockets, in the order sent
+	Gossip     string               `json:"Gossip,omitempty"` // address of the socket for gossip, sent last; empty: none
 	AdminState lifecycle.AdminState `json:"Orders"`
 	IDs        []uint64             `json:"IDs"` // hashes of all server ids that were ever in the endpoint list
 	List       discovery.List       `json:"List"`
@@ -46,4 +47,8 @@
 type Update struct {
 	Serving    bool                  `json:"Serving"` // the successor accepts clients
 	AdminState *lifecycle.AdminState `json:"Orders"`  // the whole admin state; nil: no change to report
+
+	// GossipReleased reports that the predecessor reads no gossip any more, since the successor serves: the successor
+	// reads it from now on, or the predecessor again once the successor has ended.
+	GossipReleased bool `json:"GossipReleased,omitempty"`
 }
--- a/internal/hotrestart/server.go
+++ b/internal/hotrestart/server.go
@@ -10,21 +10,21 @@
 	"time"
 )
 
-// Server offers this process's state and listening sockets to its successor.
+// Server offers this process's state and sockets to its successor.
 type Server struct {
 	listener  *net.UnixListener
 	identity  Identity
-	offer     func() (State, []*net.TCPListener)
+	offer     func() (State, Sockets)
 	connected func(*Link, error)
 	ended     chan struct{} // closed when accept has returned
 }
 
 // Serve offers a handover at path, in place of any process that did so before. To each process that connects it sends
-// the state and the listening sockets that offer returns; the sockets remain the caller's to close. Then it calls
+// the state and the sockets that offer returns; the sockets remain the caller's to close. Then it calls
 // connected with the link to that process, which connected must close, or with the error that ended the handshake. Each
 // connection has its own goroutine, which calls offer and connected and ends when connected returns.
 func Serve(
-	path string, identity Identity, offer func() (State, []*net.TCPListener), connected func(*Link, error),
+	path string, identity Identity, offer func() (State, Sockets), connected func(*Link, error),
 ) (*Server, error) {
 	listener, err := listenAndReplace(path)
 	if err != nil {
@@ -88,12 +88,12 @@
 	if err := s.receiveIdentity(conn); err != nil {
 		return err
 	}
-	state, listeners := s.offer()
-	if len(listeners) > maxListeners {
-		return fmt.Errorf("%d listening sockets exceed the limit of %d", len(listeners), maxListeners)
+	state, sockets := s.offer()
+	if len(sockets.Listeners) > maxListeners {
+		return fmt.Errorf("%d listening sockets exceed the limit of %d", len(sockets.Listeners), maxListeners)
 	}
 	state.Identity = s.identity
-	if err := sendSockets(conn, listeners); err != nil {
+	if err := sendSockets(conn, sockets.conns()); err != nil {
 		return err
 	}
 	return writeFrame(conn, state)
--- a/internal/hotrestart/sockets.go
+++ b/internal/hotrestart/sockets.go
@@ -2,21 +2,58 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
 const (
-	maxListeners    = 16 // maximum number of listening sockets in one handover
-	descriptorBytes = 4  // size of a descriptor in a control message
+	maxListeners    = 16               // maximum number of listening sockets in one handover
+	maxSockets      = maxListeners + 1 // and of all sockets
+	descriptorBytes = 4                // size of a descriptor in a control message
 )
 
-// sendSockets writes the greeting with the listening sockets attached to its first byte.
-func sendSockets(conn *net.UnixConn, listeners []*net.TCPListener) error {
-	return withDescriptors(listeners, nil, func(descriptors []int) error {
+// Sockets are the sockets that a process hands over. Both processes use them until one of them ends.
+type Sockets struct {
+	Listeners []*net.TCPListener // in the order of State.Listeners
+	Gossip    *net.UDPConn       // if State.Gossip is set
+}
+
+// InheritedSockets are Sockets as the successor receives them.
+type InheritedSockets struct {
+	Listeners []net.Listener
+	Gossip    *net.UDPConn // nil: none
+}
+
+// Close closes the sockets. They stay open in the predecessor.
+func (s *InheritedSockets) Close() {
+	for _, listener := range s.Listeners {
+		closeUnused(listener)
+	}
+	if s.Gossip != nil {
+		closeUnused(s.Gossip)
+	}
+}
+
+// conns returns the sockets in the order in which they are sent.
+func (s *Sockets) conns() []syscall.Conn {
+	var conns []syscall.Conn
+	for _, listener := range s.Listeners {
+		conns = append(conns, listener)
+	}
+	if s.Gossip != nil {
+		conns = append(conns, s.Gossip)
+	}
+	return conns
+}
+
+// sendSockets writes the greeting with the sockets attached to its first byte.
+func sendSockets(conn *net.UnixConn, sockets []syscall.Conn) error {
+	return withDescriptors(sockets, nil, func(descriptors []int) error {
 		var control []byte
 		if len(descriptors) > 0 {
 			control = unix.UnixRights(descriptors...)
@@ -29,20 +66,20 @@
 	})
 }
 
-// withDescriptors calls use with the given descriptors and those of the listeners. It nests a Control call of each
-// listener, so that no descriptor can be closed, and its number reused for another file, while use runs. It does not
-// call TCPListener.File, which would switch the socket to blocking mode while both processes accept from it.
-func withDescriptors(listeners []*net.TCPListener, descriptors []int, use func([]int) error) error {
-	if len(listeners) == 0 {
+// withDescriptors calls use with the given descriptors and those of the sockets. It nests a Control call of each
+// socket, so that no descriptor can be closed, and its number reused for another file, while use runs. It does not call
+// File, which would switch the socket to blocking mode while both processes use it.
+func withDescriptors(sockets []syscall.Conn, descriptors []int, use func([]int) error) error {
+	if len(sockets) == 0 {
 		return use(descriptors)
 	}
-	raw, err := listeners[0].SyscallConn()
+	raw, err := sockets[0].SyscallConn()
 	if err != nil {
 		return err
 	}
 	var useErr error
 	err = raw.Control(func(fd uintptr) {
-		useErr = withDescriptors(listeners[1:], append(descriptors, int(fd)), use)
+		useErr = withDescriptors(sockets[1:], append(descriptors, int(fd)), use)
 	})
 	return errors.Join(err, useErr)
 }
@@ -51,7 +88,7 @@
 // error.
 func receiveSockets(conn *net.UnixConn) (files []*os.File, err error) {
 	text := make([]byte, len(greeting))
-	control := make([]byte, unix.CmsgSpace(descriptorBytes*maxListeners))
+	control := make([]byte, unix.CmsgSpace(descriptorBytes*maxSockets))
 	for offset := 0; offset < len(text); {
 		n, controlBytes, flags, _, err := conn.ReadMsgUnix(text[offset:], control)
 		received, controlErr := parseSockets(control[:controlBytes])
@@ -64,7 +101,7 @@
 		case n == 0:
 			return files, io.ErrUnexpectedEOF
 		case flags&unix.MSG_CTRUNC != 0:
-			return files, errors.New("control message truncated: too many listening sockets")
+			return files, errors.New("control message truncated: too many sockets")
 		}
 		offset += n
 	}
@@ -91,24 +128,49 @@
 		}
 		for _, fd := range descriptors {
 			unix.CloseOnExec(fd)
-			files = append(files, os.NewFile(uintptr(fd), "listening"))
+			files = append(files, os.NewFile(uintptr(fd), "handed over"))
 		}
 	}
 	return files, nil
 }
 
-// openListeners returns a listener for each file. The caller must still close the files.
-func openListeners(files []*os.File) ([]net.Listener, error) {
-	var listeners []net.Listener
-	for _, file := range files {
-		listener, err := net.FileListener(file)
+// openSockets returns the sockets of the files that came with a state. The caller must still close the files.
+func openSockets(files []*os.File, state *State) (sockets InheritedSockets, err error) {
+	expected := len(state.Listeners)
+	if state.Gossip != "" {
+		expected++
+	}
+	if len(files) != expected {
+		return InheritedSockets{}, fmt.Errorf("received %d sockets for %d addresses", len(files), expected)
+	}
+	defer func() {
+		if err != nil {
+			sockets.Close()
+		}
+	}()
+	for i := range state.Listeners {
+		listener, err := net.FileListener(files[i])
 		if err != nil {
-			for _, opened := range listeners {
-				opened.Close()
-			}
-			return nil, err
+			return sockets, err
 		}
-		listeners = append(listeners, listener)
+		sockets.Listeners = append(sockets.Listeners, listener)
+	}
+	if state.Gossip != "" {
+		sockets.Gossip, err = openGossip(files[len(files)-1])
+	}
+	return sockets, err
+}
+
+// openGossip returns the socket for gossip of a file.
+func openGossip(file *os.File) (*net.UDPConn, error) {
+	conn, err := net.FilePacketConn(file)
+	if err != nil {
+		return nil, err
+	}
+	udp, ok := conn.(*net.UDPConn)
+	if !ok {
+		closeUnused(conn)
+		return nil, errors.New("the socket for gossip is not one of UDP")
 	}
-	return listeners, nil
+	return udp, nil
 }
--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -33,7 +33,7 @@
 	if p.bootstrap.HealthChecks {
 		fields["health_checks"] = p.counters.HealthChecks
 	}
-	if link := p.gossipLink; link != nil {
+	if link := p.gossip.link.Load(); link != nil {
 		fields["gossip_sent"], fields["gossip_received"] = link.Sent.Load(), link.Received.Load()
 		fields["gossip_dropped"] = link.Dropped.Load()
 	}
--- a/proxy/decide.go
+++ b/proxy/decide.go
@@ -15,8 +15,8 @@
 	for _, server := range actions.HealthChecks {
 		p.healthCheck(pool, server)
 	}
-	if actions.Gossip != nil && p.gossipLink != nil {
-		p.gossipLink.Send(actions.GossipPeer, *actions.Gossip)
+	if actions.Gossip != nil {
+		p.gossip.send(actions.GossipPeer, *actions.Gossip)
 	}
 	for i := range actions.Requests {
 		p.applyRequestAction(&actions.Requests[i])
--- a/proxy/hotrestart.go
+++ b/proxy/hotrestart.go
@@ -65,19 +65,20 @@
 		return
 	}
 	s.takeOverTried = true
-	inherited, listeners, link, err := hotrestart.TakeOver(p.hotRestartPath(), p.hotRestartIdentity())
+	inherited, sockets, link, err := hotrestart.TakeOver(p.hotRestartPath(), p.hotRestartIdentity())
 	if err != nil {
 		if !errors.Is(err, hotrestart.ErrNoPredecessor) {
 			p.log.WithError(err).Warn("hot restart: nothing taken over, starting afresh")
 		}
 		return
 	}
-	s.inherit(inherited, listeners, link)
+	s.inherit(inherited, sockets.Listeners, link)
+	p.inheritGossip(inherited.Gossip, sockets.Gossip)
 	if inherited.HasList && inherited.List.Version >= p.bootstrap.KnownEndpoints.Version {
 		p.bootstrap.KnownEndpoints = inherited.List
 	}
 	p.log.WithFields(logrus.Fields{
-		"sockets":  len(listeners),
+		"sockets":  len(sockets.Listeners),
 		"version":  inherited.List.Version,
 		"disabled": len(inherited.AdminState.Servers),
 	}).Info("hot restart: took over from the predecessor")
@@ -101,11 +102,29 @@
 	}
 }
 
+// inheritGossip stores the socket for gossip that a predecessor handed over, which received at an address; nil: none.
+// The socket is closed if this process is configured without gossip, or for another address.
+func (p *Proxy) inheritGossip(addr string, conn *net.UDPConn) {
+	switch {
+	case conn == nil:
+	case p.bootstrap.Gossip && p.bootstrap.Fleet.Listen == addr:
+		p.gossip.inherit(conn)
+	default:
+		_ = conn.Close() // nothing was written to it
+	}
+}
+
 // followPredecessor receives the predecessor's updates until it ends.
 func (p *Proxy) followPredecessor(link *hotrestart.Link) {
 	s := p.process
-	err := link.Receive(func(update hotrestart.Update) { s.updateReceived(link, update) })
+	err := link.Receive(func(update hotrestart.Update) {
+		s.updateReceived(link, update)
+		if update.GossipReleased {
+			p.gossip.releasedByPredecessor()
+		}
+	})
 	p.log.WithError(err).Info("hot restart: the predecessor has ended")
+	p.gossip.releasedByPredecessor()
 	s.mu.Lock()
 	s.predecessor, s.lifecycle.PredecessorServing = nil, false
 	s.mu.Unlock()
@@ -150,9 +169,9 @@
 	decisions balance.Snapshot
 }
 
-// handOver returns the state and the listeners for a successor. If the owner does not return its part of the state
+// handOver returns the state and the sockets for a successor. If the owner does not return its part of the state
 // within snapshotTimeout, that part is left out.
-func (p *Proxy) handOver() (hotrestart.State, []*net.TCPListener) {
+func (p *Proxy) handOver() (hotrestart.State, hotrestart.Sockets) {
 	snapshots := make(chan ownerSnapshot, 1)
 	go p.post(func() {
 		snapshots <- ownerSnapshot{list: p.endpoints.list(), decisions: p.pools.platform.decisions.Snapshot(p.now())}
@@ -170,7 +189,11 @@
 	// The successor looks listeners up by their configured address. The address on which a listener listens may differ
 	// ("[::]:8080" for ":8080"): the successor would not find the listener, and its accept queue would be lost.
 	state.Listeners = slices.Clone(s.addrs)
-	return state, slices.Clone(s.listeners)
+	sockets := hotrestart.Sockets{Listeners: slices.Clone(s.listeners), Gossip: p.gossip.socket()}
+	if sockets.Gossip != nil {
+		state.Gossip = p.bootstrap.Fleet.Listen
+	}
+	return state, sockets
 }
 
 // serveSuccessor exchanges updates with a process that has taken over, until that process ends. err is not nil if
@@ -185,7 +208,13 @@
 	adminUpdate := s.addSuccessor(link)
 	p.applyResourceShare()
 	go send(link, adminUpdate)
-	err = link.Receive(func(update hotrestart.Update) { s.updateReceived(link, update) })
+	err = link.Receive(func(update hotrestart.Update) {
+		s.updateReceived(link, update)
+		if update.Serving {
+			p.gossip.setReadBySuccessor(true)
+			send(link, hotrestart.Update{GossipReleased: true})
+		}
+	})
 	link.Close()
 	p.successorEnded(link, err)
 }
@@ -209,7 +238,9 @@
 		p.log.WithError(err).Warn("hot restart: the successor has ended, serving again")
 		p.offerHotRestart()
 	}
+	successorServing := s.lifecycle.SuccessorServing
 	s.mu.Unlock()
+	p.gossip.setReadBySuccessor(successorServing)
 	p.applyResourceShare()
 }
 
--- a/proxy/hotrestart_test.go
+++ b/proxy/hotrestart_test.go
@@ -13,7 +13,7 @@
 	ln, err := env.Listen(":0")
 	assert.NoError(t, err)
 	defer ln.Close()
-	state, listeners := env.handOver()
+	state, sockets := env.handOver()
 	assert.Equal(t, []string{":0"}, state.Listeners)
-	assert.Len(t, listeners, 1)
+	assert.Len(t, sockets.Listeners, 1)
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -22,7 +22,6 @@
 	"lockloom/balance"
 	"lockloom/internal/bootstrap"
 	"lockloom/internal/discovery"
-	"lockloom/internal/gossip"
 	"lockloom/internal/settings"
 	"lockloom/internal/upstream"
 )
@@ -90,7 +89,7 @@
 	process        *processState
 	shutdown       shutdownState
 	loop           eventLoop
-	gossipLink     *gossip.Link // link to the fleet's other proxies; nil if gossip is off
+	gossip         gossipTransport
 	listeners      []net.Listener
 	maxServerConns int // connections to servers, of all processes of this proxy together
 
@@ -117,6 +116,7 @@
 		requests:  requestTable{openIDs: map[string]bool{}},
 	}
 	p.loop.init(clk, p.log)
+	p.gossip.init()
 	balancer, err := balance.New(cfg.Deployment, p.now())
 	if err != nil {
 		return nil, err
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -9,8 +9,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"lockloom/balance"
-	"lockloom/internal/gossip"
 	"lockloom/internal/invariant"
 )
 
@@ -75,29 +73,6 @@
 	return err
 }
 
-func (p *Proxy) openGossip() error {
-	if !p.bootstrap.Gossip {
-		return nil
-	}
-	fleet := &p.bootstrap.Fleet
-	link, err := gossip.Open(fleet.Listen, p.bootstrap.ProxyIndex, fleet.Peers, p.gossipReceived)
-	if err != nil {
-		return err
-	}
-	p.gossipLink = link
-	return nil
-}
-
-// gossipReceived passes a peer's message to the balancer of the platform's pool.
-func (p *Proxy) gossipReceived(from int, message balance.GossipMessage) {
-	p.post(func() {
-		pool := p.pools.platform
-		p.decide(pool, func(now float64) *balance.Actions {
-			return pool.decisions.GossipReceived(now, from, message)
-		})
-	})
-}
-
 // startOwner initializes the owner's state from the bootstrap configuration and a predecessor's state, then starts its
 // goroutine.
 func (p *Proxy) startOwner() {
@@ -203,7 +178,5 @@
 	close(p.loop.quit)
 	<-p.loop.ended
 	p.conns.idleConns.Close()
-	if p.gossipLink != nil {
-		p.gossipLink.Close()
-	}
+	p.gossip.close()
 }
