--- a/proxy/uploadwatch.go
+++ b/proxy/uploadwatch.go
@@ -42,12 +42,13 @@
 	ended     bool      // the last byte was received, or the body is not streamed any more
 }
 
-func newUploadWatch(req *request) *uploadWatch {
+// newUploadWatch returns the watch of a request's body; it has ended if the body is not streamed.
+func newUploadWatch(req *request) uploadWatch {
 	body := req.stream.reader
 	if body == nil {
-		return &uploadWatch{ended: true}
+		return uploadWatch{ended: true}
 	}
-	return &uploadWatch{req: req, rest: newUnreceivedRest(req.client, body.source), missingAt: time.Now()}
+	return uploadWatch{req: req, rest: newUnreceivedRest(req.client, body.source), missingAt: time.Now()}
 }
 
 // check looks for the last byte, reports to the owner if it was received, and returns the time until the next check of
