Proxy: waiting for a response and deadlines have files of their own

admission.go held the wait for the response as one long select, and request.go everything about deadlines.

--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -2,24 +2,13 @@
 
 import (
 	"cmp"
-	"errors"
-	"io"
 	"math"
-	"time"
 
 	"lockloom/balance"
 	"lockloom/internal/http1"
-	"lockloom/internal/upstream"
 	"lockloom/limits"
 )
 
-const (
-	// clientWatchDelay is how long a request waits for its response before the watch for a disconnected client starts.
-	clientWatchDelay = 10 * time.Millisecond
-	// clientCheckInterval is the interval between socket queries for a client whose disconnect a read cannot detect.
-	clientCheckInterval = 50 * time.Millisecond
-)
-
 // admission admits one request: first to this core (overload queue), then to the balancer. It belongs to the
 // connection's goroutine. The zero value with conn set is ready for use.
 type admission struct {
@@ -86,92 +75,6 @@
 	})
 }
 
-// awaitResponse waits for a request's response, and returns an error if the client disconnects before. While a body is
-// streamed, its reader detects a disconnect. Otherwise a read watches the connection, but only after clientWatchDelay,
-// since a watch costs a goroutine and two scheduler switches. Bytes that the client sends before its response stay in
-// the buffer. When the buffer is full, or an upload reads or has stopped reading, a read cannot detect the disconnect,
-// and the socket is queried every clientCheckInterval. While a body waits for its server, it is also checked for its
-// end.
-func (c *clientConn) awaitResponse(req *request) (response, error) {
-	if c.watchTimer == nil {
-		c.watchTimer = time.NewTimer(clientWatchDelay)
-	} else {
-		c.watchTimer.Reset(clientWatchDelay)
-	}
-	defer c.watchTimer.Stop()
-	uploadDone := c.uploadDone
-	var watchDone chan error
-	unreadable := c.uploadDone != nil // a watch cannot detect a disconnect
-	upload := newUploadWatch(req)
-	for {
-		select {
-		case resp := <-req.response:
-			if watchDone != nil {
-				c.setReadDeadline(pastDeadline) // ends the watch
-				<-watchDone                     //nolint:errcheck // there is a response, whatever the watch has read
-			}
-			if resp.notServed {
-				if err := c.takeBodyError(); err != nil {
-					return response{}, err
-				}
-			}
-			return resp, nil
-		case err := <-uploadDone:
-			stopped := uploadStopped(err)
-			upload.ended = true
-			c.uploadDone, uploadDone, unreadable = nil, nil, stopped
-			if err != nil && !stopped {
-				return response{}, err
-			}
-		case err := <-watchDone:
-			if err != nil {
-				return response{}, err
-			}
-			watchDone, unreadable = nil, true
-			c.watchTimer.Reset(clientCheckInterval)
-		case <-c.watchTimer.C:
-			if !unreadable {
-				watchDone = c.startWatch()
-				break
-			}
-			if c.peerHasGone() {
-				return response{}, errClientGone
-			}
-			c.watchTimer.Reset(upload.check())
-		}
-	}
-}
-
-// takeBodyError returns the error with which reading a streamed body has failed because of the client, or nil if it has
-// not failed or not ended. The attempt fails because of the same error, and both may be known by the time at which the
-// connection's goroutine looks: the body's error says more about the cause.
-func (c *clientConn) takeBodyError() error {
-	select {
-	case err := <-c.uploadDone:
-		c.uploadDone = nil
-		if !uploadStopped(err) {
-			return err
-		}
-	default:
-	}
-	return nil
-}
-
-// startWatch starts a goroutine that reads into the connection's buffer until the client disconnects. Its result is nil
-// if the buffer is full, so that it cannot detect a disconnect any more, else the read error.
-func (c *clientConn) startWatch() chan error {
-	c.setReadDeadline(time.Time{})
-	done := make(chan error, 1)
-	go func() { done <- c.WaitForClose() }()
-	return done
-}
-
-// uploadStopped reports whether an upload has ended because the proxy or the server stopped reading it, not because of
-// the client.
-func uploadStopped(err error) bool {
-	return errors.Is(err, upstream.ErrUploadStopped) || errors.Is(err, io.ErrClosedPipe)
-}
-
 // admit passes a request to the balancer. With shed set, it rejects the request without the balancer: its connection is
 // over maxServed, or the process admits no more requests. It is called by the owner.
 func (p *Proxy) admit(req *request, info balance.RequestInfo, shed bool) {
