Proxy: the pause between two looks counts the look alone, not the wait for its turn

Looks at what lies unread share one buffer. With many requests that wait for memory, the wait for the buffer made the pause before the next look ten times as long.

--- a/proxy/lookahead.go
+++ b/proxy/lookahead.go
@@ -17,19 +17,23 @@
 	unread socket.PeekReader
 }
 
-// restReceived reports whether the rest of the request that a connection reads was received. body is the http1 reader
-// of its body, nil while its head is read; count is how many bytes the system holds unread.
-func (l *requestLookahead) restReceived(c *clientConn, body io.Reader, count int) bool {
+// restReceived reports whether the rest of the request that a connection reads was received, and how long the look took
+// without the wait for its turn. body is the http1 reader of its body, nil while its head is read; count is how many
+// bytes the system holds unread.
+func (l *requestLookahead) restReceived(c *clientConn, body io.Reader, count int) (received bool, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.http == nil {
 		l.http = http1.NewLookahead()
 	}
+	began := time.Now()
 	l.unread.Reset(c.conn)
 	if body == nil {
-		return l.http.HeadEnds(c.Reader, &l.unread, count)
+		received = l.http.HeadEnds(c.Reader, &l.unread, count)
+	} else {
+		received = l.http.BodyEnds(body, &l.unread, count)
 	}
-	return l.http.BodyEnds(body, &l.unread, count)
+	return received, time.Since(began)
 }
 
 // lookPauseFactor is the ratio of the pause after a look to the time that the look took, so that a client that sends
@@ -67,18 +71,16 @@
 	if r.conn.peerHasGone() {
 		return arrivalWhole
 	}
-	began := time.Now()
 	state := restState{read, socket.UnreadBytes(r.conn.conn)}
 	switch {
 	case state == r.examined:
 		return arrivalMissing
-	case began.Before(r.nextLook):
+	case time.Now().Before(r.nextLook):
 		return arrivalUnknown
 	}
 	r.examined = state
-	whole := r.conn.proxy.lookahead.restReceived(r.conn, r.body, state.unread)
-	now := time.Now()
-	r.nextLook = now.Add(lookPauseFactor * now.Sub(began))
+	whole, took := r.conn.proxy.lookahead.restReceived(r.conn, r.body, state.unread)
+	r.nextLook = time.Now().Add(lookPauseFactor * took)
 	if whole {
 		return arrivalWhole
 	}
