--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -84,11 +84,11 @@
 	}
 }
 
-// limitResponse makes an exchange time out at the given time at the latest, unless its response is being streamed.
-func (c *connection) limitResponse(ex *Exchange, by time.Time) {
+// limitUpload sets the limits of an exchange, unless its response is being streamed.
+func (c *connection) limitUpload(ex *Exchange, limits UploadLimits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ex.responseBy = ex.limited(by)
+	ex.limits = limits
 	if c.current == ex && c.netConn != nil && !ex.isStreaming {
 		c.setReadDeadline(ex.limited(c.readDeadline))
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -50,7 +50,8 @@
 
 	// Guarded by the connection's lock.
 	writeStartedAt time.Time
-	responseBy     time.Time // see Pool.LimitResponse; zero: no limit
+	limits         UploadLimits // see Pool.LimitUpload
+	uploadSent     bool         // the request, with its upload, was written completely
 	canceled       bool      // the request must not be sent any more; if it was being sent, its connection is closed
 	writeStarted   bool      // from now on, bytes of the request may be sent
 	isStreaming    bool      // streaming its response has started
@@ -78,11 +79,21 @@
 	Stream        *io.PipeReader // in OnResponseStarted: the rest of the body; must be read to its end or closed
 }
 
-// limited returns a time limit for the response, or that of Pool.LimitResponse if it is earlier. The caller holds the
-// connection's lock.
+// UploadLimits are time limits of an exchange with an Upload. The zero value sets none.
+type UploadLimits struct {
+	SentBy      time.Time // until the server has accepted the whole request
+	RespondedBy time.Time // until the response is complete or streaming
+}
+
+// limited returns a time limit for the exchange's next event, or that of Pool.LimitUpload if it is earlier. The caller
+// holds the connection's lock.
 func (ex *Exchange) limited(by time.Time) time.Time {
-	if !ex.responseBy.IsZero() && ex.responseBy.Before(by) {
-		return ex.responseBy
+	limit := ex.limits.SentBy
+	if ex.uploadSent {
+		limit = ex.limits.RespondedBy
+	}
+	if !limit.IsZero() && limit.Before(by) {
+		return limit
 	}
 	return by
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -142,10 +142,10 @@
 // exchange continues.
 func (p *Pool) CancelUnwritten(ex *Exchange) { ex.conn.cancelUnwritten(ex) }
 
-// LimitResponse makes an exchange time out at the given time, if its Deadline or ResponseTimeout is later and its
-// response is not being streamed by then. An exchange whose server has not accepted the whole request until then ends
-// with the outcome ConnectFailed, or ConnectionLost with Passthrough.
-func (p *Pool) LimitResponse(ex *Exchange, by time.Time) { ex.conn.limitResponse(ex, by) }
+// LimitUpload makes an exchange with an Upload time out by limits that are earlier than its Deadline and its
+// ResponseTimeout. If its server has not accepted the whole request by SentBy, its outcome is ConnectFailed, or
+// ConnectionLost with Passthrough.
+func (p *Pool) LimitUpload(ex *Exchange, limits UploadLimits) { ex.conn.limitUpload(ex, limits) }
 
 // CloseExpired closes the connections that have been idle for IdleTimeout.
 func (p *Pool) CloseExpired() {
--- a/proxy/requestdeadline.go
+++ b/proxy/requestdeadline.go
@@ -5,6 +5,7 @@
 
 	"lockloom/balance"
 	"lockloom/internal/invariant"
+	"lockloom/internal/upstream"
 )
 
 // The deadline of a request: how it is set, and what happens when it comes. The owner calls all functions here.
@@ -12,6 +13,14 @@
 // backstopMarginSeconds is how long before a request's deadline the backstop timer fails it if it has no response yet.
 const backstopMarginSeconds = 0.002
 
+// If a server has not accepted a streamed body, its attempt ends by this margin before the client's deadline:
+// heldUpMarginFraction of the client's wait, at most maxHeldUpMargin. The end of the attempt proves that the request
+// never ran, so it must be recorded before the request is answered, also on a busy core.
+const (
+	heldUpMarginFraction = 0.25
+	maxHeldUpMargin      = 150 * time.Millisecond
+)
+
 // scheduleBackstop schedules the request's timer for shortly before its deadline, see requestTimerFired.
 func (p *Proxy) scheduleBackstop(req *request) {
 	p.loop.timers.add(&req.timer, req.deadline-backstopMarginSeconds)
@@ -46,9 +55,15 @@
 // limitUpload makes an attempt whose streamed body was received before its server accepted it time out in the client's
 // time. If there is none to send the body, the backstop answers the request.
 func (p *Proxy) limitUpload(req *request, att *attempt) {
-	if req.stream.receivedAt != 0 && att.started && !att.ended {
-		p.upstream.LimitResponse(&att.exchange, p.fromUnixSeconds(req.deadline).Add(-uploadResponseMargin))
+	if req.stream.receivedAt == 0 || !att.started || att.ended {
+		return
 	}
+	deadline := p.fromUnixSeconds(req.deadline)
+	margin := min(maxHeldUpMargin, seconds(req.stream.clientWait*heldUpMarginFraction))
+	p.upstream.LimitUpload(&att.exchange, upstream.UploadLimits{
+		SentBy:      deadline.Add(-margin),
+		RespondedBy: deadline.Add(-uploadResponseMargin),
+	})
 }
 
 // bodyCompleted records that a streamed body was received and accepted to be sent completely, and when.
