--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -52,9 +52,9 @@
 	writeStartedAt time.Time
 	limits         UploadLimits // see Pool.LimitUpload
 	uploadSent     bool         // the request, with its upload, was written completely
-	canceled       bool      // the request must not be sent any more; if it was being sent, its connection is closed
-	writeStarted   bool      // from now on, bytes of the request may be sent
-	isStreaming    bool      // streaming its response has started
+	canceled       bool         // the request must not be sent any more; if it was being sent, its connection is closed
+	writeStarted   bool         // from now on, bytes of the request may be sent
+	isStreaming    bool         // streaming its response has started
 
 	// Set by the writer before it closes writeDone. Other goroutines read them only once writeDone is closed.
 	writeDone     chan struct{}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -96,8 +96,8 @@
 	return nil
 }
 
-// expectResponse sets the deadline of the response to an exchange whose upload was sent, unless the exchange has ended or
-// its response is being streamed.
+// expectResponse sets the deadline of the response to an exchange whose upload was sent, unless the exchange has ended
+// or its response is being streamed.
 func (c *connection) expectResponse(ex *Exchange, by time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
