Upstream: the early limit of an upload holds only where its server has stopped reading

TestUploadIsLimitedWhereItsServerStopsReading (virtual time): a server that reads nothing, one that stops, one that stops after the limit, one that reads slowly to the end.

--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -84,7 +84,20 @@
 		c.setReadDeadline(time.Time{})
 		return false
 	}
-	return !time.Now().Before(c.readDeadline)
+	now := time.Now()
+	return !now.Before(c.readDeadline) && !c.extendUpload(now)
+}
+
+// extendUpload extends the limit of the current exchange's upload that has passed, if its server still accepts bytes,
+// and reports whether it did. The caller holds the lock.
+func (c *connection) extendUpload(now time.Time) bool {
+	ex := c.current
+	if ex.Upload == nil || ex.uploadSent || ex.Upload.isStalled(now) || !now.Before(ex.limits.RespondedBy) {
+		return false
+	}
+	ex.limits.SentBy = ex.limits.RespondedBy
+	c.setReadDeadline(ex.limits.RespondedBy)
+	return true
 }
 
 // currentExchange is called after wait has returned waitErr. It returns the current exchange, nil if there is none, and
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lockloom/internal/http1"
@@ -25,6 +26,16 @@
 	sender  *Exchange // the exchange that has claimed the body; nil: none
 	reading bool      // the sender reads the body: it keeps the claim
 	ended   bool      // the sender's exchange has ended: it must not begin to read the body
+
+	progressAt atomic.Int64 // when the server last accepted bytes of the body: Unix time in nanoseconds
+}
+
+// uploadStallTime is how long a server may accept nothing of a body before its upload counts as stalled.
+const uploadStallTime = 100 * time.Millisecond
+
+// isStalled reports whether the server has accepted nothing of the body lately.
+func (u *Upload) isStalled(now time.Time) bool {
+	return now.UnixNano()-u.progressAt.Load() > int64(uploadStallTime)
 }
 
 // NewUpload returns an upload, which is sent with chunked transfer coding if chunked is true, and unchanged otherwise.
@@ -105,6 +116,7 @@
 			if _, err := body.Write(buffer[:n]); err != nil {
 				return err
 			}
+			u.progressAt.Store(time.Now().UnixNano())
 		}
 		switch {
 		case errors.Is(err, io.EOF) && u.Chunked:
--- a/internal/upstream/upload_test.go
+++ b/internal/upstream/upload_test.go
@@ -162,3 +162,51 @@
 	_, err = upload.In.Write([]byte("x"))
 	assert.ErrorIs(t, err, ErrUploadStopped)
 }
+
+// Guards against a server that stops reading a body and so keeps its request, and against cutting an upload that makes
+// progress: the limit for sending holds only where the server accepts nothing more.
+func TestUploadIsLimitedWhereItsServerStopsReading(t *testing.T) {
+	const sentBy, respondedBy = 300 * time.Millisecond, 600 * time.Millisecond
+	for name, c := range map[string]struct {
+		readFor time.Duration // how long the server reads, at a pace that takes the whole body 480 ms
+		outcome balance.Outcome
+		endedAt time.Duration
+	}{
+		"reads nothing": {0, balance.ConnectFailed, sentBy},
+		"stops":         {150 * time.Millisecond, balance.ConnectFailed, sentBy},
+		"stops late":    {sentBy, balance.ConnectFailed, respondedBy},
+		"reads slowly":  {time.Second, balance.Succeeded, 480 * time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newTestPool()
+			upload := NewUpload(false)
+			ex, results := uploadExchange(upload)
+			ex.ResponseTimeout = time.Minute
+			began := time.Now()
+			require.True(t, p.Send(0, ex))
+			go sendUploadBody(upload)
+			serverConn := <-p.serverConns
+			readRequest(t, serverConn)
+			go func() {
+				const pause = 10 * time.Millisecond
+				for rest := len(uploadBody); rest > 0 && time.Since(began) < c.readFor; {
+					time.Sleep(pause)
+					n, _ := io.ReadFull(serverConn, make([]byte, min(rest, len(uploadBody)/48)))
+					rest -= n
+				}
+				if time.Since(began) < c.readFor {
+					respond(serverConn, okResponse)
+				}
+			}()
+			p.LimitUpload(ex, UploadLimits{SentBy: began.Add(sentBy), RespondedBy: began.Add(respondedBy)})
+			time.Sleep(time.Second)
+			p.runUntilIdle()
+			if assert.Len(t, *results, 1, name) {
+				assert.Equal(t, c.outcome, (*results)[0].Outcome, name)
+				assert.InDelta(t, c.endedAt.Seconds(), (*results)[0].EndedAt.Sub(began).Seconds(), 0.02, name)
+			}
+			p.Close()
+			p.runUntilIdle()
+		})
+	}
+}
