--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -81,7 +81,7 @@
 
 // UploadLimits are time limits of an exchange with an Upload. The zero value sets none.
 type UploadLimits struct {
-	SentBy      time.Time // until the server has accepted the whole request; RespondedBy while it accepts more of it
+	SentBy      time.Time // until the server has accepted the whole request, if it accepts nothing more of it
 	RespondedBy time.Time // until the response is complete or streaming
 }
 
