--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -143,8 +143,8 @@
 func (p *Pool) CancelUnwritten(ex *Exchange) { ex.conn.cancelUnwritten(ex) }
 
 // LimitUpload makes an exchange with an Upload time out by limits that are earlier than its Deadline and its
-// ResponseTimeout. If its server has not accepted the whole request by SentBy, and accepts no more of it, the outcome is
-// ConnectFailed, or ConnectionLost with Passthrough.
+// ResponseTimeout. If its server has not accepted the whole request by SentBy, and accepts no more of it, the outcome
+// is ConnectFailed, or ConnectionLost with Passthrough.
 func (p *Pool) LimitUpload(ex *Exchange, limits UploadLimits) { ex.conn.limitUpload(ex, limits) }
 
 // CloseExpired closes the connections that have been idle for IdleTimeout.
