--- /dev/null
+++ b/internal/cli/proxycmd/flood_test.go
@@ -0,0 +1,239 @@
+package proxycmd
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const (
+	floodDuration  = 1500 * time.Millisecond // how long a flood lasts
+	usualInterval  = 25 * time.Millisecond   // between two usual requests, each on a connection of its own
+	minUsualWait   = 150 * time.Millisecond
+	maxUsualWait   = 300 * time.Millisecond
+	lostAfter      = 500 * time.Millisecond // an answer that comes later than this after its client's time counts as lost
+	floodBlockSize = 32 << 10               // bytes that a flood writes at a time
+	floodSeed      = 76                     // of the usual clients' waits
+)
+
+// flood is a way in which a few clients may keep the proxy busy for as long as they like.
+type flood struct {
+	name        string
+	connections int
+	act         func(conn net.Conn, number int64) // what a client does on each new connection, until writing or reading fails
+}
+
+const (
+	readinessRequest = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+	chunkedHead      = "POST /look HTTP/1.1\r\nHost: x\r\nX-Qos: look\r\nX-Trace-Id: f%d\r\nX-Expires-In: 1\r\n" +
+		"Transfer-Encoding: chunked\r\n\r\n"
+)
+
+var floods = []flood{
+	{"readiness checks in turn", 6, func(conn net.Conn, _ int64) {
+		for exchange(conn, readinessRequest) {
+		}
+	}},
+	{"readiness checks in turn", 300, func(conn net.Conn, _ int64) {
+		for exchange(conn, readinessRequest) {
+		}
+	}},
+	{"readiness checks pipelined", 24, func(conn net.Conn, _ int64) { sendEndlessly(conn, "", readinessRequest) }},
+	{"paths that do not exist", 24, func(conn net.Conn, _ int64) {
+		exchange(conn, "GET /none HTTP/1.1\r\nHost: x\r\n\r\n")
+	}},
+	{"unsound heads", 24, func(conn net.Conn, number int64) {
+		exchange(conn, fmt.Sprintf("GET /look HTTP/1.1\r\nX-Trace-Id: f%d\r\n no field\r\n\r\n", number))
+	}},
+	{"empty lines", 6, func(conn net.Conn, _ int64) { sendEndlessly(conn, "", "\r\n") }},
+	{"bytes behind an error", 24, func(conn net.Conn, _ int64) { sendEndlessly(conn, "nonsense\r\n\r\n", "GET") }},
+	{"one chunk of one byte after the other", 1, func(conn net.Conn, number int64) {
+		sendEndlessly(conn, fmt.Sprintf(chunkedHead, number), "1\r\nb\r\n")
+	}},
+	{"chunks of one byte", 6, func(conn net.Conn, number int64) {
+		sendEndlessly(conn, fmt.Sprintf(chunkedHead, number), "1\r\nb\r\n")
+	}},
+	{"chunk extensions", 6, func(conn net.Conn, number int64) {
+		sendEndlessly(conn, fmt.Sprintf(chunkedHead, number), "1;"+strings.Repeat("x", 1000)+"\r\nb\r\n")
+	}},
+	{"chunks that nobody needs", 24, func(conn net.Conn, _ int64) {
+		sendEndlessly(conn, "GET /up HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nb\r\n")
+	}},
+	{"requests without time", 6, func(conn net.Conn, number int64) {
+		for n := 0; exchange(conn, expiredRequest(number, n)); n++ {
+		}
+	}},
+	{"requests without time pipelined", 6, func(conn net.Conn, number int64) {
+		go drain(conn)
+		for n := 0; send(conn, []byte(expiredRequest(number, n))); n++ {
+		}
+	}},
+	{"requests with 100-continue", 24, func(conn net.Conn, number int64) {
+		for n := 0; exchange(conn, fmt.Sprintf("POST /look HTTP/1.1\r\nHost: x\r\nX-Qos: look\r\nX-Trace-Id: f%d-%d\r\n"+
+			"X-Expires-In: 0\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n", number, n)) && send(conn, []byte("b")); n++ {
+		}
+	}},
+	{"requests under ever new names", 24, func(conn net.Conn, number int64) {
+		for n := 0; exchange(conn, fmt.Sprintf("GET /look?user=u%d-%d HTTP/1.1\r\nHost: x\r\nX-Qos: look\r\n"+
+			"X-Customer: c%d-%d\r\nX-Trace-Id: f%d-%d\r\nX-Expires-In: 1\r\n\r\n", number, n, number, n, number, n)); n++ {
+		}
+	}},
+}
+
+// expiredRequest returns a valid request whose client does not wait.
+func expiredRequest(number int64, n int) string {
+	return fmt.Sprintf("GET /look HTTP/1.1\r\nHost: x\r\nX-Qos: look\r\nX-Trace-Id: f%d-%d\r\nX-Expires-In: 0\r\n\r\n", number, n)
+}
+
+// exchange sends a request, waits for the first bytes of a response and reports whether both succeeded.
+func exchange(conn net.Conn, request string) bool {
+	if !send(conn, []byte(request)) {
+		return false
+	}
+	var response [4 << 10]byte
+	_, err := conn.Read(response[:])
+	return err == nil
+}
+
+// sendEndlessly sends a head, then a piece of text again and again until the connection ends. It drops what it receives.
+func sendEndlessly(conn net.Conn, head, piece string) {
+	go drain(conn)
+	block := bytes.Repeat([]byte(piece), floodBlockSize/len(piece))
+	if !send(conn, []byte(head)) {
+		return
+	}
+	for send(conn, block) {
+	}
+}
+
+// startFlood starts the flood's clients, which each connect, act, and begin again when that has ended. The returned
+// function waits until they have ended, floodDuration after their start.
+func (f *flood) start(addr string) (wait func()) {
+	end := time.Now().Add(floodDuration)
+	var running sync.WaitGroup
+	var sent atomic.Int64
+	for range f.connections {
+		running.Go(func() {
+			for time.Now().Before(end) {
+				conn, err := net.Dial("tcp", addr)
+				if err != nil {
+					time.Sleep(hostilePause)
+					continue
+				}
+				conn.SetDeadline(end)
+				f.act(conn, sent.Add(1))
+				conn.Close()
+			}
+		})
+	}
+	return running.Wait
+}
+
+// usualResults holds how the usual clients' requests ended.
+type usualResults struct {
+	mu                     sync.Mutex
+	sent                   int
+	served, rejected, lost int
+	other                  []string
+	times                  []time.Duration // until the answer
+}
+
+// String returns the counts and the quantiles of the times.
+func (r *usualResults) String() string {
+	slices.Sort(r.times)
+	text := fmt.Sprintf("%d sent, %d served, %d rejected, %d lost, other %v", r.sent, r.served, r.rejected, r.lost, r.other)
+	if n := len(r.times); n > 0 {
+		text += fmt.Sprintf("; median %v, 99%% %v, worst %v", r.times[n/2], r.times[n*99/100], r.times[n-1])
+	}
+	return text
+}
+
+// sendUsual sends a usual request every usualInterval for a duration and returns how they ended.
+func sendUsual(addr string, duration time.Duration) *usualResults {
+	results := &usualResults{}
+	random := rand.New(rand.NewPCG(floodSeed, 0))
+	var running sync.WaitGroup
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(usualInterval) {
+		results.sent++
+		id := fmt.Sprintf("u%d", results.sent)
+		wait := minUsualWait + time.Duration(random.Int64N(int64(maxUsualWait-minUsualWait)))
+		running.Go(func() { results.request(addr, id, wait) })
+	}
+	running.Wait()
+	return results
+}
+
+// request sends one request on a connection of its own and records how it ended.
+func (r *usualResults) request(addr, id string, wait time.Duration) {
+	began := time.Now()
+	status := 0
+	if conn, err := net.Dial("tcp", addr); err == nil {
+		defer conn.Close()
+		conn.SetDeadline(began.Add(wait + lostAfter))
+		send(conn, []byte("GET /look HTTP/1.1\r\nHost: x\r\nX-Qos: look\r\nX-Trace-Id: "+id+
+			fmt.Sprintf("\r\nX-Expires-In: %.3f\r\n\r\n", wait.Seconds())))
+		var text []byte
+		if text, err = readResponse(conn); err == nil {
+			_, _ = fmt.Sscanf(string(text), "HTTP/1.1 %d", &status) // stays 0 where it is no response
+		}
+	}
+	took := time.Since(began)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch status {
+	case 0:
+		r.lost++
+		return
+	case 200:
+		r.served++
+	case 503:
+		r.rejected++
+	default:
+		r.other = append(r.other, fmt.Sprint(status))
+	}
+	r.times = append(r.times, took)
+}
+
+// readResponse reads up to the end of a response's head and what has come behind it.
+func readResponse(conn net.Conn) ([]byte, error) {
+	var text []byte
+	buffer := make([]byte, 4<<10)
+	for !bytes.Contains(text, []byte("\r\n\r\n")) {
+		n, err := conn.Read(buffer)
+		text = append(text, buffer[:n]...)
+		if err != nil {
+			return nil, fmt.Errorf("after %d bytes: %w", len(text), err)
+		}
+	}
+	return text, nil
+}
+
+// Guards against a client that sends at full speed and gets its own answers while those of all others come late or
+// never.
+func TestOthersAreServedBesideAFlood(t *testing.T) {
+	for _, f := range floods {
+		t.Run(fmt.Sprintf("%s, %d connections", f.name, f.connections), func(t *testing.T) {
+			s := newTestEnvironment(t, 64, 1024)
+			p := s.startReady()
+			wait := f.start(s.addr)
+			time.Sleep(usualInterval) // until the flood is under way
+			usual := sendUsual(s.addr, floodDuration-2*usualInterval)
+			wait()
+			t.Log(usual)
+			assert.Zero(t, usual.lost, "requests without an answer in time")
+			assert.Empty(t, usual.other)
+			assert.GreaterOrEqual(t, float64(usual.served), minServedShare*float64(usual.sent))
+			assert.Less(t, float64(p.memory("VmHWM")), 64.0*1024)
+			p.stop()
+		})
+	}
+}
