Counters: how long received requests wait to be read, and own responses

The log counted waits in the overload queue only, which begins when a request has been read. Change: the line with the counts has read_delay_ms (the longest time from the receipt of a request to its reading since the line before) and own_responses (answered without a balancer). At level debug "request not served" names the request's id, and "client connection closed" says who closed each client's connection.

--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -69,6 +69,7 @@
 		}
 	}()
 	defer c.proxy.conns.remove(c)
+	defer c.logClose()
 	defer c.closeGracefully()
 	defer recoverPanic(c.proxy.log)
 	for first := true; ; first = false {
@@ -149,6 +150,9 @@
 	c.proxy.conns.markComplete(c) // only now: a connection with an incomplete request stays evictable
 	closing := reader.closing
 	resp := reader.direct
+	if reader.req == nil {
+		c.proxy.readDelays.ownResponses.Add(1)
+	}
 	if req := reader.req; req != nil {
 		var err error
 		if resp, err = adm.serve(req, reader.info); err != nil {
--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -40,6 +40,7 @@
 	fields["clients"], fields["over_bound"] = p.conns.counts()
 	fields["memory_waits"], fields["buffered_kb"] = p.memory.waits.Load(), p.memory.reserved.Load()>>10
 	p.overload.addFields(p.now(), fields)
+	p.readDelays.addFields(fields)
 	line, broken := p.log.WithFields(fields), invariant.Broken()
 	return func() {
 		if len(broken) > 0 {
--- a/proxy/debuglog.go
+++ b/proxy/debuglog.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -35,6 +36,21 @@
 	}
 }
 
+// logClose logs why a client connection has closed.
+func (c *clientConn) logClose() {
+	if !c.proxy.debugEnabled() {
+		return
+	}
+	c.proxy.log.WithFields(logrus.Fields{
+		"client":          c.conn.RemoteAddr().String(),
+		"age":             fmt.Sprintf("%.3f", time.Since(c.acceptedAt).Seconds()),
+		"client_gone":     c.lost || c.peerClosed.Load(),
+		"evicted":         c.evicted.Load(),
+		"close_requested": c.closeRequested.Load(),
+		"overflow":        c.overflow,
+	}).Debug("client connection closed")
+}
+
 // requestFields returns log fields about a request and the outcomes of its attempts.
 func (p *Proxy) requestFields(req *request) logrus.Fields {
 	var attempts strings.Builder
@@ -51,5 +67,5 @@
 		attempts.WriteString("; ")
 	}
 	age := fmt.Sprintf("%.3f", p.now()-req.arrivedAt)
-	return logrus.Fields{"class": req.class.Name, "age": age, "attempts": attempts.String()}
+	return logrus.Fields{"id": req.id, "class": req.class.Name, "age": age, "attempts": attempts.String()}
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -84,6 +84,7 @@
 	routing        atomic.Pointer[routingConfig]
 	conns          connTable
 	overload       overloadMonitor
+	readDelays     readDelays
 	memory         memoryBudget
 	lookahead      requestLookahead
 	process        *processState
--- a/proxy/readrequest.go
+++ b/proxy/readrequest.go
@@ -70,6 +70,7 @@
 	// Counted from here, the request's latency includes the time in which the received head waited for this core, but not
 	// the time that a slow client took to send it.
 	r.receivedAt = c.receivedAt()
+	c.proxy.readDelays.observe(time.Since(r.receivedAt))
 	method := string(head.Method)
 	r.isHead = method == http1.MethodHead
 	r.isGet = r.isHead || method == http1.MethodGet
