HTTP/1: a read returns all chunks that were received together

A body in chunks of one byte cost a read with two deadlines, an event in a pipe and a write to the server for each byte its client sent, and the same towards clients for responses in small chunks. Change: a read returns the data of all further chunks that lie complete in the buffer; it waits for the first bytes only, and leaves the last chunk, whose trailer section may have to be waited for, to the next read.

--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"net/textproto"
@@ -88,6 +89,8 @@
 	err       error  // why reading the body ended; returned by all further reads
 }
 
+// Read implements io.Reader. It waits for the first bytes only, and returns the data of all further chunks that were
+// received completely with them.
 func (b *chunkedBody) Read(p []byte) (int, error) {
 	if b.unbounded {
 		b.reader.renewBudget()
@@ -98,10 +101,45 @@
 	if b.err != nil {
 		return 0, b.err
 	}
+	n, err := b.readData(p)
+	for err == nil && n < len(p) && (b.remaining > 0 || b.advance()) && b.reader.Buffered() {
+		var more int
+		more, err = b.readData(p[n:])
+		n += more
+	}
+	b.err = cmp.Or(b.err, b.reader.bodyError(err))
+	if n > 0 {
+		return n, nil
+	}
+	return 0, b.err
+}
+
+// readData reads data of the current chunk.
+func (b *chunkedBody) readData(p []byte) (int, error) {
 	n, err := b.reader.buffer.Read(p[:min(uint64(len(p)), b.remaining)])
 	b.remaining -= uint64(n)
-	b.err = b.reader.bodyError(err)
-	return n, b.err
+	return n, err
+}
+
+// advance goes on to the next chunk if its size line is buffered, and reports whether there is data in it. It does not
+// wait, and leaves the last chunk to the next Read, which has to wait for the trailer section.
+func (b *chunkedBody) advance() bool {
+	buffered := b.reader.buffered()
+	if b.inChunk {
+		_, buffered, _ = bytes.Cut(buffered, []byte{'\n'})
+	}
+	line, _, complete := bytes.Cut(buffered, []byte{'\n'})
+	if size, err := parseChunkSize(line); !complete || err != nil || size == 0 {
+		return false
+	}
+	b.err = b.nextChunk()
+	return b.err == nil
+}
+
+// parseChunkSize returns the size in a chunk's first line. Extensions are ignored.
+func parseChunkSize(line []byte) (uint64, error) {
+	size, _, _ := bytes.Cut(line, []byte{';'})
+	return strconv.ParseUint(string(textproto.TrimBytes(size)), 16, 32)
 }
 
 // nextChunk reads the end of the current chunk and the size of the next one. It returns io.EOF after the last chunk and
@@ -116,8 +154,7 @@
 	if err != nil {
 		return b.reader.bodyError(err)
 	}
-	size, _, _ := bytes.Cut(line, []byte{';'}) // extensions are ignored
-	if b.remaining, err = strconv.ParseUint(string(textproto.TrimBytes(size)), 16, 32); err != nil {
+	if b.remaining, err = parseChunkSize(line); err != nil {
 		return newError(400, "malformed chunk")
 	}
 	b.inChunk = b.remaining > 0
