Proxy: a connection lingers for no longer than its bound, however much its client sends

Cause: a read that would block fails at the read deadline, but bytes that were received are returned past it, so that late reading does no harm to clients that were in time. Change: Discard takes the time after which it begins no further read. Test: TestDiscardEndsInTime; it needs the new parameter, so it was not seen red.

--- a/internal/http1/body_test.go
+++ b/internal/http1/body_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -63,3 +64,13 @@
 		assert.Equal(t, "a", string(buffer[:n]), received)
 	}
 }
+
+// Guards against reading a closing connection for as long as its client sends without a pause.
+func TestDiscardEndsInTime(t *testing.T) {
+	reader := NewReader(strings.NewReader(strings.Repeat("x", 10*BufferBytes)))
+	reader.Discard(1<<20, time.Now().Add(-time.Second))
+	assert.Zero(t, reader.BufferedBytes())
+	rest, err := io.ReadAll(reader.source.R)
+	assert.NoError(t, err)
+	assert.Len(t, rest, 10*BufferBytes)
+}
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"time"
 )
 
 const (
@@ -103,10 +104,10 @@
 	return err
 }
 
-// Discard reads and drops up to the given number of bytes, or all up to the end of the connection. It needs no memory
-// beyond the buffer.
-func (r *Reader) Discard(bytes int64) {
-	for bytes > 0 {
+// Discard reads and drops up to the given number of bytes, or all up to the end of the connection, until a time after
+// which it begins no further read. It needs no memory beyond the buffer.
+func (r *Reader) Discard(bytes int64, until time.Time) {
+	for bytes > 0 && time.Now().Before(until) {
 		r.source.N = BufferBytes
 		if _, err := r.buffer.Peek(1); err != nil {
 			return
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -243,8 +243,9 @@
 		}
 		return
 	}
-	c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	c.Discard(maxLingerBytes)
+	end := time.Now().Add(lingerTimeout)
+	c.conn.SetReadDeadline(end)
+	c.Discard(maxLingerBytes, end)
 }
 
 // discard reads up to maxLingerBytes and drops them. Read errors are ignored, since the caller closes the connection.
