Proxy: client connections share this core in turns, those served least first

Cause: work that one peer can order without end, at a cost that neither a queue nor a share counts. A connection whose next bytes lie ready never waits for them, so its goroutine runs until the runtime preempts it after 10 ms; while goroutines are runnable the runtime polls sockets only every 10 ms. A usual request needs six to eight turns on the one core (accept, read, owner, attempt, response), each behind every sender. What the proxy answers by itself passes no queue, and the overload queue rejects the usual requests for the lag. Change: each client connection has a share of the core (limits.CoreShare): 1% of it without waiting, beyond that turns of 0.25 ms by start-time fair queueing, given one after each polling round of the runtime, when all that was runnable has run. Reads, requests, body pieces and streamed pieces are charged. An own response or error needs a turn, whatever the allowance. A listener lets others run after 16 connections accepted. The wait counts neither as a body's slowness nor, for the watch of a waiting request, at all.

--- a/internal/cli/proxycmd/flood_test.go
+++ b/internal/cli/proxycmd/flood_test.go
@@ -82,6 +82,19 @@
 			"X-Expires-In: 0\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n", number, n)) && send(conn, []byte("b")); n++ {
 		}
 	}},
+	{"requests pipelined", 6, func(conn net.Conn, number int64) {
+		go drain(conn)
+		for n := 0; send(conn, []byte(lookRequest(fmt.Sprintf("f%d-%d", number, n), ""))); n++ {
+		}
+	}},
+	{"large responses", 6, func(conn net.Conn, number int64) {
+		send(conn, []byte(lookRequest(fmt.Sprintf("f%d", number), "?large")))
+		drain(conn)
+	}},
+	{"large bodies", 6, func(conn net.Conn, number int64) {
+		sendEndlessly(conn, fmt.Sprintf("POST /look HTTP/1.1\r\nHost: x\r\nX-Qos: look\r\nX-Trace-Id: f%d\r\n"+
+			"X-Expires-In: 1\r\nContent-Length: 40000000\r\n\r\n", number), strings.Repeat("b", 1000))
+	}},
 	{"requests under ever new names", 24, func(conn net.Conn, number int64) {
 		for n := 0; exchange(conn, fmt.Sprintf("GET /look?user=u%d-%d HTTP/1.1\r\nHost: x\r\nX-Qos: look\r\n"+
 			"X-Customer: c%d-%d\r\nX-Trace-Id: f%d-%d\r\nX-Expires-In: 1\r\n\r\n", number, n, number, n, number, n)); n++ {
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -33,6 +33,7 @@
 	overflow     bool // accepted over connLimits.maxServed: its requests are rejected
 	conn         net.Conn
 	*connReader
+	share           connShare
 	acceptedAt      time.Time
 	readDeadline    time.Time            // the read deadline in force; zero: none
 	idleWait        *poller.Registration // waits for the next request without a blocked read; nil: not supported
@@ -91,6 +92,7 @@
 			return false
 		}
 	}
+	c.share.await()
 	if err := c.Wait(); err != nil {
 		c.lost = !errors.Is(err, os.ErrDeadlineExceeded) // a deadline error comes from requestClose, not from the client
 		return false
@@ -148,10 +150,12 @@
 		return c.rejectBadRequest(err)
 	}
 	c.proxy.conns.markComplete(c) // only now: a connection with an incomplete request stays evictable
+	c.share.charge(requestWork)
 	closing := reader.closing
 	resp := reader.direct
 	if reader.req == nil {
 		c.proxy.readDelays.ownResponses.Add(1)
+		c.share.awaitTurn() // no queue has rejected or delayed the request
 	}
 	if req := reader.req; req != nil {
 		var err error
@@ -174,6 +178,9 @@
 	if closing {
 		return false
 	}
+	if reader.req == nil && !c.Buffered() {
+		c.share.endTurn()
+	}
 	if !c.readDeadline.IsZero() {
 		c.setReadDeadline(time.Time{}) // the connTable closes connections that are idle for too long
 	}
@@ -217,6 +224,8 @@
 		c.lost = true
 		return false
 	}
+	c.share.awaitTurn()
+	c.share.charge(requestWork)
 	c.proxy.post(func() { c.proxy.counters.BadRequests++ })
 	c.proxy.log.WithField("client", c.conn.RemoteAddr().String()).Debug("bad request: ", text, ": ", err)
 	c.evicted.Store(false)
--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -41,6 +41,7 @@
 	fields["memory_waits"], fields["buffered_kb"] = p.memory.waits.Load(), p.memory.reserved.Load()>>10
 	p.overload.addFields(p.now(), fields)
 	p.readDelays.addFields(fields)
+	p.turns.addFields(fields)
 	line, broken := p.log.WithFields(fields), invariant.Broken()
 	return func() {
 		if len(broken) > 0 {
--- a/proxy/listener.go
+++ b/proxy/listener.go
@@ -8,9 +8,13 @@
 	"time"
 
 	"lockloom/internal/http1"
+	"lockloom/internal/poller"
 	"lockloom/internal/recvtime"
 )
 
+// acceptBatch is how many connections a listener accepts before all goroutines that are runnable have run.
+const acceptBatch = 16
+
 // acceptRetryDelay is the delay after a temporary accept error. Without it the loop would spin while the process is out
 // of file descriptors.
 const acceptRetryDelay = 10 * time.Millisecond
@@ -19,11 +23,16 @@
 // With httpListener, requests are routed by the operator file; else they have the platform's fields and classes. It
 // returns nil if the proxy is shutting down.
 func (p *Proxy) acceptConnections(ln net.Listener, httpListener bool) error {
-	for {
+	round := poller.NewPollWaiter()
+	defer round.Close()
+	for accepted := 0; ; {
 		p.conns.waitForCapacity(p.shutdown.acceptEnding.Load, p.overloaded)
 		conn, err := ln.Accept()
 		if err == nil {
 			p.startConn(conn, httpListener)
+			if accepted++; accepted%acceptBatch == 0 && !p.shutdown.acceptEnding.Load() {
+				round.Wait()
+			}
 			continue
 		}
 		var temporary net.Error
@@ -47,10 +56,11 @@
 		proxy:           p,
 		httpListener:    httpListener,
 		conn:            conn,
-		connReader:      newConnReader(conn),
+		share:           newConnShare(&p.turns),
 		acceptedAt:      time.Now(),
 		admissionResult: make(chan bool, 1),
 	}
+	c.connReader = newConnReader(conn, &c.share)
 	c.memory.conn = c
 	c.ReserveHead = c.reserveHead
 	c.wake = make(chan struct{}, 1)
@@ -63,19 +73,24 @@
 	go c.serve()
 }
 
-// connReader reads HTTP/1.1 messages from a connection and records when this machine received their bytes.
+// connReader reads HTTP/1.1 messages from a connection, in its share of this core, and records when this machine
+// received their bytes.
 type connReader struct {
 	*http1.Reader
-	source *recvtime.Reader
+	source  *recvtime.Reader
+	metered meteredSource
 }
 
 // connReaders holds the readers of closed connections for reuse.
-var connReaders = sync.Pool{New: func() any { return &connReader{http1.NewReader(nil), recvtime.NewReader(nil)} }}
+var connReaders = sync.Pool{New: func() any {
+	return &connReader{Reader: http1.NewReader(nil), source: recvtime.NewReader(nil)}
+}}
 
-func newConnReader(conn net.Conn) *connReader {
+func newConnReader(conn net.Conn, share *connShare) *connReader {
 	r := connReaders.Get().(*connReader)
 	r.source.Reset(conn)
-	r.Reset(r.source)
+	r.metered = meteredSource{source: r.source, share: share}
+	r.Reset(&r.metered)
 	r.AllowLargeBodies = true
 	return r
 }
@@ -83,6 +98,7 @@
 // recycle returns the reader to connReaders. No goroutine may read from it any more.
 func (r *connReader) recycle() {
 	r.source.Reset(nil)
+	r.metered = meteredSource{}
 	r.Reset(nil) // drops the references to the connection and to its last head
 	connReaders.Put(r)
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -85,6 +85,7 @@
 	conns          connTable
 	overload       overloadMonitor
 	readDelays     readDelays
+	turns          turnScheduler
 	memory         memoryBudget
 	lookahead      requestLookahead
 	process        *processState
@@ -118,6 +119,7 @@
 	}
 	p.loop.init(clk, p.log)
 	p.gossip.init()
+	p.turns.init(clk)
 	balancer, err := balance.New(cfg.Deployment, p.now())
 	if err != nil {
 		return nil, err
--- a/proxy/requestbody.go
+++ b/proxy/requestbody.go
@@ -35,6 +35,7 @@
 type pacedBodyReader struct {
 	conn       net.Conn
 	source     io.Reader
+	share      *connShare    // nil: not metered
 	abortReads *atomic.Bool  // reads do not wait for the client any more; nil: never set
 	grace      time.Duration // allowed wait in addition to the time that minBodyBytesPerSecond allows
 	received   int           // bytes so far
@@ -54,6 +55,9 @@
 	if maxWait <= 0 {
 		return 0, b.tooSlow(os.ErrDeadlineExceeded)
 	}
+	if b.share != nil {
+		b.share.await() // the client does not cause this wait
+	}
 	start := time.Now()
 	b.conn.SetReadDeadline(start.Add(maxWait))
 	if b.abortReads != nil && b.abortReads.Load() {
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -133,8 +133,10 @@
 }
 
 func (c *clientConn) writePiece(out io.Writer, piece []byte) error {
+	c.share.await()
 	c.conn.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
 	_, err := out.Write(piece)
+	c.share.charge(pieceWork + copiedByteWork*float64(len(piece)))
 	return err
 }
 
--- a/proxy/responsewait.go
+++ b/proxy/responsewait.go
@@ -127,8 +127,13 @@
 // if the buffer is full, so that it cannot detect a disconnect any more, else the read error.
 func (c *clientConn) startWatch() chan error {
 	c.setReadDeadline(time.Time{})
+	c.metered.ahead = true
 	done := make(chan error, 1)
-	go func() { done <- c.WaitForClose() }()
+	go func() {
+		err := c.WaitForClose()
+		c.metered.ahead = false
+		done <- err
+	}()
 	return done
 }
 
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -52,6 +52,7 @@
 	}
 	p.startOwner()
 	go p.dispatchQueued()
+	go p.turns.run(p.loop.quit)
 	go p.waitForFirstList()
 	accepting := p.startAccepting(ln)
 	p.log.WithFields(logrus.Fields{
