Proxy: a request whose client left does not run again under its id

Cause: an id was kept only as long as its request was open. When the client left and the attempt had ended, or had been cancelled while its server went on, the id was free, and the request ran again. The same where the response was written but its client closed without reading it. Change: the ids of requests that are not idempotent, or keyed within a group smaller than all, and that may have run, are retained for their class's deadline and 0.15 s when the client leaves: while the request is open, as it is released (the socket is asked), as its response is written, or with a reset afterwards, which says that the client closed with unread responses. A repeat gets 409, as for an open id. Keyed requests with all servers in their group may come again within the window, and their attempts must be sent within it. 16,384 ids at most (ids_retained, ids_forgotten in the log). Discard returns the error of the read, to tell a reset.

--- a/internal/cli/proxycmd/installation_test.go
+++ b/internal/cli/proxycmd/installation_test.go
@@ -26,6 +26,9 @@
 	"lockloom/internal/http1"
 )
 
+// slowResponseTime is how long a server takes for a request of "/write?slow".
+const slowResponseTime = 15 * time.Millisecond
+
 // largeResponseBytes is the size of the response to a request of "/look?large".
 const largeResponseBytes = 32 << 20
 
@@ -130,6 +133,9 @@
 		writeSized(w, http1.DefaultMaxBytes)
 		return
 	}
+	if r.URL.RawQuery == "slow" {
+		defer time.Sleep(slowResponseTime)
+	}
 	requestID := r.Header.Get("X-Trace-Id")
 	s.mu.Lock()
 	s.servedBy[id]++
--- /dev/null
+++ b/internal/cli/proxycmd/repeated_test.go
@@ -0,0 +1,94 @@
+package proxycmd
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	leavingClients   = 60
+	leavingSteps     = 17 // each client leaves a millisecond after the one before, in so many steps
+	pipelinedWrites  = 3  // requests of each client, which no server may run twice
+	clientInterval   = 15 * time.Millisecond
+	minRepeatDelay   = 2 * time.Millisecond // from a client's close to its next connection; each waits longer than the last
+	repeatedReadTime = 1500 * time.Millisecond
+)
+
+// writeRequests returns non-idempotent requests of one client, which it sends at once.
+func writeRequests(client int) string {
+	var text strings.Builder
+	for n := range pipelinedWrites {
+		fmt.Fprintf(&text, "POST /write?slow HTTP/1.1\r\nHost: x\r\nX-Qos: write\r\nX-Trace-Id: w%d-%d\r\nX-Expires-In: 0.9\r\n"+
+			"Content-Length: 0\r\n\r\n", client, n)
+	}
+	return text.String()
+}
+
+// leaveAndRepeat makes clients connect, send their requests one client after the other and leave, each after another
+// time, then send the same requests on connections of their own. connected is called once they are connected.
+func (s *testEnvironment) leaveAndRepeat(connected func()) {
+	var clients sync.WaitGroup
+	sendNow := make(chan struct{})
+	for client := range leavingClients {
+		conn, err := net.Dial("tcp", s.addr)
+		require.NoError(s.t, err)
+		clients.Go(func() {
+			<-sendNow
+			time.Sleep(time.Duration(client) * clientInterval)
+			send(conn, []byte(writeRequests(client)))
+			time.Sleep(time.Duration(client%leavingSteps) * time.Millisecond)
+			conn.Close()
+			time.Sleep(minRepeatDelay + time.Duration(client)*time.Millisecond)
+			s.repeat(client)
+		})
+	}
+	time.Sleep(20 * time.Millisecond) // until the connections are accepted
+	connected()
+	close(sendNow)
+	clients.Wait()
+}
+
+// repeat sends a client's requests on a new connection and reads the responses.
+func (s *testEnvironment) repeat(client int) {
+	conn, err := net.Dial("tcp", s.addr)
+	if !assert.NoError(s.t, err) {
+		return
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(repeatedReadTime))
+	send(conn, []byte(writeRequests(client)))
+	drain(conn)
+}
+
+// countRuns returns how many requests ran, and how many of them more than once.
+func (s *testEnvironment) countRuns() (ran, repeated int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, runs := range s.runs {
+		ran++
+		if runs > 1 {
+			repeated++
+		}
+	}
+	return ran, repeated
+}
+
+// Guards against running a request twice that comes again after its client has left: the attempt of the first one may
+// have run, or may still run.
+func TestRequestOfAClientThatLeftRunsOnce(t *testing.T) {
+	s := newTestEnvironment(t, 64, 1024)
+	p := s.startReady()
+	s.leaveAndRepeat(func() {})
+	ran, repeated := s.countRuns()
+	t.Logf("%d requests ran", ran)
+	assert.Greater(t, ran, leavingClients*pipelinedWrites/2)
+	assert.Zero(t, repeated)
+	p.stop()
+}
--- a/internal/http1/body_test.go
+++ b/internal/http1/body_test.go
@@ -68,7 +68,7 @@
 // Guards against reading a closing connection for as long as its client sends without a pause.
 func TestDiscardEndsInTime(t *testing.T) {
 	reader := NewReader(strings.NewReader(strings.Repeat("x", 10*BufferBytes)))
-	reader.Discard(1<<20, time.Now().Add(-time.Second))
+	assert.NoError(t, reader.Discard(1<<20, time.Now().Add(-time.Second)))
 	assert.Zero(t, reader.BufferedBytes())
 	rest, err := io.ReadAll(reader.source.R)
 	assert.NoError(t, err)
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -105,17 +105,19 @@
 }
 
 // Discard reads and drops up to the given number of bytes, or all up to the end of the connection, until a time after
-// which it begins no further read. It needs no memory beyond the buffer.
-func (r *Reader) Discard(bytes int64, until time.Time) {
+// which it begins no further read. It returns the error with which reading has failed. It needs no memory beyond the
+// buffer.
+func (r *Reader) Discard(bytes int64, until time.Time) error {
 	for bytes > 0 && time.Now().Before(until) {
 		r.source.N = BufferBytes
 		if _, err := r.buffer.Peek(1); err != nil {
-			return
+			return err
 		}
 		n := r.buffer.Buffered()
 		r.discard(n)
 		bytes -= int64(n)
 	}
+	return nil
 }
 
 // WaitForClose blocks until reading fails, and returns the error, or until the buffer is full, and returns nil. The
--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -84,8 +84,9 @@
 		return
 	}
 	// To the servers, two requests with one id would look like one request that runs twice, and either could get the
-	// other's response.
-	if p.requests.openIDs[req.id] {
+	// other's response. The same holds for one whose client left and sends it again.
+	var allowed bool
+	if allowed, req.repeatBy = p.requests.ids.mayRun(req.id, req.class, p.now()); !allowed {
 		p.counters.BadRequests++
 		req.answered = true
 		req.response <- response{status: http1.StatusConflict, body: []byte("X-Trace-Id is in use\n")}
--- a/proxy/admission_test.go
+++ b/proxy/admission_test.go
@@ -26,7 +26,7 @@
 		status, _, _, err = env.roundTrip(nonIdempotentRequest)
 		assert.NoError(t, err)
 		assert.Equal(t, 200, status)
-		assert.Empty(t, env.requests.openIDs)
+		assert.Empty(t, env.requests.ids.open)
 		env.stopAndWait()
 	})
 }
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"time"
 
 	"lockloom/balance"
@@ -67,13 +68,8 @@
 	if req.class.Idempotency != balance.Keyed {
 		return sendBy
 	}
-	for _, att := range req.attempts {
-		if att.neverRan {
-			continue
-		}
-		if windowEnd := p.fromUnixSeconds(att.sentAt + req.class.DedupWindow); sendBy.IsZero() || windowEnd.Before(sendBy) {
-			sendBy = windowEnd
-		}
+	if until := req.dedupedUntil(); !math.IsInf(until, 1) {
+		sendBy = p.fromUnixSeconds(until)
 	}
 	return sendBy
 }
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -45,6 +45,7 @@
 	uploadDone      chan error           // receives the result of the running upload goroutine; nil: there is none
 	admissionResult chan bool            // receives whether the overload queue admitted the queued request
 	memory          requestMemory        // held by the current request
+	unconfirmed     unconfirmedResponses
 
 	connSignals
 	queueState
@@ -88,12 +89,14 @@
 		<-c.wake
 		// Under overload, requests of clients that have disconnected would delay the queued requests of other clients.
 		if c.peerClosed.Load() && c.proxy.overloaded() {
+			c.retainUnconfirmed() // without a look at how the client has closed
 			c.lost = true
 			return false
 		}
 	}
 	c.share.await()
 	if err := c.Wait(); err != nil {
+		c.readEnded(err)
 		c.lost = !errors.Is(err, os.ErrDeadlineExceeded) // a deadline error comes from requestClose, not from the client
 		return false
 	}
@@ -147,6 +150,7 @@
 	defer adm.end()
 	reader := requestReader{conn: c, admission: &adm, first: first}
 	if err := reader.read(); err != nil {
+		c.readEnded(err)
 		return c.rejectBadRequest(err)
 	}
 	c.proxy.conns.markComplete(c) // only now: a connection with an incomplete request stays evictable
@@ -160,6 +164,7 @@
 	if req := reader.req; req != nil {
 		var err error
 		if resp, err = adm.serve(req, reader.info); err != nil {
+			c.retainUnconfirmed()
 			return c.rejectBadRequest(err)
 		}
 		if req.stream.upload != nil { // the unread rest of the body would be parsed as the next request
@@ -171,7 +176,9 @@
 	resp.headOnly = resp.headOnly || reader.isHead && c.httpListener
 	resp.http10 = reader.http10
 	closing = closing || c.closesAfter(&resp, first)
-	if err := c.writeResponse(resp, closing); err != nil {
+	err := c.writeResponse(resp, closing)
+	c.responseWritten(reader.req, &resp, err)
+	if err != nil {
 		c.lost = true
 		return false
 	}
@@ -254,7 +261,7 @@
 	}
 	end := time.Now().Add(lingerTimeout)
 	c.conn.SetReadDeadline(end)
-	c.Discard(maxLingerBytes, end)
+	c.readEnded(c.Discard(maxLingerBytes, end))
 }
 
 // discard reads up to maxLingerBytes and drops them. Read errors are ignored, since the caller closes the connection.
--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -42,6 +42,7 @@
 	p.overload.addFields(p.now(), fields)
 	p.readDelays.addFields(fields)
 	p.turns.addFields(fields)
+	p.requests.ids.addFields(fields)
 	line, broken := p.log.WithFields(fields), invariant.Broken()
 	return func() {
 		if len(broken) > 0 {
--- a/proxy/endpoints_test.go
+++ b/proxy/endpoints_test.go
@@ -137,7 +137,7 @@
 			assert.LessOrEqual(t, env.registry.Size(), 4)
 			assert.LessOrEqual(t, len(env.endpoints.stopSendAt), 4)
 			assert.LessOrEqual(t, len(env.requests.byRef), 1)
-			assert.Empty(t, env.requests.openIDs)
+			assert.Empty(t, env.requests.ids.open)
 			assert.LessOrEqual(t, env.upstream.Total(), 1, "idle connections to removed servers are closed")
 			assert.LessOrEqual(t, len(env.loop.timers), 10)
 		})
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -115,7 +115,7 @@
 		registry:  cfg.NewRegistry(),
 		process:   newProcessState(),
 		endpoints: newEndpointList(),
-		requests:  requestTable{openIDs: map[string]bool{}},
+		requests:  requestTable{ids: newRequestIDs()},
 	}
 	p.loop.init(clk, p.log)
 	p.gossip.init()
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -56,18 +56,20 @@
 	released        bool      // the balancer needs no further call about the request
 	reservedBytes   int64     // of the memory budget, released with the request; 0 while its connection holds them
 	deadlineLimited bool      // the deadline is earlier than the one that the balancer knows
+	leftByClient    bool      // the client left without the response
+	repeatBy        float64   // attempts must be sent by this time, see requestIDs.mayRun
 }
 
 // requestTable holds the requests in flight. It belongs to the owner.
 type requestTable struct {
 	byRef    []*request // indexed by balance.RequestInfo.Ref; nil: free
 	freeRefs []int
-	openIDs  map[string]bool
+	ids      requestIDs
 }
 
 // add adds a request and sets its ref.
 func (t *requestTable) add(req *request) {
-	t.openIDs[req.id] = true
+	t.ids.open[req.id] = true
 	if n := len(t.freeRefs); n > 0 {
 		req.ref, t.freeRefs = t.freeRefs[n-1], t.freeRefs[:n-1]
 		t.byRef[req.ref] = req
@@ -79,7 +81,7 @@
 
 func (t *requestTable) remove(req *request) {
 	t.byRef[req.ref] = nil
-	delete(t.openIDs, req.id)
+	delete(t.ids.open, req.id)
 	t.freeRefs = append(t.freeRefs, req.ref)
 }
 
@@ -136,6 +138,7 @@
 
 // clientDisconnected reports to the balancer that the client has gone, or drops the response if there is one already.
 func (p *Proxy) clientDisconnected(req *request) {
+	p.clientLeft(req)
 	if req.answered {
 		p.dropResponse(req)
 		return
