Hot restart: ids that must not run again are shared between the processes of a proxy

Cause: which ids are open, or retained, was known to the process that had read the request only. Change: while there is another process, the owner reports each request that must not run twice as it is admitted, as it is released and as its id is retained; a goroutine sends the changes, and passes on those of a third process. A state that is handed over holds the ids of that moment, and they are sent once more as the link is up, for those between. Times are sent relative, since the processes' clocks may have been started apart. Older builds ignore the new field RequestIDs. The spelling stands in TestLaterFieldsOfFrames. What remains: a repeat within the time that a change takes from one process to the other, which was not measured.

--- a/internal/cli/proxycmd/repeated_test.go
+++ b/internal/cli/proxycmd/repeated_test.go
@@ -92,3 +92,17 @@
 	assert.Zero(t, repeated)
 	p.stop()
 }
+
+// Guards against the same at the other process of an upgrade, which did not receive the first one.
+func TestRequestOfAClientThatLeftRunsOnceInAnUpgrade(t *testing.T) {
+	s := newTestEnvironment(t, 64, 1024)
+	old := s.startReady()
+	var next *process
+	s.leaveAndRepeat(func() { next = s.startReady() })
+	ran, repeated := s.countRuns()
+	t.Logf("%d requests ran", ran)
+	assert.Greater(t, ran, leavingClients*pipelinedWrites/2)
+	assert.Zero(t, repeated)
+	old.stop()
+	next.stop()
+}
--- a/internal/hotrestart/fixture_test.go
+++ b/internal/hotrestart/fixture_test.go
@@ -79,6 +79,10 @@
 	for want, message := range map[string]any{
 		`"Listeners":null,"Gossip":"127.0.0.1:2","Orders"`:      State{Gossip: "127.0.0.1:2"},
 		`{"Serving":false,"Orders":null,"GossipReleased":true}`: Update{GossipReleased: true},
+		`,"RequestIDs":[{"Hash":"0f","From":-1.5,"Until":2}]}`:  State{RequestIDs: []RequestID{{"0f", -1.5, 2}}},
+		`"Orders":null,"RequestIDs":[{"Hash":"0f","From":0,"Until":0}]}`: Update{
+			RequestIDs: []RequestID{{Hash: "0f"}},
+		},
 	} {
 		var written bytes.Buffer
 		require.NoError(t, writeFrame(&written, message))
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -41,6 +41,17 @@
 	List       discovery.List       `json:"List"`
 	HasList    bool                 `json:"Listed"` // whether an endpoint list was received; if not, List is empty
 	Snapshot   balance.Snapshot     `json:"Learned"`
+
+	// RequestIDs are the ids of requests that must not run at the successor.
+	RequestIDs []RequestID `json:"RequestIDs,omitempty"`
+}
+
+// RequestID is the hash of the id of a request that one process has, or has had, and that must not run at another for
+// some time. Times are in seconds from when the message was written.
+type RequestID struct {
+	Hash  string  `json:"Hash"`  // 32 hexadecimal digits
+	From  float64 `json:"From"`  // when it must not run any more; before, servers drop a repeat
+	Until float64 `json:"Until"` // when it may run again; 0: from now on
 }
 
 // Update is what one process reports to the other after the handover.
@@ -51,4 +62,7 @@
 	// GossipReleased reports that the predecessor reads no gossip any more, since the successor serves: the successor
 	// reads it from now on, or the predecessor again once the successor has ended.
 	GossipReleased bool `json:"GossipReleased,omitempty"`
+
+	// RequestIDs are changes of the ids of requests that must not run at the receiver, in their order.
+	RequestIDs []RequestID `json:"RequestIDs,omitempty"`
 }
--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -99,6 +99,7 @@
 	info.Deadline = p.shutdown.bound(info.Deadline, p.clock)
 	req.deadline = p.shutdown.bound(req.deadline, p.clock)
 	p.requests.add(req)
+	p.shareOpenID(req)
 	p.counters.Requests++
 	req.pool.inFlight++
 	req.pool.admitted++
--- a/proxy/decide.go
+++ b/proxy/decide.go
@@ -90,6 +90,7 @@
 	}
 	invariant.Holds(req.answered, "a request is done only once answered")
 	p.requests.remove(req)
+	p.shareReleasedID(req)
 	if req.leftUnserved() {
 		p.retainID(req)
 	}
--- a/proxy/hotrestart.go
+++ b/proxy/hotrestart.go
@@ -73,6 +73,8 @@
 		return
 	}
 	s.inherit(inherited, sockets.Listeners, link)
+	p.requestIDsReceived(inherited.RequestIDs, link)
+	p.sharedIDs.active.Store(true)
 	p.inheritGossip(inherited.Gossip, sockets.Gossip)
 	if inherited.HasList && inherited.List.Version >= p.bootstrap.KnownEndpoints.Version {
 		p.bootstrap.KnownEndpoints = inherited.List
@@ -119,6 +121,7 @@
 	s := p.process
 	err := link.Receive(func(update hotrestart.Update) {
 		s.updateReceived(link, update)
+		p.requestIDsReceived(update.RequestIDs, link)
 		if update.GossipReleased {
 			p.gossip.releasedByPredecessor()
 		}
@@ -127,6 +130,7 @@
 	p.gossip.releasedByPredecessor()
 	s.mu.Lock()
 	s.predecessor, s.lifecycle.PredecessorServing = nil, false
+	p.sharedIDs.active.Store(len(s.successors) > 0)
 	s.mu.Unlock()
 	p.applyResourceShare()
 }
@@ -167,6 +171,7 @@
 type ownerSnapshot struct {
 	list      List
 	decisions balance.Snapshot
+	ids       []hotrestart.RequestID
 }
 
 // handOver returns the state and the sockets for a successor. If the owner does not return its part of the state
@@ -174,12 +179,18 @@
 func (p *Proxy) handOver() (hotrestart.State, hotrestart.Sockets) {
 	snapshots := make(chan ownerSnapshot, 1)
 	go p.post(func() {
-		snapshots <- ownerSnapshot{list: p.endpoints.list(), decisions: p.pools.platform.decisions.Snapshot(p.now())}
+		now := p.now()
+		snapshots <- ownerSnapshot{
+			list:      p.endpoints.list(),
+			decisions: p.pools.platform.decisions.Snapshot(now),
+			ids:       idUpdate(p.unsafeIDs(), noLink, now).RequestIDs,
+		}
 	})
 	state := hotrestart.State{}
 	select {
 	case snapshot := <-snapshots:
 		state.List, state.Snapshot, state.HasList = snapshot.list, snapshot.decisions, true
+		state.RequestIDs = snapshot.ids
 	case <-time.After(snapshotTimeout):
 	}
 	s := p.process
@@ -206,10 +217,13 @@
 	s := p.process
 	p.log.Info("hot restart: handed over to the successor")
 	adminUpdate := s.addSuccessor(link)
+	p.sharedIDs.active.Store(true)
+	go p.shareAllIDs()
 	p.applyResourceShare()
 	go send(link, adminUpdate)
 	err = link.Receive(func(update hotrestart.Update) {
 		s.updateReceived(link, update)
+		p.requestIDsReceived(update.RequestIDs, link)
 		if update.Serving {
 			p.gossip.setReadBySuccessor(true)
 			send(link, hotrestart.Update{GossipReleased: true})
@@ -233,6 +247,7 @@
 	s.mu.Lock()
 	wasServing := s.successors[link]
 	delete(s.successors, link)
+	p.sharedIDs.active.Store(s.predecessor != nil || len(s.successors) > 0)
 	s.updateSuccessorServing()
 	if wasServing && s.lifecycle.StoppedAt == 0 { // serve again: else no process would accept connections or hand over
 		p.log.WithError(err).Warn("hot restart: the successor has ended, serving again")
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -89,6 +89,7 @@
 	memory         memoryBudget
 	lookahead      requestLookahead
 	process        *processState
+	sharedIDs      sharedIDs
 	shutdown       shutdownState
 	loop           eventLoop
 	gossip         gossipTransport
@@ -120,6 +121,7 @@
 	p.loop.init(clk, p.log)
 	p.gossip.init()
 	p.turns.init(clk)
+	p.sharedIDs.init()
 	balancer, err := balance.New(cfg.Deployment, p.now())
 	if err != nil {
 		return nil, err
--- a/proxy/requestids.go
+++ b/proxy/requestids.go
@@ -103,6 +103,16 @@
 	return retention, retention.from < retention.until
 }
 
+// openRetention returns how long the id of an open request must be retained at other processes, unless they get to know
+// earlier how it has ended.
+func (req *request) openRetention() idRetention {
+	retention := idRetention{until: req.deadline + retentionMarginSeconds}
+	if req.class.Idempotency == balance.Keyed && req.class.DedupScope == balance.DedupAll {
+		retention.from = min(req.repeatBy, req.arrivedAt+req.class.DedupWindow) // no attempt was sent before it arrived
+	}
+	return retention
+}
+
 // dedupedUntil returns the time until which every server drops a repeat of the request by its idempotency key, in
 // seconds since 1970.
 func (req *request) dedupedUntil() float64 {
@@ -127,10 +137,16 @@
 func (p *Proxy) retainID(req *request) {
 	now := p.now()
 	if retention, needed := req.retention(now); needed {
-		p.requests.ids.retain(hashID(req.id), retention, now)
+		p.retain(hashID(req.id), retention, now)
 	}
 }
 
+// retain retains an id at this process and at the others.
+func (p *Proxy) retain(id idHash, retention idRetention, now float64) {
+	p.requests.ids.retain(id, retention, now)
+	p.sharedIDs.add(idChange{id: id, retention: retention})
+}
+
 // mayNotRepeat reports whether the class forbids to run the request twice.
 func (req *request) mayNotRepeat() bool { return req.class.Idempotency != balance.Idempotent }
 
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -53,6 +53,7 @@
 	p.startOwner()
 	go p.dispatchQueued()
 	go p.turns.run(p.loop.quit)
+	go p.sendSharedIDs()
 	go p.waitForFirstList()
 	accepting := p.startAccepting(ln)
 	p.log.WithFields(logrus.Fields{
--- a/proxy/unconfirmed.go
+++ b/proxy/unconfirmed.go
@@ -71,7 +71,7 @@
 	p := c.proxy
 	p.post(func() {
 		for _, response := range responses {
-			p.requests.ids.retain(hashID(response.id), response.retention, p.now())
+			p.retain(hashID(response.id), response.retention, p.now())
 		}
 	})
 }
