Endpoints: a server whose address another one has taken is used no more

Cause, two places that take an address for a server. Where removal is advisory, a removed server stays in use as long as it answers; a new server listed at its address answers for it, so it was sent the old one's share under the old name, past its own slow start. And an attempt whose connection is being opened, or waits for its reuse, was written to whatever process had the address by then: another server's, the restarted one, or the address that its server had left. Change: a list that gives the address of a server which it, or a list before it, has removed to another one ends the use of the old one (dropReplaced): it counts as drained, and nothing is written to it from then on. Each server has a number of its process, incremented when its address or start time changes; an attempt is not written where the number differs from that at the opening, which proves that it never ran. A test that was changed: TestDrainWhileConnecting drained a server and moved it from b1 to b1:1 in one entry, which its rows were not about; an attempt to the address that it has left is not sent now. The server has the address b1:1 from the start, and the rows demand the same.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -19,7 +19,8 @@
 type connection struct {
 	pool       *Pool
 	server     *server
-	generation int // the generation of server when the connection was opened
+	generation int   // the generation of server when the connection was opened
+	process    int64 // the process of server at that time
 	requests   chan *Exchange
 
 	// Accessed only by the pool's owner.
@@ -106,6 +107,7 @@
 		pool:       p,
 		server:     s,
 		generation: s.generation,
+		process:    s.process.Load(),
 		requests:   make(chan *Exchange, 1),
 		unusable:   make(chan struct{}),
 		current:    ex,
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -17,6 +17,7 @@
 	errUnsolicited   = errors.New("connection closed by the server, or bytes received, before the request was written")
 	errCanceled      = errors.New("canceled")
 	errTooLate       = errors.New("send-by time of the request would pass before it reaches the server")
+	errReplaced      = errors.New("another process has the address of the server, or the server has another address")
 	errDraining      = errors.New("the server is draining")
 	errUploadClaimed = errors.New("another attempt sends the request body")
 	errEarlyResponse = errors.New("response received before the request was written")
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -23,6 +23,7 @@
 //	not written: canceled, client gone, too late, draining NotSent          no
 //	not written: connection closed, or bytes unread        NotSent          no
 //	not written: another attempt sends the upload          NotSent          no
+//	not written: the server was replaced or has moved      NotSent          no
 //	canceled, request not fully written                    NotSent          no
 //	canceled, request fully written                        Canceled         yes
 //	the deadline passed, request fully written             TimedOut         yes
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -55,6 +55,7 @@
 	unsolicited   int           // number of connections closed because of unsolicited bytes
 	reuseDelay    time.Duration // replaces ReuseDelay if it is longer, see recordUnsolicited
 	responseTime  time.Duration // smoothed time from writing a request to its complete response; 0: no response yet
+	process       atomic.Int64  // incremented when another process has the address, or the server has another address
 	stopSendingAt atomic.Int64  // Unix time in nanoseconds after which nothing is written to the server; 0: no limit
 }
 
@@ -64,7 +65,8 @@
 	return &Pool{dial: dial, post: post}
 }
 
-// SetEndpoint sets the address and the start time of a server. If either has changed, idle connections are closed.
+// SetEndpoint sets the address and the start time of a server. If either has changed, idle connections are closed, and
+// no request that is not written yet is written to a connection that was opened, or is being opened, before.
 func (p *Pool) SetEndpoint(index int, addr string, started float64) {
 	for len(p.servers) <= index {
 		p.servers = append(p.servers, &server{})
@@ -73,11 +75,15 @@
 	if s.addr != addr || s.startedAt != started {
 		s.addr = addr
 		s.startedAt = started
+		s.process.Add(1)
 		s.reuseDelay = 0
 		p.CloseIdle(index)
 	}
 }
 
+// Address returns the address of a server.
+func (p *Pool) Address(index int) string { return p.servers[index].addr }
+
 // CloseIdle closes the idle connections to a server; those in use are closed when their exchange ends.
 func (p *Pool) CloseIdle(index int) {
 	s := p.servers[index]
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -57,6 +57,8 @@
 		return errTooLate
 	case c.server.sendingStopped():
 		return errDraining
+	case c.process != c.server.process.Load():
+		return errReplaced
 	case ex.ClientGone != nil && ex.ClientGone():
 		return ErrClientGone
 	}
--- a/proxy/endpoints.go
+++ b/proxy/endpoints.go
@@ -73,6 +73,7 @@
 	if !list.NotifiedAt.IsZero() { // it may count as received long before this process or its owner got it
 		since = min(since, p.toUnixSeconds(list.NotifiedAt))
 	}
+	p.dropReplaced(&list, since)
 	entries := list.Entries
 	list.Entries = slices.Clone(entries)
 	endpoints := p.applyEntries(list.Entries, since)
--- a/proxy/endpoints_test.go
+++ b/proxy/endpoints_test.go
@@ -153,8 +153,10 @@
 	lateDrain := func(delay time.Duration) func(env *testEnv) {
 		return func(env *testEnv) {
 			env.post(func() {
-				env.applyEndpointList(List{Version: 2, NotifiedAt: time.Now().Add(-delay),
-					Entries: []discovery.Entry{listEntry("b1", balance.Draining)}}, false)
+				entry := listEntry("b1", balance.Draining)
+				entry.Addr = "b1:1"
+				env.applyEndpointList(List{Version: 3, NotifiedAt: time.Now().Add(-delay),
+					Entries: []discovery.Entry{entry}}, false)
 			})
 		}
 	}
@@ -165,18 +167,19 @@
 		want  int
 	}{
 		{"disabled", 0.3, disable, 1}, {"disabled", 0.02, disable, 0},
-		{"leaving", 0.3, listUpdate(listChange(2, "b1", "leaving", 0)), 1},
-		{"leaving", 0.02, listUpdate(listChange(2, "b1", "leaving", 0)), 0},
-		{"left", 0.02, listUpdate(listChange(2, "b1", "left", 0)), 0},
-		{"not in a full list", 0.3, listUpdate(`{"version":2,"full":true,"servers":[]}`), 1},
-		{"not in a full list", 0.02, listUpdate(`{"version":2,"full":true,"servers":[]}`), 0},
+		{"leaving", 0.3, listUpdate(listChange(3, "b1", "leaving", 0)), 1},
+		{"leaving", 0.02, listUpdate(listChange(3, "b1", "leaving", 0)), 0},
+		{"left", 0.02, listUpdate(listChange(3, "b1", "left", 0)), 0},
+		{"not in a full list", 0.3, listUpdate(`{"version":3,"full":true,"servers":[]}`), 1},
+		{"not in a full list", 0.02, listUpdate(`{"version":3,"full":true,"servers":[]}`), 0},
 		{"received late", 0.3, lateDrain(200 * time.Millisecond), 1},
 		{"received too late", 0.3, lateDrain(400 * time.Millisecond), 0},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			env := newEnv(t, map[string][]string{"b1": {okResponse}}, func(cfg *BootstrapConfig) { cfg.DrainGrace = c.grace })
+			env := newEnv(t, map[string][]string{"b1": {okResponse}, "b1:1": {okResponse}}, func(cfg *BootstrapConfig) { cfg.DrainGrace = c.grace })
 			env.dialDelay = 60 * time.Millisecond
 			env.start()
+			env.updateList(listChange(2, "b1", "active", 0)) // with the address that the drains name
 			conn := env.connect()
 			go write(conn, idempotentRequest)
 			synctest.Wait()
