Gossip: datagrams that come without a pause do not keep others waiting

Change: after 16 reads it waits until the runtime has polled all connections again. Test: TestClientsAreServedBesideAFloodOfOtherMessages, rows for admin calls, malformed ones, gossip and datagrams of strangers.

--- a/internal/cli/proxycmd/flood_test.go
+++ b/internal/cli/proxycmd/flood_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"lockloom/balance"
 )
 
 const (
@@ -38,6 +40,44 @@
 		"Transfer-Encoding: chunked\r\n\r\n"
 )
 
+// otherFloods do not go to the address of clients.
+var otherFloods = []struct {
+	name string
+	act  func(s *testEnvironment, p *process, peer *gossipPeer, end time.Time)
+}{
+	{"admin calls", func(_ *testEnvironment, p *process, _ *gossipPeer, end time.Time) {
+		for time.Now().Before(end) {
+			if conn, err := net.Dial("tcp", p.adminAddr); err == nil {
+				exchange(conn, "GET /-/ready HTTP/1.1\r\n\r\n")
+				conn.Close()
+			}
+		}
+	}},
+	{"malformed admin calls", func(_ *testEnvironment, p *process, _ *gossipPeer, end time.Time) {
+		for time.Now().Before(end) {
+			if conn, err := net.Dial("tcp", p.adminAddr); err == nil {
+				exchange(conn, "nonsense\r\n\r\n")
+				conn.Close()
+			}
+		}
+	}},
+	{"gossip", func(_ *testEnvironment, _ *process, peer *gossipPeer, end time.Time) {
+		for time.Now().Before(end) {
+			peer.Send(0, balance.GossipMessage{Rate: 1})
+		}
+	}},
+	{"datagrams of strangers", func(s *testEnvironment, _ *process, peer *gossipPeer, end time.Time) {
+		conn, err := net.Dial("udp", peer.proxyAddr)
+		if !assert.NoError(s.t, err) {
+			return
+		}
+		defer conn.Close()
+		for datagram := make([]byte, 1000); time.Now().Before(end); {
+			_, _ = conn.Write(datagram) // fails while the receiver's buffer is full
+		}
+	}},
+}
+
 var floods = []flood{
 	{"readiness checks in turn", 6, func(conn net.Conn, _ int64) {
 		for exchange(conn, readinessRequest) {
@@ -250,3 +290,27 @@
 		})
 	}
 }
+
+// Guards against the same where a flood goes to the address for operators or for gossip.
+func TestClientsAreServedBesideAFloodOfOtherMessages(t *testing.T) {
+	const senders = 6
+	for _, f := range otherFloods {
+		t.Run(f.name, func(t *testing.T) {
+			s := newTestEnvironment(t, 64, 1024)
+			peer := s.startGossipPeer()
+			p := s.startReady()
+			end := time.Now().Add(floodDuration)
+			var running sync.WaitGroup
+			for range senders {
+				running.Go(func() { f.act(s, p, peer, end) })
+			}
+			time.Sleep(usualInterval)
+			usual := sendUsual(s.addr, floodDuration-2*usualInterval)
+			running.Wait()
+			t.Log(usual)
+			assert.Zero(t, usual.lost, "requests without an answer in time")
+			assert.GreaterOrEqual(t, float64(usual.served), minServedShare*float64(usual.sent))
+			p.stop()
+		})
+	}
+}
--- a/internal/gossip/link.go
+++ b/internal/gossip/link.go
@@ -10,9 +10,13 @@
 	"time"
 
 	"lockloom/balance"
+	"lockloom/internal/poller"
 )
 
-const numberBytes = 2 // length of the sender's number, which precedes the message
+const (
+	numberBytes  = 2  // length of the sender's number, which precedes the message
+	receiveBatch = 16 // datagrams read before all goroutines that are runnable have run
+)
 
 // pastDeadline is a read deadline in the past: a read fails at once.
 var pastDeadline = time.Unix(1, 0)
@@ -133,11 +137,17 @@
 	<-l.done
 }
 
-// receive passes valid messages to the handler until the link is closed.
+// receive passes valid messages to the handler until the link is closed. Datagrams that come faster than they are read
+// would keep this goroutine from ever waiting, so it lets all others run after receiveBatch of them.
 func (l *Link) receive(handle func(int, balance.GossipMessage)) {
 	defer close(l.done)
+	round := poller.NewPollWaiter()
+	defer round.Close()
 	buffer := make([]byte, numberBytes+MaxBytes+1) // one byte more, so that a longer datagram is detected
-	for l.awaitResumed() {
+	for reads := 1; l.awaitResumed(); reads++ {
+		if reads%receiveBatch == 0 {
+			round.Wait()
+		}
 		size, from, err := l.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			continue // paused, closed, or, on some systems, a send to a peer that is down makes the next read fail
