--- a/internal/cli/proxycmd/installation_test.go
+++ b/internal/cli/proxycmd/installation_test.go
@@ -29,6 +29,13 @@
 // slowResponseTime is how long a server takes for a request of "/write?slow".
 const slowResponseTime = 15 * time.Millisecond
 
+// The body of the response to a request of "/look?trickle", which takes 2 s.
+const (
+	tricklePieces     = 20
+	tricklePieceBytes = 8 << 10
+	tricklePause      = 100 * time.Millisecond
+)
+
 // largeResponseBytes is the size of the response to a request of "/look?large".
 const largeResponseBytes = 32 << 20
 
@@ -119,6 +126,16 @@
 	writeBody(w, io.LimitReader(zeros{}, bytes))
 }
 
+// trickle writes a body slowly, in pieces.
+func trickle(w http.ResponseWriter) {
+	controller := http.NewResponseController(w)
+	for range tricklePieces {
+		writeBody(w, io.LimitReader(zeros{}, tricklePieceBytes))
+		_ = controller.Flush() // fails if the proxy has closed the connection, like the next write
+		time.Sleep(tricklePause)
+	}
+}
+
 // serve answers with the request's ID, or with a large response of the kind that the query names.
 func (s *testEnvironment) serve(id string, w http.ResponseWriter, r *http.Request) {
 	switch r.URL.RawQuery {
@@ -128,6 +145,13 @@
 	case "sized":
 		writeSized(w, http1.DefaultMaxBytes)
 		return
+	case "trickle":
+		trickle(w)
+		return
+	case "trickle-with-length":
+		w.Header().Set("Content-Length", strconv.Itoa(tricklePieces*tricklePieceBytes))
+		trickle(w)
+		return
 	case "head":
 		w.Header().Set("X-Filler", strings.Repeat("a", http1.DefaultMaxBytes-1000))
 		writeSized(w, http1.DefaultMaxBytes)
--- /dev/null
+++ b/internal/cli/proxycmd/slowclients_test.go
@@ -0,0 +1,59 @@
+package proxycmd
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"lockloom/internal/http1"
+)
+
+const (
+	slowReadBytes = 4 << 10
+	slowReadPause = 20 * time.Millisecond
+)
+
+var slowClients = []hostileClient{
+	{name: "requests written slowly", act: func(conn net.Conn, id string) {
+		request := largestHead(id, fmt.Sprintf("Content-Length: %d\r\n", 4<<20))
+		for len(request) > 0 && send(conn, request[:min(len(request), 500)]) {
+			request = request[min(len(request), 500):]
+			time.Sleep(10 * time.Millisecond)
+		}
+		drain(conn)
+	}},
+	{name: "requests of 4 MB that stop half way", act: func(conn net.Conn, id string) {
+		send(conn, largestHead(id, fmt.Sprintf("Content-Length: %d\r\n", 4<<20)), make([]byte, 2<<20))
+		drain(conn)
+	}},
+	{name: "heads of many short fields", act: func(conn net.Conn, id string) {
+		head := "GET /look HTTP/1.1\r\nHost: x\r\nX-Qos: look\r\nX-Trace-Id: " + id + "\r\nX-Expires-In: 1\r\n"
+		send(conn, []byte(head), []byte(strings.Repeat("a:\r\n", (http1.DefaultMaxBytes-len(head)-10)/4)))
+		drain(conn)
+	}},
+	{name: "many short fields without end", act: func(conn net.Conn, id string) {
+		for send(conn, []byte("GET /look HTTP/1.1\r\n"+strings.Repeat("a:\r\n", 100))) {
+			time.Sleep(slowReadPause)
+		}
+	}},
+	{name: "large responses read slowly", act: func(conn net.Conn, id string) {
+		send(conn, []byte(lookRequest(id, "?large")))
+		buffer := make([]byte, slowReadBytes)
+		for {
+			if _, err := conn.Read(buffer); err != nil {
+				return
+			}
+			time.Sleep(slowReadPause)
+		}
+	}},
+}
+
+// Guards against a process that passes its memory limit, or serves nobody else, while hundreds of clients write or read
+// slowly.
+func TestSlowClientsLeaveRoomForOthers(t *testing.T) {
+	for _, hostile := range slowClients {
+		testMemoryLimit(t, hostile, 32, 1024)
+	}
+}
--- a/proxy/endpoints_test.go
+++ b/proxy/endpoints_test.go
@@ -176,7 +176,8 @@
 		{"received too late", 0.3, lateDrain(400 * time.Millisecond), 0},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			env := newEnv(t, map[string][]string{"b1": {okResponse}, "b1:1": {okResponse}}, func(cfg *BootstrapConfig) { cfg.DrainGrace = c.grace })
+			behaviors := map[string][]string{"b1": {okResponse}, "b1:1": {okResponse}}
+			env := newEnv(t, behaviors, func(cfg *BootstrapConfig) { cfg.DrainGrace = c.grace })
 			env.dialDelay = 60 * time.Millisecond
 			env.start()
 			env.updateList(listChange(2, "b1", "active", 0)) // with the address that the drains name
