--- a/internal/cli/proxycmd/flood_test.go
+++ b/internal/cli/proxycmd/flood_test.go
@@ -31,7 +31,7 @@
 type flood struct {
 	name        string
 	connections int
-	act         func(conn net.Conn, number int64) // what a client does on each new connection, until writing or reading fails
+	act         func(conn net.Conn, number int64) // what a client does on each new connection until that fails
 }
 
 const (
@@ -144,7 +144,8 @@
 
 // expiredRequest returns a valid request whose client does not wait.
 func expiredRequest(number int64, n int) string {
-	return fmt.Sprintf("GET /look HTTP/1.1\r\nHost: x\r\nX-Qos: look\r\nX-Trace-Id: f%d-%d\r\nX-Expires-In: 0\r\n\r\n", number, n)
+	request := lookRequest(fmt.Sprintf("f%d-%d", number, n), "")
+	return strings.Replace(request, "X-Expires-In: 1", "X-Expires-In: 0", 1)
 }
 
 // exchange sends a request, waits for the first bytes of a response and reports whether both succeeded.
@@ -157,7 +158,8 @@
 	return err == nil
 }
 
-// sendEndlessly sends a head, then a piece of text again and again until the connection ends. It drops what it receives.
+// sendEndlessly sends a head, then a piece of text again and again until the connection ends. It drops what it
+// receives.
 func sendEndlessly(conn net.Conn, head, piece string) {
 	go drain(conn)
 	block := bytes.Repeat([]byte(piece), floodBlockSize/len(piece))
@@ -203,7 +205,8 @@
 // String returns the counts and the quantiles of the times.
 func (r *usualResults) String() string {
 	slices.Sort(r.times)
-	text := fmt.Sprintf("%d sent, %d served, %d rejected, %d lost, other %v", r.sent, r.served, r.rejected, r.lost, r.other)
+	text := fmt.Sprintf("%d sent, %d served, %d rejected, %d lost, other %v",
+		r.sent, r.served, r.rejected, r.lost, r.other)
 	if n := len(r.times); n > 0 {
 		text += fmt.Sprintf("; median %v, 99%% %v, worst %v", r.times[n/2], r.times[n*99/100], r.times[n-1])
 	}
--- a/internal/cli/proxycmd/repeated_test.go
+++ b/internal/cli/proxycmd/repeated_test.go
@@ -17,7 +17,7 @@
 	leavingSteps     = 17 // each client leaves a millisecond after the one before, in so many steps
 	pipelinedWrites  = 3  // requests of each client, which no server may run twice
 	clientInterval   = 15 * time.Millisecond
-	minRepeatDelay   = 2 * time.Millisecond // from a client's close to its next connection; each waits longer than the last
+	minRepeatDelay   = 2 * time.Millisecond // from a client's close to its next connection, and more
 	repeatedReadTime = 1500 * time.Millisecond
 )
 
@@ -25,8 +25,8 @@
 func writeRequests(client int) string {
 	var text strings.Builder
 	for n := range pipelinedWrites {
-		fmt.Fprintf(&text, "POST /write?slow HTTP/1.1\r\nHost: x\r\nX-Qos: write\r\nX-Trace-Id: w%d-%d\r\nX-Expires-In: 0.9\r\n"+
-			"Content-Length: 0\r\n\r\n", client, n)
+		fmt.Fprintf(&text, "POST /write?slow HTTP/1.1\r\nHost: x\r\nX-Qos: write\r\nX-Trace-Id: w%d-%d\r\n"+
+			"X-Expires-In: 0.9\r\nContent-Length: 0\r\n\r\n", client, n)
 	}
 	return text.String()
 }
--- a/internal/http1/body_test.go
+++ b/internal/http1/body_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// Guards against a read, an event and a write of their own for each small chunk of a body, which cost the proxy far more
-// than its sender.
+// Guards against a read, an event and a write of their own for each small chunk of a body, which cost the proxy far
+// more than its sender.
 func TestReceivedChunksAreReadTogether(t *testing.T) {
 	for _, c := range []struct {
 		name, text string
@@ -53,7 +53,10 @@
 
 // Guards against waiting for a further chunk while data of earlier ones could be passed on.
 func TestReadOfChunksWaitsForNoFurtherOne(t *testing.T) {
-	for _, received := range []string{"1\r\na", "1\r\na\r", "1\r\na\r\n", "1\r\na\r\n0", "1\r\na\r\n0\r\n", "1\r\na\r\n5"} {
+	const chunk = "1\r\na"
+	for _, received := range []string{
+		chunk, chunk + "\r", chunk + "\r\n", chunk + "\r\n0", chunk + "\r\n0\r\n", chunk + "\r\n5",
+	} {
 		head := "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 		reader := NewReader(io.MultiReader(strings.NewReader(head+received), iotest.ErrReader(errors.New("it waits"))))
 		_, err := reader.Request()
--- a/proxy/replacedserver_test.go
+++ b/proxy/replacedserver_test.go
@@ -74,15 +74,18 @@
 // Guards against sending an attempt to the server that has taken the address of another while the attempt's connection
 // was being opened.
 func TestAttemptIsNotSentToTheSuccessorOfItsServer(t *testing.T) {
+	list := func(full bool, servers string) string {
+		return fmt.Sprintf(`{"version":3,"full":%v,"servers":[%s]}`, full, servers)
+	}
 	for _, c := range []struct {
 		name string
 		list string
 		want int // requests at the address of "b1" within 0.1 s
 	}{
-		{"nothing has changed", `{"version":3,"full":false,"servers":[]}`, 1},
-		{"another server has its address", `{"version":3,"full":true,"servers":[{"id":"b2","addr":"b1:1","state":"leaving"}]}`, 0},
-		{"it has restarted", `{"version":3,"full":false,"servers":[{"id":"b1","addr":"b1:1","state":"active","started_ms":1}]}`, 0},
-		{"it has moved", `{"version":3,"full":false,"servers":[{"id":"b1","addr":"b9:1","state":"active"}]}`, 0},
+		{"nothing has changed", list(false, ""), 1},
+		{"another server has its address", list(true, `{"id":"b2","addr":"b1:1","state":"leaving"}`), 0},
+		{"it has restarted", list(false, `{"id":"b1","addr":"b1:1","state":"active","started_ms":1}`), 0},
+		{"it has moved", list(false, `{"id":"b1","addr":"b9:1","state":"active"}`), 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/proxy/requestids.go
+++ b/proxy/requestids.go
@@ -25,9 +25,9 @@
 	return idHash(sum[:len(idHash{})])
 }
 
-// requestIDs holds the ids that no other request may have. These are the ids of the open requests, and for a while those
-// of requests that are not idempotent, may have run, and whose clients left without their responses: such a client may
-// send its request again. It belongs to the owner.
+// requestIDs holds the ids that no other request may have. These are the ids of the open requests, and for a while
+// those of requests that are not idempotent, may have run, and whose clients left without their responses: such a
+// client may send its request again. It belongs to the owner.
 type requestIDs struct {
 	open      map[string]bool
 	retained  map[idHash]idRetention
--- a/proxy/sharedids_test.go
+++ b/proxy/sharedids_test.go
@@ -33,7 +33,8 @@
 }
 
 func TestMalformedIDChangesAreDropped(t *testing.T) {
-	messages := []hotrestart.RequestID{{Hash: "zz"}, {Hash: "0f"}, {}, {Hash: "000102030405060708090a0b0c0d0e0f", Until: 1}}
+	valid := hotrestart.RequestID{Hash: "000102030405060708090a0b0c0d0e0f", Until: 1}
+	messages := []hotrestart.RequestID{{Hash: "zz"}, {Hash: "0f"}, {}, valid}
 	assert.Len(t, parseIDChanges(messages, nil, 0), 1)
 }
 
