Proxy: rejections by the overload queue do not wait for a turn

An own response needs a turn, and a rejection by the overload queue counted as one, so that it would be given late just where this core is busy; the queue bounds such requests already. And a connection with pipelined requests waited for its turn while the connection table had it as idle, where it may be closed although its next request was received. Change: a rejection by the overload queue uses the allowance like a served request; with buffered bytes the wait comes before the connection counts as idle.

--- a/internal/cli/proxycmd/flood_test.go
+++ b/internal/cli/proxycmd/flood_test.go
@@ -317,3 +317,32 @@
 		})
 	}
 }
+
+// Guards against readiness checks that wait behind all other work: a load balancer in front would take the proxy for
+// dead.
+func TestReadinessIsAnsweredBesideOverload(t *testing.T) {
+	const busyClients, checkInterval, maxCheckTime = 100, 100 * time.Millisecond, 300 * time.Millisecond
+	s := newTestEnvironment(t, 64, 1024)
+	p := s.startReady()
+	load := flood{connections: busyClients, act: func(conn net.Conn, number int64) {
+		for n := 0; exchange(conn, lookRequest(fmt.Sprintf("f%d-%d", number, n), "")); n++ {
+		}
+	}}
+	checks := flood{connections: 6, act: func(conn net.Conn, _ int64) { sendEndlessly(conn, "", readinessRequest) }}
+	waitForLoad, waitForChecks := load.start(s.addr), checks.start(s.addr)
+	longest := time.Duration(0)
+	for end := time.Now().Add(floodDuration - 2*checkInterval); time.Now().Before(end); time.Sleep(checkInterval) {
+		began := time.Now()
+		conn, err := net.Dial("tcp", s.addr)
+		if assert.NoError(t, err) {
+			assert.True(t, exchange(conn, readinessRequest))
+			conn.Close()
+		}
+		longest = max(longest, time.Since(began))
+	}
+	waitForLoad()
+	waitForChecks()
+	t.Logf("longest check: %v", longest)
+	assert.Less(t, longest, maxCheckTime)
+	p.stop()
+}
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -83,6 +83,9 @@
 
 // awaitRequest waits for the first byte of a request and reports whether it was received.
 func (c *clientConn) awaitRequest(first bool) bool {
+	if c.Buffered() {
+		c.share.await() // before markIdle: an idle connection may be closed although a request was received
+	}
 	c.proxy.conns.markIdle(c, first)
 	c.pipelined = c.Buffered()
 	if !c.pipelined && c.beginIdleWait() {
@@ -94,7 +97,6 @@
 			return false
 		}
 	}
-	c.share.await()
 	if err := c.Wait(); err != nil {
 		c.readEnded(err)
 		c.lost = !errors.Is(err, os.ErrDeadlineExceeded) // a deadline error comes from requestClose, not from the client
@@ -157,9 +159,9 @@
 	c.share.charge(requestWork)
 	closing := reader.closing
 	resp := reader.direct
-	if reader.req == nil {
+	if reader.req == nil && !reader.overloaded {
 		c.proxy.readDelays.ownResponses.Add(1)
-		c.share.awaitTurn() // no queue has rejected or delayed the request
+		c.share.awaitTurn() // the overload queue does not bound such requests
 	}
 	if req := reader.req; req != nil {
 		var err error
--- a/proxy/readrequest.go
+++ b/proxy/readrequest.go
@@ -33,9 +33,10 @@
 	http10     bool        // the client speaks HTTP/1.0
 	closing    bool        // the connection closes after the response
 
-	req    *request // nil: direct is the response
-	info   balance.RequestInfo
-	direct response
+	req        *request // nil: direct is the response
+	info       balance.RequestInfo
+	direct     response
+	overloaded bool // direct is the rejection by the overload queue
 }
 
 // read reads the request. For an invalid request the error is an *http1.Error with the status to respond with.
@@ -138,7 +139,7 @@
 
 // rejectOverload sets the direct response of a request that the overload queue rejected.
 func (r *requestReader) rejectOverload() {
-	r.req, r.direct = nil, r.conn.proxy.overloadResponse()
+	r.req, r.direct, r.overloaded = nil, r.conn.proxy.overloadResponse(), true
 }
 
 // overloadResponse returns the response to a request that the overload queue rejected.
--- a/proxy/turns.go
+++ b/proxy/turns.go
@@ -77,7 +77,7 @@
 	fields["turn_waits"], fields["awaiting_turn"] = s.waits.Load(), s.queue.Len()
 }
 
-// connShare is a client connection's share of this core. One goroutine at a time uses it, except for charge.
+// connShare is a client connection's share of this core. It is safe for concurrent use.
 type connShare struct {
 	turns *turnScheduler
 	share limits.CoreShare
