Upstream: a body that its client breaks off is not its server's fault

Cause: an attempt whose streamed body its client did not send to the end, or left, ended as ConnectFailed, the outcome of a server that cannot be reached. Some dozens of them paused every server (debug log: 72 errors among 74 results, paused=true), and other clients' requests were rejected. Change: the exchange notes that reading the body has failed, not writing it; such an attempt ends as never sent, or as cancelled where the server may have begun, and neither counts against the server. Test: TestBodyThatItsClientBreaksOffIsNotItsServersFault, red before.

--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -19,6 +19,8 @@
 //	no connection                                          ConnectFailed    no
 //	no response, request not fully written                 ConnectFailed    no
 //	the same with Passthrough, request partly written      ConnectionLost   yes
+//	the client has not sent the whole upload               NotSent          no
+//	the same with Passthrough, request partly written      Canceled         yes
 //	a 200 received before the request was fully written    ConnectFailed    no: it cannot be its response
 //	not written: canceled, client gone, too late, draining NotSent          no
 //	not written: connection closed, or bytes unread        NotSent          no
@@ -51,11 +53,15 @@
 
 // failureOutcome returns the outcome of an exchange without a complete response. Writing its request must have ended.
 func (c *connection) failureOutcome(ex *Exchange, err error) balance.Outcome {
-	if ex.Passthrough && !ex.fullyWritten && ex.partlyWritten {
-		return balance.ConnectionLost
-	}
+	mayHaveStarted := ex.Passthrough && !ex.fullyWritten && ex.partlyWritten
 	canceled := c.isCanceled(ex)
 	switch {
+	case ex.bodyBrokenOff && mayHaveStarted: // not its server's fault
+		return balance.Canceled
+	case ex.bodyBrokenOff:
+		return balance.NotSent
+	case mayHaveStarted:
+		return balance.ConnectionLost
 	case canceled && ex.fullyWritten:
 		return balance.Canceled
 	case canceled:
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"time"
 
 	"lockloom/balance"
@@ -89,6 +90,7 @@
 		err = ex.Upload.sendTo(c.netConn)
 	}
 	if err != nil {
+		ex.bodyBrokenOff = errors.Is(err, errBodyBrokenOff)
 		ex.Upload.release(ex)
 		return err
 	}
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -99,6 +100,11 @@
 	}
 }
 
+// bodyBrokenOff reports whether the error of a read of an upload comes from its client, not from Stop.
+func bodyBrokenOff(err error) bool {
+	return err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrClosedPipe) && !errors.Is(err, ErrUploadStopped)
+}
+
 // sendTo writes the body to a server as it is received from the client. The caller is the exchange that has claimed it.
 // Only the writes have a timeout; how long the client may take is not bounded here.
 func (u *Upload) sendTo(conn net.Conn) error {
@@ -119,6 +125,8 @@
 			u.progressAt.Store(time.Now().UnixNano())
 		}
 		switch {
+		case bodyBrokenOff(err):
+			return fmt.Errorf("%w: %w", errBodyBrokenOff, err)
 		case errors.Is(err, io.EOF) && u.Chunked:
 			return http1.Chunked{Conn: conn}.Close()
 		case errors.Is(err, io.EOF):
--- a/internal/upstream/upload_test.go
+++ b/internal/upstream/upload_test.go
@@ -210,3 +210,44 @@
 		})
 	}
 }
+
+// Guards against counting against a server that its client stops half way through a body: a few such clients would make
+// the proxy eject servers that serve everybody else.
+func TestBodyThatItsClientBreaksOffIsNotItsServersFault(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		passthrough bool
+		breakOff    func(upload *Upload, serverConn net.Conn)
+		outcome     balance.Outcome
+	}{
+		{"client stops", false, func(u *Upload, _ net.Conn) { u.In.CloseWithError(io.ErrUnexpectedEOF) }, balance.NotSent},
+		{"client stops, another kind of server", true,
+			func(u *Upload, _ net.Conn) { u.In.CloseWithError(io.ErrUnexpectedEOF) }, balance.Canceled},
+		{"server closes", false, func(_ *Upload, conn net.Conn) { conn.Close() }, balance.ConnectFailed},
+		{"another kind of server closes", true, func(_ *Upload, conn net.Conn) { conn.Close() }, balance.ConnectionLost},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newTestPool()
+			upload := NewUpload(true)
+			ex, results := uploadExchange(upload)
+			ex.Passthrough = c.passthrough
+			require.True(t, p.Send(0, ex))
+			serverConn := <-p.serverConns
+			go func() {
+				_, _ = io.Copy(io.Discard, serverConn) // until either side closes the connection
+				serverConn.Close()
+			}()
+			_, err := io.WriteString(upload.In, "half of the body")
+			require.NoError(t, err)
+			synctest.Wait()
+			c.breakOff(upload, serverConn)
+			synctest.Wait()
+			p.runUntilIdle()
+			if assert.Len(t, *results, 1, c.name) {
+				assert.Equal(t, c.outcome, (*results)[0].Outcome, c.name)
+			}
+			p.Close()
+			p.runUntilIdle()
+		})
+	}
+}
