Hot restart: a process between two others ends after the one before it

What callers see: with one upgrade behind another, a request that is not idempotent ran at the first process and again at the third. Cause: the processes are linked in a chain. The second one, told to end, ended before the first one, and what the first reported did not reach the third any more.

--- a/proxy/hotrestart.go
+++ b/proxy/hotrestart.go
@@ -317,6 +317,25 @@
 // handles it.
 func send(link *hotrestart.Link, update hotrestart.Update) { _ = link.Send(update) }
 
+// awaitPredecessorEnd waits until the predecessor has ended if there is a successor, at most until the deadline of the
+// shutdown: the two have no link of their own, and what one reports to the other passes through this process.
+func (p *Proxy) awaitPredecessorEnd() {
+	deadline := p.shutdown.deadline.Load()
+	if deadline == nil {
+		return
+	}
+	for p.process.isBetween() && time.Now().Before(*deadline) {
+		time.Sleep(acceptPollInterval)
+	}
+}
+
+// isBetween reports whether there are both a predecessor and a successor.
+func (s *processState) isBetween() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.predecessor != nil && len(s.successors) > 0
+}
+
 // closeLinks ends all links to other processes.
 func (s *processState) closeLinks() {
 	s.mu.Lock()
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -176,6 +176,7 @@
 	p.beginTermination()
 	p.conns.closeUnused()
 	p.conns.group.Wait()
+	p.awaitPredecessorEnd()
 	p.process.closeLinks()
 	close(p.loop.quit)
 	<-p.loop.ended
