Proxy: a request that must not run twice is not sent once its client has left

An attempt's last look asked the socket of a client only 50 ms after its request had arrived, so the first was sent although its client had left long before. Test: a row of TestClientGone, red before; its requests have a class now, as all that are served have.

--- a/proxy/clientgone_test.go
+++ b/proxy/clientgone_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"lockloom/balance"
 )
 
 // Guards against sending a request to a server after its client has disconnected while the request was queued, or
@@ -100,13 +102,21 @@
 		name                    string
 		age                     time.Duration
 		closed, abandoned, want bool
-	}{{"connected", time.Second, false, false, false}, {"gone", time.Second, true, false, true}, {"just arrived", 0, true,
-		false, false}, {"abandoned", 0, false, true, true}} {
+		idempotency             balance.Idempotency
+	}{
+		{"connected", time.Second, false, false, false, balance.Idempotent},
+		{"gone", time.Second, true, false, true, balance.Idempotent},
+		{"just arrived", 0, true, false, false, balance.Idempotent},
+		{"abandoned", 0, false, true, true, balance.Idempotent},
+		{"just arrived, must not run twice", 0, true, false, true, balance.NonIdempotent},
+		{"connected, must not run twice", 0, false, false, false, balance.NonIdempotent},
+	} {
 		clientEnd, err := net.Dial("tcp", ln.Addr().String())
 		require.NoError(t, err)
 		proxyEnd, err := ln.Accept()
 		require.NoError(t, err)
-		req := &request{client: &clientConn{conn: proxyEnd}}
+		class := &balance.Class{Idempotency: c.idempotency}
+		req := &request{class: class, client: &clientConn{conn: proxyEnd}}
 		req.client.abandoned.Store(c.abandoned)
 		write(clientEnd, "unread")
 		if c.closed {
