--- a/internal/cli/proxycmd/flood_test.go
+++ b/internal/cli/proxycmd/flood_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -170,27 +169,9 @@
 	}
 }
 
-// startFlood starts the flood's clients, which each connect, act, and begin again when that has ended. The returned
-// function waits until they have ended, floodDuration after their start.
+// start starts the flood's clients, which end by themselves after floodDuration. The returned function waits for that.
 func (f *flood) start(addr string) (wait func()) {
-	end := time.Now().Add(floodDuration)
-	var running sync.WaitGroup
-	var sent atomic.Int64
-	for range f.connections {
-		running.Go(func() {
-			for time.Now().Before(end) {
-				conn, err := net.Dial("tcp", addr)
-				if err != nil {
-					time.Sleep(hostilePause)
-					continue
-				}
-				conn.SetDeadline(end)
-				f.act(conn, sent.Add(1))
-				conn.Close()
-			}
-		})
-	}
-	return running.Wait
+	return connectAgainAndAgain(addr, f.connections, floodDuration, f.act)
 }
 
 // usualResults holds how the usual clients' requests ended.
--- a/internal/cli/proxycmd/memory_test.go
+++ b/internal/cli/proxycmd/memory_test.go
@@ -130,12 +130,15 @@
 // drain reads to the end of a connection. How it ends does not matter.
 func drain(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
 
-// startHostileClients starts clients that each connect, do what act does, and begin again when it has returned. The
-// returned function waits until they have ended, hostileDuration after their start.
-func startHostileClients(addr string, clients int, act func(conn net.Conn, id string)) (wait func()) {
-	end := time.Now().Add(hostileDuration)
+// connectAgainAndAgain starts clients that each connect, do what act does, and begin again when it has returned. number
+// counts the connections of all clients. The returned function waits until they have ended, a duration after their
+// start.
+func connectAgainAndAgain(
+	addr string, clients int, duration time.Duration, act func(conn net.Conn, number int64),
+) (wait func()) {
+	end := time.Now().Add(duration)
 	var running sync.WaitGroup
-	var sent atomic.Int64
+	var connections atomic.Int64
 	for range clients {
 		running.Go(func() {
 			for time.Now().Before(end) {
@@ -145,7 +148,7 @@
 					continue
 				}
 				conn.SetDeadline(end)
-				act(conn, fmt.Sprintf("h%x", sent.Add(1)))
+				act(conn, connections.Add(1))
 				conn.Close()
 			}
 		})
@@ -198,7 +201,9 @@
 		p := s.startReady()
 		usual := s.startClients(persistent, oneShot)
 		stopWatch := p.watchMemory()
-		startHostileClients(s.addr, sockets/3-persistent-oneShot, hostile.act)()
+		connectAgainAndAgain(s.addr, sockets/3-persistent-oneShot, hostileDuration, func(conn net.Conn, number int64) {
+			hostile.act(conn, fmt.Sprintf("h%x", number))
+		})()
 		peak := stopWatch()
 		usual.stopAll()
 		t.Logf("peak memory %d of %d kB; usual clients: %d sent, %d served, %d rejected, %d unanswered, %d refused %v",
--- a/internal/cli/proxycmd/repeated_test.go
+++ b/internal/cli/proxycmd/repeated_test.go
@@ -42,11 +42,7 @@
 		clients.Go(func() {
 			<-sendNow
 			time.Sleep(time.Duration(client) * clientInterval)
-			send(conn, []byte(writeRequests(client)))
-			time.Sleep(time.Duration(client%leavingSteps) * time.Millisecond)
-			conn.Close()
-			time.Sleep(minRepeatDelay + time.Duration(client)*time.Millisecond)
-			s.repeat(client)
+			s.leaveAndComeBack(conn, client)
 		})
 	}
 	time.Sleep(20 * time.Millisecond) // until the connections are accepted
@@ -55,6 +51,15 @@
 	clients.Wait()
 }
 
+// leaveAndComeBack sends a client's requests on a connection, closes it, and sends them on a new one.
+func (s *testEnvironment) leaveAndComeBack(conn net.Conn, client int) {
+	send(conn, []byte(writeRequests(client)))
+	time.Sleep(time.Duration(client%leavingSteps) * time.Millisecond)
+	conn.Close()
+	time.Sleep(minRepeatDelay + time.Duration(client)*time.Millisecond)
+	s.repeat(client)
+}
+
 // repeat sends a client's requests on a new connection and reads the responses.
 func (s *testEnvironment) repeat(client int) {
 	conn, err := net.Dial("tcp", s.addr)
--- a/internal/cli/proxycmd/soak_test.go
+++ b/internal/cli/proxycmd/soak_test.go
@@ -20,7 +20,7 @@
 	soakSeeds         = 16
 	soakAtOnce        = 2 // seeds played at a time
 	soakEvents        = 3
-	soakLeaving       = 6 // clients that leave and send their requests again
+	soakLeaving       = 6   // clients that leave and send their requests again
 	soakCrowd         = 250 // idle connections, in every second seed
 	maxSoakFlood      = 24
 	maxStall          = 140 * time.Millisecond
@@ -159,11 +159,7 @@
 		}
 		clients.Go(func() {
 			time.Sleep(time.Duration(client) * 10 * clientInterval)
-			send(conn, []byte(writeRequests(client)))
-			time.Sleep(time.Duration(client%leavingSteps) * time.Millisecond)
-			conn.Close()
-			time.Sleep(minRepeatDelay + time.Duration(client)*time.Millisecond)
-			p.repeat(client)
+			p.leaveAndComeBack(conn, client)
 		})
 	}
 	clients.Wait()
