Discovery: lists that come without a pause do not keep others waiting

Change: after 16 lists the subscription waits until the owner has applied them and the runtime has polled all connections again. What is not read waits in the socket, and counts as received from when the system received it, as before.

--- a/internal/cli/proxycmd/flood_test.go
+++ b/internal/cli/proxycmd/flood_test.go
@@ -65,6 +65,7 @@
 			peer.Send(0, balance.GossipMessage{Rate: 1})
 		}
 	}},
+	{"lists of discovery", func(s *testEnvironment, _ *process, _ *gossipPeer, end time.Time) { s.floodLists(end) }},
 	{"datagrams of strangers", func(s *testEnvironment, _ *process, peer *gossipPeer, end time.Time) {
 		conn, err := net.Dial("udp", peer.proxyAddr)
 		if !assert.NoError(s.t, err) {
@@ -141,6 +142,33 @@
 	}},
 }
 
+// floodLists answers the proxy's calls to discovery with changes of the list, as fast as they are read. Only the first
+// caller can listen at the address.
+func (s *testEnvironment) floodLists(end time.Time) {
+	const variable = "ROUTER_DISCOVERY="
+	i := slices.IndexFunc(s.env, func(entry string) bool { return strings.HasPrefix(entry, variable) })
+	listener, err := net.Listen("tcp", strings.TrimPrefix(s.env[i], variable))
+	if err != nil {
+		return
+	}
+	defer listener.Close()
+	time.AfterFunc(time.Until(end), func() { listener.Close() })
+	for version := 2; ; {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		conn.SetDeadline(end)
+		send(conn, []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
+		for sent := true; sent; version++ {
+			line := fmt.Sprintf(`{"version":%d,"full":false,"servers":[{"id":"b1","addr":%q,"state":"active","started_ms":0}]}`,
+				version, s.serverAddrs[0]) + "\n"
+			sent = send(conn, fmt.Appendf(nil, "%x\r\n%s\r\n", len(line), line))
+		}
+		conn.Close()
+	}
+}
+
 // expiredRequest returns a valid request whose client does not wait.
 func expiredRequest(number int64, n int) string {
 	request := lookRequest(fmt.Sprintf("f%d-%d", number, n), "")
--- a/proxy/subscription.go
+++ b/proxy/subscription.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"lockloom/internal/discovery"
+	"lockloom/internal/poller"
 )
 
 // subscription is a watch on discovery at one address. It belongs to the owner; its goroutine ends after a call to end.
@@ -50,9 +51,42 @@
 		Dial:        p.Dial,
 		Log:         p.log.WithField("discovery", addr),
 		OnConnected: func() { p.post(func() { p.endpoints.activate(sub) }) },
-		OnList:      func(update List) { p.post(func() { p.listReceived(sub, update) }) },
 	}
-	go watch.Run(ctx)
+	go func() {
+		pacer := listPacer{proxy: p, round: poller.NewPollWaiter()}
+		defer pacer.round.Close()
+		watch.OnList = func(update List) {
+			p.post(func() { p.listReceived(sub, update) })
+			pacer.posted()
+		}
+		watch.Run(ctx)
+	}()
+}
+
+// listsPerRound is how many lists of a subscription the owner applies before all goroutines that are runnable have run.
+const listsPerRound = 16
+
+// listPacer keeps a discovery service that sends without a pause from using up this core and the owner's queue. It
+// belongs to the goroutine of a subscription.
+type listPacer struct {
+	proxy *Proxy
+	round *poller.PollWaiter
+	lists int // posted to the owner so far
+}
+
+// posted records that a list was posted. After listsPerRound of them it waits until the owner has applied them and the
+// runtime has polled all connections again.
+func (l *listPacer) posted() {
+	if l.lists++; l.lists%listsPerRound != 0 {
+		return
+	}
+	applied := make(chan struct{})
+	l.proxy.post(func() { close(applied) })
+	select {
+	case <-applied:
+		l.round.Wait()
+	case <-l.proxy.loop.quit:
+	}
 }
 
 // activate replaces the current subscription with the pending one, which was answered.
