Memory: long ids are counted, and unread responses keep no id

Cause: an id may be as long as a head, 64 KiB. The copy that a request keeps was not counted against the memory budget, and since a connection kept the ids of up to 32 written responses in full. Change: the ids of a request count where they are over 4 KiB; written responses keep a hash of 16 bytes.

--- a/internal/cli/proxycmd/slowclients_test.go
+++ b/internal/cli/proxycmd/slowclients_test.go
@@ -34,6 +34,13 @@
 		send(conn, []byte(head), make([]byte, 2<<20))
 		drain(conn)
 	}},
+	{name: "ids of 60 kB", act: func(conn net.Conn, id string) {
+		go drain(conn)
+		long := id + strings.Repeat("i", 60_000)
+		for n := 0; send(conn, fmt.Appendf(nil, "POST /write?slow HTTP/1.1\r\nHost: x\r\nX-Qos: write\r\n"+
+			"X-Trace-Id: %s%d\r\nX-Expires-In: 0.9\r\nContent-Length: 0\r\n\r\n", long, n)); n++ {
+		}
+	}, overloads: true},
 	{name: "heads of many short fields", act: func(conn net.Conn, id string) {
 		head := "GET /look HTTP/1.1\r\nHost: x\r\nX-Qos: look\r\nX-Trace-Id: " + id + "\r\nX-Expires-In: 1\r\n"
 		send(conn, []byte(head), []byte(strings.Repeat("a:\r\n", (http1.DefaultMaxBytes-len(head)-10)/4)))
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -36,7 +36,7 @@
 	headOnly    bool // the method is HEAD: the response has no body
 }
 
-// countedBytes returns how many bytes of the request count against the memory budget.
+// countedBytes returns how many bytes of what is forwarded count against the memory budget.
 func (f *forwardedRequest) countedBytes() int64 {
 	counted := upstream.CountedBytes(cap(f.head)) + upstream.CountedBytes(cap(f.body))
 	if f.stream.upload != nil {
@@ -45,6 +45,13 @@
 	return counted
 }
 
+// countedBytes returns how many bytes of the request count against the memory budget: what is forwarded, and long ids,
+// which are copies of parts of the head.
+func (req *request) countedBytes() int64 {
+	return req.forwardedRequest.countedBytes() + upstream.CountedBytes(len(req.id)) +
+		upstream.CountedBytes(len(req.traceID))
+}
+
 // requestState is the owner's state of a request. The zero value is the state before admission.
 type requestState struct {
 	ref             int // index in requestTable.byRef
--- a/proxy/requestids_test.go
+++ b/proxy/requestids_test.go
@@ -83,6 +83,6 @@
 		assert.Empty(t, responses.add(&request{id: fmt.Sprint(i), class: class}, 5))
 	}
 	oldest := responses.add(&request{id: "x", class: class}, 5)
-	assert.Equal(t, unconfirmedResponses{{"0", idRetention{until: 6 + retentionMarginSeconds}}}, oldest)
+	assert.Equal(t, unconfirmedResponses{{hashID("0"), idRetention{until: 6 + retentionMarginSeconds}}}, oldest)
 	assert.Len(t, responses, maxUnconfirmed)
 }
--- a/proxy/unconfirmed.go
+++ b/proxy/unconfirmed.go
@@ -17,7 +17,7 @@
 type unconfirmedResponses []unconfirmedResponse
 
 type unconfirmedResponse struct {
-	id        string
+	id        idHash // ids may be long
 	retention idRetention
 }
 
@@ -28,7 +28,7 @@
 	if class.Idempotency == balance.Keyed && class.DedupScope == balance.DedupAll {
 		retention.from = req.arrivedAt + class.DedupWindow // no attempt was sent before it arrived
 	}
-	*u = append(*u, unconfirmedResponse{req.id, retention})
+	*u = append(*u, unconfirmedResponse{hashID(req.id), retention})
 	if len(*u) > maxUnconfirmed {
 		oldest, *u = (*u)[:1:1], (*u)[1:]
 	}
@@ -71,7 +71,7 @@
 	p := c.proxy
 	p.post(func() {
 		for _, response := range responses {
-			p.retain(hashID(response.id), response.retention, p.now())
+			p.retain(response.id, response.retention, p.now())
 		}
 	})
 }
