Tests: the server of slow uploads reads them to their end

The row's server answered 200 before it had read the body, which the platform's servers do not do: such an answer cannot be the request's, the attempt counts as failed, and the server was paused. Change: the two rows with the largest heads send to the path whose server reads the body, as the third does. What the rows demand is unchanged.

--- a/internal/cli/proxycmd/slowclients_test.go
+++ b/internal/cli/proxycmd/slowclients_test.go
@@ -1,6 +1,7 @@
 package proxycmd
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"strings"
@@ -15,9 +16,15 @@
 	slowReadPause = 20 * time.Millisecond
 )
 
+// largeUploadHead returns the largest head for a body of 4 MB, which the server reads to its end before it answers.
+func largeUploadHead(id string) []byte {
+	head := largestHead(id, fmt.Sprintf("Content-Length: %d\r\n", 4<<20))
+	return bytes.Replace(head, []byte("/write "), []byte("/write?read "), 1)
+}
+
 var slowClients = []hostileClient{
 	{name: "requests written slowly", act: func(conn net.Conn, id string) {
-		request := largestHead(id, fmt.Sprintf("Content-Length: %d\r\n", 4<<20))
+		request := largeUploadHead(id)
 		for len(request) > 0 && send(conn, request[:min(len(request), 500)]) {
 			request = request[min(len(request), 500):]
 			time.Sleep(10 * time.Millisecond)
@@ -25,7 +32,7 @@
 		drain(conn)
 	}},
 	{name: "requests of 4 MB that stop half way", act: func(conn net.Conn, id string) {
-		send(conn, largestHead(id, fmt.Sprintf("Content-Length: %d\r\n", 4<<20)), make([]byte, 2<<20))
+		send(conn, largeUploadHead(id), make([]byte, 2<<20))
 		drain(conn)
 	}},
 	{name: "requests of 4 MB with small heads that stop half way", act: func(conn net.Conn, id string) {
