Tests: TestRestOfDroppedBodyIsNotParsed waits until the proxy is up

Cause: the test waits for as long as the proxy does for its first list, in synthetic time, so both wake at one instant, and the check may come before the proxy is up: 503. Change: it waits until the proxy has done what it does at that instant. It demands the same.

--- a/proxy/readrequest_test.go
+++ b/proxy/readrequest_test.go
@@ -23,7 +23,8 @@
 	body := fmt.Sprintf("%x\r\n%s%s\r\n0\r\n\r\n", size, hidden, strings.Repeat("x", size-len(hidden)))
 	synctest.Test(t, func(t *testing.T) {
 		env := startEnv(t, map[string][]string{"b1": {okResponse}}, nil)
-		time.Sleep(firstListTimeout) // until it is up
+		time.Sleep(firstListTimeout)
+		synctest.Wait() // until it is up: the wait of the proxy ends at the same instant
 		status, head, _, err := env.roundTrip("POST /up HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + body)
 		assert.NoError(t, err)
 		assert.Equal(t, 200, status)
