Proxy: a request of a connection that has waited for a turn is not sent once its client has left

Cause, by reading, not shown: the last look before an attempt asks the socket only where the request is older than 50 ms, and a pipelined request counts from when it is taken up. Since a connection may wait for its turn in between, so a request could be sent for a client that has left long before. Tests: a row of TestClientGone, red before.

--- a/internal/cli/proxycmd/repeated_test.go
+++ b/internal/cli/proxycmd/repeated_test.go
@@ -111,3 +111,36 @@
 	old.stop()
 	next.stop()
 }
+
+// Guards against sending what clients that have closed had sent ahead: nothing may begin over 0.1 s after the close,
+// although their connections wait for turns behind a flood.
+func TestNothingIsSentLongAfterAClose(t *testing.T) {
+	const clients, pipelined, allowed = 60, 60, 100 * time.Millisecond
+	s := newTestEnvironment(t, 64, 1024)
+	p := s.startReady()
+	flood := flood{connections: 6, act: func(conn net.Conn, _ int64) { sendEndlessly(conn, "", readinessRequest) }}
+	wait := flood.start(s.addr)
+	var connections []net.Conn
+	for client := range clients {
+		conn, err := net.Dial("tcp", s.addr)
+		require.NoError(t, err)
+		connections = append(connections, conn)
+		var requests strings.Builder
+		for n := range pipelined {
+			requests.WriteString(lookRequest(fmt.Sprintf("p%d-%d", client, n), "?slow"))
+		}
+		send(conn, []byte(requests.String()))
+	}
+	time.Sleep(minRepeatDelay)
+	for _, conn := range connections {
+		conn.Close()
+	}
+	time.Sleep(allowed)
+	early, _ := s.countRuns()
+	time.Sleep(floodDuration / 2)
+	all, _ := s.countRuns()
+	t.Logf("%d requests ran, %d of them over %v after the close", all, all-early, allowed)
+	assert.Equal(t, early, all)
+	wait()
+	p.stop()
+}
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -33,7 +33,7 @@
 	overflow     bool // accepted over connLimits.maxServed: its requests are rejected
 	conn         net.Conn
 	*connReader
-	share           connShare
+	share           *connShare
 	acceptedAt      time.Time
 	readDeadline    time.Time            // the read deadline in force; zero: none
 	idleWait        *poller.Registration // waits for the next request without a blocked read; nil: not supported
@@ -150,6 +150,7 @@
 func (c *clientConn) serveRequest(first bool) bool {
 	adm := admission{conn: c}
 	defer adm.end()
+	defer c.share.waited.Store(false)
 	reader := requestReader{conn: c, admission: &adm, first: first}
 	if err := reader.read(); err != nil {
 		c.readEnded(err)
--- a/proxy/clientgone_test.go
+++ b/proxy/clientgone_test.go
@@ -103,20 +103,23 @@
 		age                     time.Duration
 		closed, abandoned, want bool
 		idempotency             balance.Idempotency
+		waited                  bool // for a turn
 	}{
-		{"connected", time.Second, false, false, false, balance.Idempotent},
-		{"gone", time.Second, true, false, true, balance.Idempotent},
-		{"just arrived", 0, true, false, false, balance.Idempotent},
-		{"abandoned", 0, false, true, true, balance.Idempotent},
-		{"just arrived, must not run twice", 0, true, false, true, balance.NonIdempotent},
-		{"connected, must not run twice", 0, false, false, false, balance.NonIdempotent},
+		{"connected", time.Second, false, false, false, balance.Idempotent, false},
+		{"gone", time.Second, true, false, true, balance.Idempotent, false},
+		{"just arrived", 0, true, false, false, balance.Idempotent, false},
+		{"abandoned", 0, false, true, true, balance.Idempotent, false},
+		{"just arrived, must not run twice", 0, true, false, true, balance.NonIdempotent, false},
+		{"just arrived after a wait for a turn", 0, true, false, true, balance.Idempotent, true},
+		{"connected, must not run twice", 0, false, false, false, balance.NonIdempotent, false},
 	} {
 		clientEnd, err := net.Dial("tcp", ln.Addr().String())
 		require.NoError(t, err)
 		proxyEnd, err := ln.Accept()
 		require.NoError(t, err)
 		class := &balance.Class{Idempotency: c.idempotency}
-		req := &request{class: class, client: &clientConn{conn: proxyEnd}}
+		req := &request{class: class, client: &clientConn{conn: proxyEnd, share: newConnShare(newTurns())}}
+		req.client.share.waited.Store(c.waited)
 		req.client.abandoned.Store(c.abandoned)
 		write(clientEnd, "unread")
 		if c.closed {
--- a/proxy/listener.go
+++ b/proxy/listener.go
@@ -60,7 +60,7 @@
 		acceptedAt:      time.Now(),
 		admissionResult: make(chan bool, 1),
 	}
-	c.connReader = newConnReader(conn, &c.share)
+	c.connReader = newConnReader(conn, c.share)
 	c.memory.conn = c
 	c.ReserveHead = c.reserveHead
 	c.wake = make(chan struct{}, 1)
--- a/proxy/readrequest.go
+++ b/proxy/readrequest.go
@@ -208,7 +208,7 @@
 	body := &pacedBodyReader{
 		conn:       c.conn,
 		source:     c.StreamBody(length, chunked),
-		share:      &c.share,
+		share:      c.share,
 		abortReads: &c.abortReads,
 		grace:      bodyGracePeriod,
 	}
--- a/proxy/requestmemory_test.go
+++ b/proxy/requestmemory_test.go
@@ -181,7 +181,7 @@
 		env := newEnv(t, nil, setBudget(budget))
 		ours, _ := net.Pipe()
 		share := newConnShare(&env.turns)
-		c := &clientConn{proxy: env.Proxy, conn: ours, connReader: newConnReader(ours, &share)}
+		c := &clientConn{proxy: env.Proxy, conn: ours, connReader: newConnReader(ours, share)}
 		c.memory.conn = c
 		body := c.StreamBody(0, false) // nothing of it is missing
 		assert.True(t, env.memory.reserve(budget, useResponse))
--- a/proxy/turns.go
+++ b/proxy/turns.go
@@ -79,12 +79,13 @@
 
 // connShare is a client connection's share of this core. It is safe for concurrent use.
 type connShare struct {
-	turns *turnScheduler
-	share limits.CoreShare
+	turns  *turnScheduler
+	share  limits.CoreShare
+	waited atomic.Bool // the connection has waited for a turn since the end of its last request
 }
 
-func newConnShare(turns *turnScheduler) connShare {
-	return connShare{turns: turns, share: limits.NewCoreShare(turns.now())}
+func newConnShare(turns *turnScheduler) *connShare {
+	return &connShare{turns: turns, share: limits.NewCoreShare(turns.now())}
 }
 
 // charge records work that the connection has caused.
@@ -127,6 +128,7 @@
 	c.turns.queue.Add(&c.share, turn)
 	c.turns.mu.Unlock()
 	c.turns.waits.Add(1)
+	c.waited.Store(true)
 	select {
 	case c.turns.signal <- struct{}{}:
 	default:
--- a/proxy/turns_test.go
+++ b/proxy/turns_test.go
@@ -39,7 +39,7 @@
 	share.charge(1)
 	ours, theirs := net.Pipe()
 	defer theirs.Close()
-	body := &pacedBodyReader{conn: ours, source: strings.NewReader("abc"), share: &share, grace: time.Millisecond}
+	body := &pacedBodyReader{conn: ours, source: strings.NewReader("abc"), share: share, grace: time.Millisecond}
 	read := make(chan error)
 	go func() {
 		_, err := body.Read(make([]byte, 3))
@@ -59,7 +59,7 @@
 	share.charge(1)
 	ours, theirs := net.Pipe()
 	defer theirs.Close()
-	source := meteredSource{source: recvtime.NewReader(ours), share: &share, ahead: true}
+	source := meteredSource{source: recvtime.NewReader(ours), share: share, ahead: true}
 	go write(theirs, "x")
 	n, err := source.Read(make([]byte, 1))
 	assert.NoError(t, err)
