--- a/proxy/request.go
+++ b/proxy/request.go
@@ -95,8 +95,8 @@
 // clientGone reports whether the client has gone. Any goroutine may call it, just before bytes of the request are sent
 // to a server: the event from the connection's goroutine may not have reached the owner yet, and on a busy core that
 // goroutine may not have run. The socket is queried only if more than clientCheckInterval has passed since arrivedAt,
-// if the connection has waited long for a turn, or if the request must not run twice: a client that has left may have sent
-// it to another process of this proxy again.
+// if the connection has waited long for a turn, or if the request must not run twice: a client that has left may have
+// sent it to another process of this proxy again.
 func (req *request) clientGone(arrivedAt time.Time) bool {
 	if req.client == nil {
 		return false
