Read again: one pacer, one retention, and links that are derived

Change: poller.Pacer; newRetention; processState.links and overlaps, which notifyAdminChange, closeLinks and resourceShare use too. The comments that had a process "get to know" and a connection "keep in mind" something say what is reported and recorded. Behaviour as it was, but that a read of gossip counts as a step when it has ended. Tests: their assertions are as they were; the row of malformed changes stands in TestIDChangesAreSentToTheOtherProcesses.

--- a/internal/gossip/link.go
+++ b/internal/gossip/link.go
@@ -141,13 +141,10 @@
 // would keep this goroutine from ever waiting, so it lets all others run after receiveBatch of them.
 func (l *Link) receive(handle func(int, balance.GossipMessage)) {
 	defer close(l.done)
-	round := poller.NewPollWaiter()
-	defer round.Close()
+	pacer := poller.NewPacer(receiveBatch)
+	defer pacer.Close()
 	buffer := make([]byte, numberBytes+MaxBytes+1) // one byte more, so that a longer datagram is detected
-	for reads := 1; l.awaitResumed(); reads++ {
-		if reads%receiveBatch == 0 {
-			round.Wait()
-		}
+	for ; l.awaitResumed(); pacer.Step() {
 		size, from, err := l.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			continue // paused, closed, or, on some systems, a send to a peer that is down makes the next read fail
--- a/proxy/hotrestart.go
+++ b/proxy/hotrestart.go
@@ -74,7 +74,6 @@
 	}
 	s.inherit(inherited, sockets.Listeners, link)
 	p.requestIDsReceived(inherited.RequestIDs, link)
-	p.sharedIDs.active.Store(true)
 	p.inheritGossip(inherited.Gossip, sockets.Gossip)
 	if inherited.HasList && inherited.List.Version >= p.bootstrap.KnownEndpoints.Version {
 		p.bootstrap.KnownEndpoints = inherited.List
@@ -130,7 +129,6 @@
 	p.gossip.releasedByPredecessor()
 	s.mu.Lock()
 	s.predecessor, s.lifecycle.PredecessorServing = nil, false
-	p.sharedIDs.active.Store(len(s.successors) > 0)
 	s.mu.Unlock()
 	p.applyResourceShare()
 }
@@ -217,7 +215,6 @@
 	s := p.process
 	p.log.Info("hot restart: handed over to the successor")
 	adminUpdate := s.addSuccessor(link)
-	p.sharedIDs.active.Store(true)
 	go p.shareAllIDs()
 	p.applyResourceShare()
 	go send(link, adminUpdate)
@@ -247,7 +244,6 @@
 	s.mu.Lock()
 	wasServing := s.successors[link]
 	delete(s.successors, link)
-	p.sharedIDs.active.Store(s.predecessor != nil || len(s.successors) > 0)
 	s.updateSuccessorServing()
 	if wasServing && s.lifecycle.StoppedAt == 0 { // serve again: else no process would accept connections or hand over
 		p.log.WithError(err).Warn("hot restart: the successor has ended, serving again")
@@ -297,10 +293,7 @@
 	default:
 	}
 	update := s.adminUpdate()
-	if s.predecessor != nil && s.predecessor != except {
-		go send(s.predecessor, update)
-	}
-	for link := range s.successors {
+	for _, link := range s.links() {
 		if link != except {
 			go send(link, update) // the process may not be reading, and the admin call waits
 		}
@@ -336,15 +329,35 @@
 	return s.predecessor != nil && len(s.successors) > 0
 }
 
+// links returns the links to all other processes of this proxy. The caller holds the lock.
+func (s *processState) links() []*hotrestart.Link {
+	links := slices.Collect(maps.Keys(s.successors))
+	if s.predecessor != nil {
+		links = append(links, s.predecessor)
+	}
+	return links
+}
+
+// lockedLinks is links under the lock.
+func (s *processState) lockedLinks() []*hotrestart.Link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.links()
+}
+
+// overlaps reports whether there is another process of this proxy.
+func (s *processState) overlaps() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.predecessor != nil || len(s.successors) > 0
+}
+
 // closeLinks ends all links to other processes.
 func (s *processState) closeLinks() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.handover.Close()
-	if s.predecessor != nil {
-		s.predecessor.Close()
-	}
-	for link := range s.successors {
+	for _, link := range s.links() {
 		link.Close()
 	}
 }
--- a/proxy/lifecycle.go
+++ b/proxy/lifecycle.go
@@ -121,10 +121,7 @@
 
 // resourceShare returns this process's share of the proxy's resources.
 func (p *Proxy) resourceShare() float64 {
-	s := p.process
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.predecessor != nil || len(s.successors) > 0 {
+	if p.process.overlaps() {
 		return overlapShare
 	}
 	return 1
--- a/proxy/listener.go
+++ b/proxy/listener.go
@@ -23,15 +23,15 @@
 // With httpListener, requests are routed by the operator file; else they have the platform's fields and classes. It
 // returns nil if the proxy is shutting down.
 func (p *Proxy) acceptConnections(ln net.Listener, httpListener bool) error {
-	round := poller.NewPollWaiter()
-	defer round.Close()
-	for accepted := 0; ; {
+	pacer := poller.NewPacer(acceptBatch)
+	defer pacer.Close()
+	for {
 		p.conns.waitForCapacity(p.shutdown.acceptEnding.Load, p.overloaded)
 		conn, err := ln.Accept()
 		if err == nil {
 			p.startConn(conn, httpListener)
-			if accepted++; accepted%acceptBatch == 0 && !p.shutdown.acceptEnding.Load() {
-				round.Wait()
+			if !p.shutdown.acceptEnding.Load() {
+				pacer.Step()
 			}
 			continue
 		}
--- a/proxy/requestids.go
+++ b/proxy/requestids.go
@@ -92,23 +92,25 @@
 // retention returns how long the id of a request must be retained if its client has left without the response. It
 // returns false if the request may run again.
 func (req *request) retention(now float64) (idRetention, bool) {
-	class := req.class
-	if class.Idempotency == balance.Idempotent || !req.mayHaveRun() {
+	if !req.mayNotRepeat() || !req.mayHaveRun() {
 		return idRetention{}, false
 	}
-	retention := idRetention{until: now + class.Deadline + retentionMarginSeconds}
-	if class.Idempotency == balance.Keyed && class.DedupScope == balance.DedupAll {
-		retention.from = req.dedupedUntil()
-	}
+	retention := newRetention(req.class, req.dedupedUntil(), now+req.class.Deadline)
 	return retention, retention.from < retention.until
 }
 
-// openRetention returns how long the id of an open request must be retained at other processes, unless they get to know
-// earlier how it has ended.
+// openRetention returns how long the id of an open request must be retained at other processes, unless this one reports
+// its end earlier.
 func (req *request) openRetention() idRetention {
-	retention := idRetention{until: req.deadline + retentionMarginSeconds}
-	if req.class.Idempotency == balance.Keyed && req.class.DedupScope == balance.DedupAll {
-		retention.from = min(req.repeatBy, req.arrivedAt+req.class.DedupWindow) // no attempt was sent before it arrived
+	return newRetention(req.class, min(req.repeatBy, req.arrivedAt+req.class.DedupWindow), req.deadline)
+}
+
+// newRetention returns the retention of an id whose client waits until a time at most. dedupedUntil is when servers no
+// longer drop a repeat by its idempotency key; it counts only where all servers drop repeats.
+func newRetention(class *balance.Class, dedupedUntil, clientWaitsUntil float64) idRetention {
+	retention := idRetention{until: clientWaitsUntil + retentionMarginSeconds}
+	if class.Idempotency == balance.Keyed && class.DedupScope == balance.DedupAll {
+		retention.from = dedupedUntil
 	}
 	return retention
 }
@@ -144,7 +146,7 @@
 // retain retains an id at this process and at the others.
 func (p *Proxy) retain(id idHash, retention idRetention, now float64) {
 	p.requests.ids.retain(id, retention, now)
-	p.sharedIDs.add(idChange{id: id, retention: retention})
+	p.shareIDs(idChange{id: id, retention: retention})
 }
 
 // mayNotRepeat reports whether the class forbids to run the request twice.
--- a/proxy/sharedids.go
+++ b/proxy/sharedids.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/hex"
 	"sync"
-	"sync/atomic"
 
 	"lockloom/internal/hotrestart"
 )
@@ -11,7 +10,6 @@
 // sharedIDs reports to the other processes of this proxy, while there are any, which requests must not run there. The
 // owner adds changes; a goroutine sends them, so that the owner does not wait for another process.
 type sharedIDs struct {
-	active  atomic.Bool // there is another process
 	signal  chan struct{}
 	mu      sync.Mutex
 	changes []idChange // not sent yet, in their order
@@ -29,11 +27,8 @@
 
 func (s *sharedIDs) init() { s.signal = make(chan struct{}, 1) }
 
-// add adds changes to be sent. It does nothing if there is no other process.
+// add adds changes to be sent.
 func (s *sharedIDs) add(changes ...idChange) {
-	if len(changes) == 0 || !s.active.Load() {
-		return
-	}
 	s.mu.Lock()
 	s.changes = append(s.changes, changes...)
 	if excess := len(s.changes) - maxRetainedIDs; excess > 0 {
@@ -64,7 +59,7 @@
 			return
 		}
 		changes := p.sharedIDs.take()
-		for _, link := range p.process.links() {
+		for _, link := range p.process.lockedLinks() {
 			if update := idUpdate(changes, link, p.now()); len(update.RequestIDs) > 0 {
 				send(link, update)
 			}
@@ -72,18 +67,11 @@
 	}
 }
 
-// links returns the links to all other processes of this proxy.
-func (s *processState) links() []*hotrestart.Link {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var links []*hotrestart.Link
-	if s.predecessor != nil {
-		links = append(links, s.predecessor)
-	}
-	for link := range s.successors {
-		links = append(links, link)
+// shareIDs reports changes to the other processes, if there are any.
+func (p *Proxy) shareIDs(changes ...idChange) {
+	if len(changes) > 0 && p.process.overlaps() {
+		p.sharedIDs.add(changes...)
 	}
-	return links
 }
 
 // idUpdate returns the update with the changes for one process: all but those that it has reported itself.
@@ -128,20 +116,20 @@
 		for _, change := range changes {
 			p.requests.ids.retain(change.id, change.retention, now)
 		}
-		p.sharedIDs.add(changes...)
+		p.shareIDs(changes...)
 	})
 }
 
 // shareOpenID reports a request that was admitted and must not run twice.
 func (p *Proxy) shareOpenID(req *request) {
-	if p.sharedIDs.active.Load() && req.mayNotRepeat() {
+	if req.mayNotRepeat() && p.process.overlaps() {
 		p.sharedIDs.add(idChange{id: hashID(req.id), retention: req.openRetention()})
 	}
 }
 
 // shareReleasedID reports that a request is released and may run again.
 func (p *Proxy) shareReleasedID(req *request) {
-	if p.sharedIDs.active.Load() && req.mayNotRepeat() {
+	if req.mayNotRepeat() && p.process.overlaps() {
 		p.sharedIDs.add(idChange{id: hashID(req.id)})
 	}
 }
@@ -161,4 +149,4 @@
 }
 
 // shareAllIDs reports all ids, since a process that has just taken over may have missed changes.
-func (p *Proxy) shareAllIDs() { p.post(func() { p.sharedIDs.add(p.unsafeIDs()...) }) }
+func (p *Proxy) shareAllIDs() { p.post(func() { p.shareIDs(p.unsafeIDs()...) }) }
--- a/proxy/sharedids_test.go
+++ b/proxy/sharedids_test.go
@@ -11,19 +11,21 @@
 // Guards against a change that goes back to the process that has reported it, or that does not reach a third one.
 func TestIDChangesAreSentToTheOtherProcesses(t *testing.T) {
 	first, second := &hotrestart.Link{}, &hotrestart.Link{}
-	shared := sharedIDs{}
+	p := &Proxy{process: newProcessState()}
+	shared := &p.sharedIDs
 	shared.init()
-	shared.add(idChange{id: hashID("alone")})
+	p.shareIDs(idChange{id: hashID("alone")})
 	assert.Empty(t, shared.take(), "there is no other process")
-	shared.active.Store(true)
-	shared.add(idChange{id: hashID("own"), retention: idRetention{from: 99, until: 103}})
+	p.process.successors[second] = false
+	p.shareIDs(idChange{id: hashID("own"), retention: idRetention{from: 99, until: 103}})
 	shared.add(idChange{id: hashID("theirs"), retention: idRetention{until: 102}, origin: first})
 	shared.add(idChange{id: hashID("own")})
 	changes := shared.take()
 	toFirst, toSecond := idUpdate(changes, first, 100), idUpdate(changes, second, 100)
 	assert.Len(t, toFirst.RequestIDs, 2)
 	assert.Len(t, toSecond.RequestIDs, 3)
-	received := parseIDChanges(toSecond.RequestIDs, second, 200)
+	malformed := []hotrestart.RequestID{{Hash: "zz"}, {Hash: "0f"}, {}}
+	received := parseIDChanges(append(malformed, toSecond.RequestIDs...), second, 200)
 	assert.Equal(t, []idChange{
 		{hashID("own"), idRetention{from: 199, until: 203}, second},
 		{hashID("theirs"), idRetention{from: 100, until: 202}, second},
@@ -32,16 +34,9 @@
 	assert.Empty(t, shared.take())
 }
 
-func TestMalformedIDChangesAreDropped(t *testing.T) {
-	valid := hotrestart.RequestID{Hash: "000102030405060708090a0b0c0d0e0f", Until: 1}
-	messages := []hotrestart.RequestID{{Hash: "zz"}, {Hash: "0f"}, {}, valid}
-	assert.Len(t, parseIDChanges(messages, nil, 0), 1)
-}
-
 func TestIDChangesAreBounded(t *testing.T) {
 	shared := sharedIDs{}
 	shared.init()
-	shared.active.Store(true)
 	for range maxRetainedIDs + 5 {
 		shared.add(idChange{})
 	}
--- a/proxy/subscription.go
+++ b/proxy/subscription.go
@@ -43,6 +43,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	sub := &subscription{addr: addr, stop: stop}
 	list.pending = sub
+	pacer := poller.NewPacer(listsPerRound)
 	watch := &discovery.Watch{
 		Addr:        addr,
 		Version:     list.version,
@@ -51,14 +52,10 @@
 		Dial:        p.Dial,
 		Log:         p.log.WithField("discovery", addr),
 		OnConnected: func() { p.post(func() { p.endpoints.activate(sub) }) },
+		OnList:      func(update List) { p.postList(sub, update, pacer) },
 	}
 	go func() {
-		pacer := listPacer{proxy: p, round: poller.NewPollWaiter()}
-		defer pacer.round.Close()
-		watch.OnList = func(update List) {
-			p.post(func() { p.listReceived(sub, update) })
-			pacer.posted()
-		}
+		defer pacer.Close()
 		watch.Run(ctx)
 	}()
 }
@@ -66,26 +63,18 @@
 // listsPerRound is how many lists of a subscription the owner applies before all goroutines that are runnable have run.
 const listsPerRound = 16
 
-// listPacer keeps a discovery service that sends without a pause from using up this core and the owner's queue. It
-// belongs to the goroutine of a subscription.
-type listPacer struct {
-	proxy *Proxy
-	round *poller.PollWaiter
-	lists int // posted to the owner so far
-}
-
-// posted records that a list was posted. After listsPerRound of them it waits until the owner has applied them and the
-// runtime has polled all connections again.
-func (l *listPacer) posted() {
-	if l.lists++; l.lists%listsPerRound != 0 {
+// postList passes a list to the owner. After listsPerRound of them it waits until the owner has applied them: a
+// discovery service that sends without a pause must not fill the owner's queue.
+func (p *Proxy) postList(sub *subscription, update List, pacer *poller.Pacer) {
+	p.post(func() { p.listReceived(sub, update) })
+	if !pacer.Step() {
 		return
 	}
 	applied := make(chan struct{})
-	l.proxy.post(func() { close(applied) })
+	p.post(func() { close(applied) })
 	select {
 	case <-applied:
-		l.round.Wait()
-	case <-l.proxy.loop.quit:
+	case <-p.loop.quit:
 	}
 }
 
--- a/proxy/unconfirmed.go
+++ b/proxy/unconfirmed.go
@@ -4,11 +4,10 @@
 	"errors"
 	"syscall"
 
-	"lockloom/balance"
 	"lockloom/internal/http1"
 )
 
-// maxUnconfirmed is how many responses to pipelined requests a connection keeps in mind.
+// maxUnconfirmed is how many unconfirmed responses a connection records at most.
 const maxUnconfirmed = 32
 
 // unconfirmedResponses are the requests of a connection that must not run twice, and whose responses were written but
@@ -23,11 +22,8 @@
 
 // add adds the request of a response that was written. It returns the oldest one if there are too many.
 func (u *unconfirmedResponses) add(req *request, now float64) (oldest unconfirmedResponses) {
-	class := req.class
-	retention := idRetention{until: now + class.Deadline + retentionMarginSeconds}
-	if class.Idempotency == balance.Keyed && class.DedupScope == balance.DedupAll {
-		retention.from = req.arrivedAt + class.DedupWindow // no attempt was sent before it arrived
-	}
+	// No attempt was sent before the request arrived.
+	retention := newRetention(req.class, req.arrivedAt+req.class.DedupWindow, now+req.class.Deadline)
 	*u = append(*u, unconfirmedResponse{hashID(req.id), retention})
 	if len(*u) > maxUnconfirmed {
 		oldest, *u = (*u)[:1:1], (*u)[1:]
