Endpoints: a replaced server is dropped from operators' pools too

Cause: dropReplaced made a list entry of the replaced server with its name and address only, and sent it through the way of a list. A pool that takes some of the listed servers, by zone or kind, did not take that entry, and went on using the server where removal is advisory. Change: every pool whose balancer has the server is called directly; no entry is made, and no empty model is registered for it. Test: a row of TestRemovedServerIsNotUsedOnceItsAddressIsTaken, red before.

--- a/proxy/replacedserver.go
+++ b/proxy/replacedserver.go
@@ -2,7 +2,7 @@
 
 import (
 	"lockloom/balance"
-	"lockloom/internal/discovery"
+	"lockloom/internal/settings"
 )
 
 // dropReplaced ends the use of servers whose addresses a list gives to others. Discovery has removed such a server, in
@@ -13,20 +13,25 @@
 	for _, index := range p.replacedServers(list) {
 		p.applyEndpointState(index, balance.Draining, since, 0)
 		p.upstream.StopSendingAt(index, p.fromUnixSeconds(p.now()))
-		entry := discovery.Entry{Addr: p.upstream.Address(index)}
-		entry.Name = p.registry.Name(index)
-		for _, state := range []balance.EndpointState{balance.Draining, balance.Removed} { // drained: removal binds
-			entry.State = state
-			change := List{Entries: []discovery.Entry{entry}}
-			endpoints := []balance.Endpoint{p.registry.Endpoint(entry.Entry)}
-			for _, pool := range p.pools.all {
-				p.updatePool(pool, change, false, endpoints)
+		for _, pool := range p.pools.all {
+			if pool.decisions.HasEndpoint(index) {
+				p.removeDrained(pool, index)
 			}
 		}
 		delete(p.endpoints.known, index)
 	}
 }
 
+// removeDrained removes a server from a pool whether or not removal is advisory: a server that has drained is not used.
+func (p *Proxy) removeDrained(pool *serverPool, index int) {
+	endpoint := balance.Endpoint{Index: index, NameHash: settings.NameHash(p.registry.Name(index))}
+	for _, endpoint.State = range []balance.EndpointState{balance.Draining, balance.Removed} {
+		p.decide(pool, func(now float64) *balance.Actions {
+			return pool.decisions.EndpointsUpdated(now, false, false, []balance.Endpoint{endpoint})
+		})
+	}
+}
+
 // replacedServers returns the indexes of the servers in use that the list, or one before it, has removed, and whose
 // addresses this list gives to others.
 func (p *Proxy) replacedServers(list *List) (replaced []int) {
--- a/proxy/replacedserver_test.go
+++ b/proxy/replacedserver_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"lockloom/internal/discovery"
 )
 
 // replacedBy returns a list in which a server has the address that "b1" had.
@@ -20,20 +22,25 @@
 // answers of the new one kept the old one in use, with its share of the requests and past the new one's slow start.
 func TestRemovedServerIsNotUsedOnceItsAddressIsTaken(t *testing.T) {
 	const removed = `{"version":2,"full":true,"servers":[]}`
+	started := func(entry *discovery.Entry) bool { return entry.StartedAt > 0 }
 	for _, c := range []struct {
-		name  string
-		lists []string // after those with "b1"
+		name    string
+		lists   []string                    // after those with "b1"
+		accepts func(*discovery.Entry) bool // by the pool; nil: all
 	}{
-		{"removed and replaced by a full list", []string{"full"}},
-		{"removed before", []string{removed, "change"}},
-		{"removed before, full list", []string{removed, "full"}},
-		{"removed by a change", []string{listChange(2, "b1", "left", 0), "change"}},
+		{"removed and replaced by a full list", []string{"full"}, nil},
+		{"the same, a pool of some servers", []string{"full"}, started},
+		{"removed before", []string{removed, "change"}, nil},
+		{"removed before, full list", []string{removed, "full"}, nil},
+		{"removed by a change", []string{listChange(2, "b1", "left", 0), "change"}, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				env := startEnv(t, map[string][]string{"b1": {okResponse}, "any": {okResponse}}, func(cfg *BootstrapConfig) {
+				env := newEnv(t, map[string][]string{"b1": {okResponse}, "any": {okResponse}}, func(cfg *BootstrapConfig) {
 					cfg.RemovalIsAdvisory = true
 				})
+				env.pools.platform.accepts = c.accepts
+				env.start()
 				sent := 0
 				request := func() {
 					sent++
@@ -42,7 +49,7 @@
 					assert.Equal(t, 200, status, c.name)
 					time.Sleep(2 * serverReuseDelay)
 				}
-				env.updateList(listChange(2, "b1", "active", 0))
+				env.updateList(listChange(2, "b1", "active", 946684800000))
 				for range 5 {
 					request()
 				}
