Proxy: a response that its client has read is not taken for unread

Cause: the written responses of a connection were forgotten as the next response that must not repeat was written. If the client left during that next request, the id of the one before was retained too, and refused with 409, although the client had sent the next request after it had the response. Change: they are forgotten as the first byte of a request that was not pipelined is received.

--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -102,6 +102,9 @@
 		c.lost = !errors.Is(err, os.ErrDeadlineExceeded) // a deadline error comes from requestClose, not from the client
 		return false
 	}
+	if !c.pipelined {
+		c.unconfirmed = nil // the client has sent this request after it had received those responses
+	}
 	c.proxy.conns.markReceiving(c, first)
 	return true
 }
--- a/proxy/requestids_test.go
+++ b/proxy/requestids_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"net"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"lockloom/balance"
 )
@@ -86,3 +91,30 @@
 	assert.Equal(t, unconfirmedResponses{{hashID("0"), idRetention{until: 6 + retentionMarginSeconds}}}, oldest)
 	assert.Len(t, responses, maxUnconfirmed)
 }
+
+// Guards against taking a response for unread whose client has sent its next request since.
+func TestOnlyTheRequestThatItsClientLeftIsRetained(t *testing.T) {
+	s := startSocketEnv(t, func(n int, end net.Conn) {
+		if n == 1 {
+			write(end, okResponse)
+		}
+	})
+	close(s.dialGate)
+	conn := s.connect()
+	write(conn, nonIdempotentRequest)
+	status, _, _, err := readResponse(conn)
+	require.NoError(t, err)
+	assert.Equal(t, 200, status)
+	write(conn, strings.Replace(nonIdempotentRequest, "t3", "t4", 1))
+	require.Eventually(t, func() bool { return s.received.Load() == 2 }, 5*time.Second, time.Millisecond)
+	conn.Close()
+	retained := make(chan map[idHash]idRetention, 1)
+	require.Eventually(t, func() bool {
+		s.post(func() { retained <- maps.Clone(s.requests.ids.retained) })
+		ids := <-retained
+		_, answered := ids[hashID("t3")]
+		assert.False(t, answered)
+		_, left := ids[hashID("t4")]
+		return left
+	}, 5*time.Second, time.Millisecond)
+}
--- a/proxy/unconfirmed.go
+++ b/proxy/unconfirmed.go
@@ -38,9 +38,6 @@
 	if req == nil || !req.mayNotRepeat() || neverRan {
 		return
 	}
-	if !c.pipelined {
-		c.unconfirmed = c.unconfirmed[:0] // the client has sent this request after it had received those responses
-	}
 	c.retainIDs(c.unconfirmed.add(req, c.proxy.now()))
 	if err != nil || c.peerHasGone() {
 		c.retainUnconfirmed()
