--- a/proxy/requestids_test.go
+++ b/proxy/requestids_test.go
@@ -107,7 +107,7 @@
 	assert.Equal(t, 200, status)
 	write(conn, strings.Replace(nonIdempotentRequest, "t3", "t4", 1))
 	require.Eventually(t, func() bool { return s.received.Load() == 2 }, 5*time.Second, time.Millisecond)
-	conn.Close()
+	require.NoError(t, conn.Close())
 	retained := make(chan map[idHash]idRetention, 1)
 	require.Eventually(t, func() bool {
 		s.post(func() { retained <- maps.Clone(s.requests.ids.retained) })
