Tests: floods, and clients that leave, each have one runner

Change: testFlood, testRunsOnce, leaveAndRepeat and pipelinedChecks are shared; the two rows of admin calls are one that sends both kinds. What the tests demand is as it was; floods of other messages must now also leave no other status and stay within the memory.

--- a/internal/cli/proxycmd/flood_test.go
+++ b/internal/cli/proxycmd/flood_test.go
@@ -42,32 +42,21 @@
 // otherFloods do not go to the address of clients.
 var otherFloods = []struct {
 	name string
-	act  func(s *testEnvironment, p *process, peer *gossipPeer, end time.Time)
+	act  func(s *testEnvironment, p *process, end time.Time)
 }{
-	{"admin calls", func(_ *testEnvironment, p *process, _ *gossipPeer, end time.Time) {
-		for time.Now().Before(end) {
-			if conn, err := net.Dial("tcp", p.adminAddr); err == nil {
-				exchange(conn, "GET /-/ready HTTP/1.1\r\n\r\n")
-				conn.Close()
-			}
-		}
-	}},
-	{"malformed admin calls", func(_ *testEnvironment, p *process, _ *gossipPeer, end time.Time) {
-		for time.Now().Before(end) {
-			if conn, err := net.Dial("tcp", p.adminAddr); err == nil {
-				exchange(conn, "nonsense\r\n\r\n")
-				conn.Close()
-			}
-		}
+	{"admin calls", func(_ *testEnvironment, p *process, _ time.Time) {
+		connectAgainAndAgain(p.adminAddr, 1, floodDuration, func(conn net.Conn, number int64) {
+			exchange(conn, []string{"GET /-/ready HTTP/1.1\r\n\r\n", "nonsense\r\n\r\n"}[number%2])
+		})()
 	}},
-	{"gossip", func(_ *testEnvironment, _ *process, peer *gossipPeer, end time.Time) {
+	{"gossip", func(s *testEnvironment, _ *process, end time.Time) {
 		for time.Now().Before(end) {
-			peer.Send(0, balance.GossipMessage{Rate: 1})
+			s.peer.Send(0, balance.GossipMessage{Rate: 1})
 		}
 	}},
-	{"lists of discovery", func(s *testEnvironment, _ *process, _ *gossipPeer, end time.Time) { s.floodLists(end) }},
-	{"datagrams of strangers", func(s *testEnvironment, _ *process, peer *gossipPeer, end time.Time) {
-		conn, err := net.Dial("udp", peer.proxyAddr)
+	{"lists of discovery", func(s *testEnvironment, _ *process, end time.Time) { s.floodLists(end) }},
+	{"datagrams of strangers", func(s *testEnvironment, _ *process, end time.Time) {
+		conn, err := net.Dial("udp", s.peer.proxyAddr)
 		if !assert.NoError(s.t, err) {
 			return
 		}
@@ -78,6 +67,11 @@
 	}},
 }
 
+// pipelinedChecks is a flood that stands for all where a test is about something else.
+var pipelinedChecks = flood{"readiness checks pipelined", 6, func(conn net.Conn, _ int64) {
+	sendEndlessly(conn, "", readinessRequest)
+}}
+
 var floods = []flood{
 	{"readiness checks in turn", 6, func(conn net.Conn, _ int64) {
 		for exchange(conn, readinessRequest) {
@@ -87,7 +81,7 @@
 		for exchange(conn, readinessRequest) {
 		}
 	}},
-	{"readiness checks pipelined", 24, func(conn net.Conn, _ int64) { sendEndlessly(conn, "", readinessRequest) }},
+	{pipelinedChecks.name, 24, pipelinedChecks.act},
 	{"paths that do not exist", 24, func(conn net.Conn, _ int64) {
 		exchange(conn, "GET /none HTTP/1.1\r\nHost: x\r\n\r\n")
 	}},
@@ -286,47 +280,48 @@
 // never.
 func TestOthersAreServedBesideAFlood(t *testing.T) {
 	for _, f := range floods {
-		t.Run(fmt.Sprintf("%s, %d connections", f.name, f.connections), func(t *testing.T) {
-			s := newTestEnvironment(t, 64, 1024)
-			p := s.startReady()
-			wait := f.start(s.addr)
-			time.Sleep(usualInterval) // until the flood is under way
-			usual := sendUsual(s.addr, floodDuration-2*usualInterval)
-			wait()
-			t.Log(usual)
-			assert.Zero(t, usual.lost, "requests without an answer in time")
-			assert.Empty(t, usual.other)
-			assert.GreaterOrEqual(t, float64(usual.served), minServedShare*float64(usual.sent))
-			assert.Less(t, float64(p.memory("VmHWM")), 64.0*1024)
-			p.stop()
+		testFlood(t, fmt.Sprintf("%s, %d connections", f.name, f.connections), func(s *testEnvironment, _ *process) func() {
+			return f.start(s.addr)
 		})
 	}
 }
 
-// Guards against the same where a flood goes to the address for operators or for gossip.
+// Guards against the same where a flood goes to the address for operators or for gossip, or comes from discovery.
 func TestClientsAreServedBesideAFloodOfOtherMessages(t *testing.T) {
 	const senders = 6
 	for _, f := range otherFloods {
-		t.Run(f.name, func(t *testing.T) {
-			s := newTestEnvironment(t, 64, 1024)
-			peer := s.startGossipPeer()
-			p := s.startReady()
-			end := time.Now().Add(floodDuration)
+		testFlood(t, f.name, func(s *testEnvironment, p *process) func() {
 			var running sync.WaitGroup
 			for range senders {
-				running.Go(func() { f.act(s, p, peer, end) })
+				running.Go(func() { f.act(s, p, time.Now().Add(floodDuration)) })
 			}
-			time.Sleep(usualInterval)
-			usual := sendUsual(s.addr, floodDuration-2*usualInterval)
-			running.Wait()
-			t.Log(usual)
-			assert.Zero(t, usual.lost, "requests without an answer in time")
-			assert.GreaterOrEqual(t, float64(usual.served), minServedShare*float64(usual.sent))
-			p.stop()
+			return running.Wait
 		})
 	}
 }
 
+// testFlood checks that usual clients are served while a flood lasts. start starts it and returns the function that
+// waits for its end.
+func testFlood(t *testing.T, name string, start func(s *testEnvironment, p *process) (wait func())) {
+	t.Helper()
+	const memoryMB = 64
+	t.Run(name, func(t *testing.T) {
+		s := newTestEnvironment(t, memoryMB, 1024)
+		s.startGossipPeer()
+		p := s.startReady()
+		wait := start(s, p)
+		time.Sleep(usualInterval) // until the flood is under way
+		usual := sendUsual(s.addr, floodDuration-2*usualInterval)
+		wait()
+		t.Log(usual)
+		assert.Zero(t, usual.lost, "requests without an answer in time")
+		assert.Empty(t, usual.other)
+		assert.GreaterOrEqual(t, float64(usual.served), minServedShare*float64(usual.sent))
+		assert.Less(t, p.memory("VmHWM"), memoryMB<<10)
+		p.stop()
+	})
+}
+
 // Guards against readiness checks that wait behind all other work: a load balancer in front would take the proxy for
 // dead.
 func TestReadinessIsAnsweredBesideOverload(t *testing.T) {
@@ -337,8 +332,7 @@
 		for n := 0; exchange(conn, lookRequest(fmt.Sprintf("f%d-%d", number, n), "")); n++ {
 		}
 	}}
-	checks := flood{connections: 6, act: func(conn net.Conn, _ int64) { sendEndlessly(conn, "", readinessRequest) }}
-	waitForLoad, waitForChecks := load.start(s.addr), checks.start(s.addr)
+	waitForLoad, waitForChecks := load.start(s.addr), pipelinedChecks.start(s.addr)
 	longest := time.Duration(0)
 	for end := time.Now().Add(floodDuration - 2*checkInterval); time.Now().Before(end); time.Sleep(checkInterval) {
 		began := time.Now()
--- a/internal/cli/proxycmd/gossipupgrade_test.go
+++ b/internal/cli/proxycmd/gossipupgrade_test.go
@@ -47,6 +47,7 @@
 	require.NoError(s.t, err)
 	s.t.Cleanup(p.Close)
 	p.Resume()
+	s.peer = p
 	return p
 }
 
--- a/internal/cli/proxycmd/installation_test.go
+++ b/internal/cli/proxycmd/installation_test.go
@@ -61,10 +61,11 @@
 	addr          string // address of the proxy's platform listener
 	dir           string
 	serverAddrs   []string
-	firstProgram  string // path of the program of the first process
-	laterProgram  string // path of the program of all later processes
-	startedCount  int    // number of processes started
-	failingServer string // the ID of a server that fails all requests; set while no request is in flight
+	firstProgram  string      // path of the program of the first process
+	laterProgram  string      // path of the program of all later processes
+	startedCount  int         // number of processes started
+	peer          *gossipPeer // nil: the proxy has no gossip
+	failingServer string      // the ID of a server that fails all requests; set while no request is in flight
 
 	mu       sync.Mutex
 	servedBy map[string]int // number of requests, by server ID
--- a/internal/cli/proxycmd/longresponse_test.go
+++ b/internal/cli/proxycmd/longresponse_test.go
@@ -28,8 +28,7 @@
 	}{
 		{"nothing happens", func(*testEnvironment, *process) {}, false},
 		{"a flood", func(s *testEnvironment, _ *process) {
-			flood := flood{connections: 6, act: func(conn net.Conn, _ int64) { sendEndlessly(conn, "", readinessRequest) }}
-			go flood.start(s.addr)()
+			go pipelinedChecks.start(s.addr)()
 		}, false},
 		{"an upgrade", func(s *testEnvironment, _ *process) { s.startReady() }, false},
 		{"an upgrade, the old process is stopped", func(s *testEnvironment, p *process) {
@@ -40,8 +39,7 @@
 			assert.NoError(s.t, p.Process.Signal(syscall.SIGTERM))
 		}, true},
 		{"a stop and a flood", func(s *testEnvironment, p *process) {
-			flood := flood{connections: 6, act: func(conn net.Conn, _ int64) { sendEndlessly(conn, "", readinessRequest) }}
-			go flood.start(s.addr)()
+			go pipelinedChecks.start(s.addr)()
 			assert.NoError(s.t, p.Process.Signal(syscall.SIGTERM))
 		}, true},
 	} {
--- a/internal/cli/proxycmd/repeated_test.go
+++ b/internal/cli/proxycmd/repeated_test.go
@@ -33,16 +33,20 @@
 
 // leaveAndRepeat makes clients connect, send their requests one client after the other and leave, each after another
 // time, then send the same requests on connections of their own. connected is called once they are connected.
-func (s *testEnvironment) leaveAndRepeat(connected func()) {
+func (s *testEnvironment) leaveAndRepeat(count int, interval time.Duration, connected func()) {
 	var clients sync.WaitGroup
 	sendNow := make(chan struct{})
-	for client := range leavingClients {
+	for client := range count {
 		conn, err := net.Dial("tcp", s.addr)
 		require.NoError(s.t, err)
 		clients.Go(func() {
 			<-sendNow
-			time.Sleep(time.Duration(client) * clientInterval)
-			s.leaveAndComeBack(conn, client)
+			time.Sleep(time.Duration(client) * interval)
+			send(conn, []byte(writeRequests(client)))
+			time.Sleep(time.Duration(client%leavingSteps) * time.Millisecond)
+			conn.Close()
+			time.Sleep(minRepeatDelay + time.Duration(client)*time.Millisecond)
+			s.repeat(client)
 		})
 	}
 	time.Sleep(20 * time.Millisecond) // until the connections are accepted
@@ -51,15 +55,6 @@
 	clients.Wait()
 }
 
-// leaveAndComeBack sends a client's requests on a connection, closes it, and sends them on a new one.
-func (s *testEnvironment) leaveAndComeBack(conn net.Conn, client int) {
-	send(conn, []byte(writeRequests(client)))
-	time.Sleep(time.Duration(client%leavingSteps) * time.Millisecond)
-	conn.Close()
-	time.Sleep(minRepeatDelay + time.Duration(client)*time.Millisecond)
-	s.repeat(client)
-}
-
 // repeat sends a client's requests on a new connection and reads the responses.
 func (s *testEnvironment) repeat(client int) {
 	conn, err := net.Dial("tcp", s.addr)
@@ -90,11 +85,7 @@
 func TestRequestOfAClientThatLeftRunsOnce(t *testing.T) {
 	s := newTestEnvironment(t, 64, 1024)
 	p := s.startReady()
-	s.leaveAndRepeat(func() {})
-	ran, repeated := s.countRuns()
-	t.Logf("%d requests ran", ran)
-	assert.Greater(t, ran, leavingClients*pipelinedWrites/2)
-	assert.Zero(t, repeated)
+	s.testRunsOnce(func() {})
 	p.stop()
 }
 
@@ -103,23 +94,26 @@
 	s := newTestEnvironment(t, 64, 1024)
 	old := s.startReady()
 	var next *process
-	s.leaveAndRepeat(func() { next = s.startReady() })
-	ran, repeated := s.countRuns()
-	t.Logf("%d requests ran", ran)
-	assert.Greater(t, ran, leavingClients*pipelinedWrites/2)
-	assert.Zero(t, repeated)
+	s.testRunsOnce(func() { next = s.startReady() })
 	old.stop()
 	next.stop()
 }
 
+func (s *testEnvironment) testRunsOnce(connected func()) {
+	s.leaveAndRepeat(leavingClients, clientInterval, connected)
+	ran, repeated := s.countRuns()
+	s.t.Logf("%d requests ran", ran)
+	assert.Greater(s.t, ran, leavingClients*pipelinedWrites/2)
+	assert.Zero(s.t, repeated)
+}
+
 // Guards against sending what clients that have closed had sent ahead: nothing may begin over 0.1 s after the close,
 // although their connections wait for turns behind a flood.
 func TestNothingIsSentLongAfterAClose(t *testing.T) {
 	const clients, pipelined, allowed = 60, 60, 100 * time.Millisecond
 	s := newTestEnvironment(t, 64, 1024)
 	p := s.startReady()
-	flood := flood{connections: 6, act: func(conn net.Conn, _ int64) { sendEndlessly(conn, "", readinessRequest) }}
-	wait := flood.start(s.addr)
+	wait := pipelinedChecks.start(s.addr)
 	var connections []net.Conn
 	for client := range clients {
 		conn, err := net.Dial("tcp", s.addr)
--- a/internal/cli/proxycmd/soak_test.go
+++ b/internal/cli/proxycmd/soak_test.go
@@ -66,7 +66,7 @@
 	flood := play.pickFlood()
 	waitForFlood := flood.start(play.addr)
 	var leaving sync.WaitGroup
-	leaving.Go(func() { play.leave() })
+	leaving.Go(func() { play.leaveAndRepeat(soakLeaving, 10*clientInterval, func() {}) })
 	var events []string
 	for range soakEvents {
 		events = append(events, play.event())
@@ -148,19 +148,3 @@
 	}
 	p.stopped.Go(old.stop)
 }
-
-// leave makes clients send requests that must not run twice, leave, and send them again.
-func (p *soakPlay) leave() {
-	var clients sync.WaitGroup
-	for client := range soakLeaving {
-		conn, err := net.Dial("tcp", p.addr)
-		if !assert.NoError(p.t, err) {
-			return
-		}
-		clients.Go(func() {
-			time.Sleep(time.Duration(client) * 10 * clientInterval)
-			p.leaveAndComeBack(conn, client)
-		})
-	}
-	clients.Wait()
-}
