Turns: a wait for a turn ends with its connection

Cause: a goroutine reads on behind a stopped upload, so that no reset discards its response, until the connection closes 0.5 s later. Since it waits for a turn before each read, and went on waiting when the connection was closed. Change: the share of a connection is closed with it, which ends its waits and takes them out of the queue. Test: TestWaitForATurnEndsWithItsConnection; it needs the new call, so it was not seen red.

--- a/limits/turns.go
+++ b/limits/turns.go
@@ -76,13 +76,23 @@
 	share    *CoreShare
 	startTag float64
 	arrival  uint64
+	index    int // in the heap; -1: it does not wait any more
 }
 
-// Add makes a connection wait for a turn. It must not wait already.
-func (q *TurnQueue) Add(share *CoreShare, owner any) {
+// Add makes a connection wait for a turn.
+func (q *TurnQueue) Add(share *CoreShare, owner any) *TurnWaiter {
 	share.EndTurn()
 	q.arrivals++
-	heap.Push(&q.waiting, &TurnWaiter{owner, share, max(share.finishTag, q.now), q.arrivals})
+	waiter := &TurnWaiter{Owner: owner, share: share, startTag: max(share.finishTag, q.now), arrival: q.arrivals}
+	heap.Push(&q.waiting, waiter)
+	return waiter
+}
+
+// Remove ends the wait of a connection, if it has not had its turn.
+func (q *TurnQueue) Remove(waiter *TurnWaiter) {
+	if waiter.index >= 0 {
+		heap.Remove(&q.waiting, waiter.index)
+	}
 }
 
 // Len returns how many connections wait.
@@ -113,14 +123,22 @@
 	return h[i].arrival < h[j].arrival
 }
 
-func (h turnHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h turnHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
 
-func (h *turnHeap) Push(x any) { *h = append(*h, x.(*TurnWaiter)) }
+func (h *turnHeap) Push(x any) {
+	waiter := x.(*TurnWaiter)
+	waiter.index = len(*h)
+	*h = append(*h, waiter)
+}
 
 func (h *turnHeap) Pop() any {
 	old := *h
 	last := len(old) - 1
 	waiter := old[last]
+	waiter.index = -1
 	old[last] = nil
 	*h = old[:last]
 	return waiter
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -251,6 +251,7 @@
 // reset, and the client could lose a response that it has not read yet. Bytes received from here on are not parsed as
 // requests, since no response could follow.
 func (c *clientConn) closeGracefully() {
+	defer c.share.close()
 	defer c.conn.Close()
 	defer c.idleWait.Remove()
 	closeWriter, ok := c.conn.(interface{ CloseWrite() error })
--- a/proxy/turns.go
+++ b/proxy/turns.go
@@ -82,12 +82,17 @@
 	turns  *turnScheduler
 	share  limits.CoreShare
 	waited atomic.Bool // since the end of its last request the connection has waited over clientWatchDelay for a turn
+	closed chan struct{}
 }
 
 func newConnShare(turns *turnScheduler) *connShare {
-	return &connShare{turns: turns, share: limits.NewCoreShare(turns.now())}
+	return &connShare{turns: turns, share: limits.NewCoreShare(turns.now()), closed: make(chan struct{})}
 }
 
+// close ends all waits for a turn, now and later: the connection is closed, so a goroutine that still reads it ends at
+// once. It is called once.
+func (c *connShare) close() { close(c.closed) }
+
 // charge records work that the connection has caused.
 func (c *connShare) charge(work float64) {
 	c.turns.mu.Lock()
@@ -129,7 +134,7 @@
 // awaitTurnLocked waits for a turn. It unlocks the scheduler, which the caller has locked.
 func (c *connShare) awaitTurnLocked() {
 	turn := make(chan struct{})
-	c.turns.queue.Add(&c.share, turn)
+	waiter := c.turns.queue.Add(&c.share, turn)
 	c.turns.mu.Unlock()
 	c.turns.waits.Add(1)
 	began := c.turns.now()
@@ -137,7 +142,13 @@
 	case c.turns.signal <- struct{}{}:
 	default:
 	}
-	<-turn
+	select {
+	case <-turn:
+	case <-c.closed:
+		c.turns.mu.Lock()
+		c.turns.queue.Remove(waiter)
+		c.turns.mu.Unlock()
+	}
 	if seconds(c.turns.now()-began) > clientWatchDelay {
 		c.waited.Store(true)
 	}
--- a/proxy/turns_test.go
+++ b/proxy/turns_test.go
@@ -52,6 +52,24 @@
 	assert.Less(t, body.waited, 10*body.grace)
 }
 
+// Guards against goroutines that outlive their connections by their waits for turns, with the memory that they hold:
+// the rest of an upload that its server does not need is read until its connection closes.
+func TestWaitForATurnEndsWithItsConnection(t *testing.T) {
+	turns := newTurns()
+	share := newConnShare(turns)
+	share.charge(1)
+	ended := make(chan struct{})
+	go func() {
+		share.awaitTurn()
+		share.awaitTurn() // also one that begins later
+		close(ended)
+	}()
+	turns.waitForWaiters(t, 1)
+	share.close()
+	<-ended
+	assert.Zero(t, turns.queue.Len())
+}
+
 // Guards against a response that waits for the turn of the read that watches its connection.
 func TestWatchOfAConnectionDoesNotWaitForATurn(t *testing.T) {
 	turns := newTurns()
