Log: whether the list names a disabled server, and how many pools use it

Each change of a server's admin state is now logged with whether the list names the server and how many pools' balancers have it.

--- a/proxy/admin.go
+++ b/proxy/admin.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 
+	"github.com/sirupsen/logrus"
+
 	"lockloom/balance"
 	"lockloom/internal/admin"
 	"lockloom/internal/discovery"
@@ -58,6 +60,7 @@
 		if previous.Servers[id] == state.Servers[id] {
 			continue
 		}
+		p.logServerSwitch(id, state.Servers[id].On)
 		index, ok := p.registry.Find(id)
 		if !ok {
 			continue
@@ -78,6 +81,22 @@
 	}
 }
 
+// logServerSwitch logs that a server was disabled or enabled, whether the list names it, and how many pools' balancers
+// have it: a server that the list does not name may still be in use.
+func (p *Proxy) logServerSwitch(id string, disabled bool) {
+	listed, pools := false, 0
+	if index, ok := p.registry.Find(id); ok {
+		_, listed = p.endpoints.known[index]
+		pools = p.pools.using(index)
+	}
+	p.log.WithFields(logrus.Fields{
+		"server":   id,
+		"disabled": disabled,
+		"listed":   listed,
+		"pools":    pools,
+	}).Info("server disabled or enabled")
+}
+
 // updateStaticPools updates every pool with configured servers that has the server with the given index.
 func (p *Proxy) updateStaticPools(index int) {
 	hasIndex := func(endpoint balance.Endpoint) bool { return endpoint.Index == index }
--- a/proxy/pools.go
+++ b/proxy/pools.go
@@ -137,6 +137,16 @@
 	return slices.ContainsFunc(s.all, func(pool *serverPool) bool { return pool.decisions.HasEndpoint(index) })
 }
 
+// using returns the number of pools whose balancers may name a server in their actions.
+func (s *poolSet) using(index int) (pools int) {
+	for _, pool := range s.all {
+		if pool.decisions.HasEndpoint(index) {
+			pools++
+		}
+	}
+	return pools
+}
+
 // hasStatic reports whether any pool has the server with this index among its servers from the operator file.
 func (s *poolSet) hasStatic(index int) bool {
 	hasIndex := func(endpoint balance.Endpoint) bool { return endpoint.Index == index }
