Admin: a disabled server that the list does not name gets nothing either

Where removal is advisory, a server that the list has dropped is used as long as it answers.

Cause: a disabled server is a fact of the admin state, kept by name, but it reached the balancers and the check before an attempt's first byte only with an entry of the endpoint list. The list had no entry any more. The balancer had the server, the list did not.

The pools that have an unlisted server are told when it is disabled, and drop it.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -19,6 +19,7 @@
 	errTooLate       = errors.New("send-by time of the request would pass before it reaches the server")
 	errReplaced      = errors.New("another process has the address of the server, or the server has another address")
 	errDraining      = errors.New("the server is draining")
+	errStopped       = errors.New("the server is disabled")
 	errBodyBrokenOff = errors.New("the client has not sent the whole body")
 	errUploadClaimed = errors.New("another attempt sends the request body")
 	errEarlyResponse = errors.New("response received before the request was written")
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -26,6 +26,7 @@
 	MaxConnections int                    // limit for all servers together, including connections being opened
 	ReserveMemory  func(bytes int64) bool // reserves memory for a response; called from any goroutine; nil: no limit
 	ReleaseMemory  func(bytes int64)      // releases it; called from any goroutine; nil: no limit
+	IsStopped      func(name string) bool // see isStopped; called from any goroutine; nil: no server is stopped
 	Counters
 
 	dial    func(ctx context.Context, addr string) (net.Conn, error)
@@ -47,6 +48,7 @@
 
 // server is the address of one server and the connections to it.
 type server struct {
+	name          string // set once, before the first connection
 	addr          string
 	startedAt     float64       // start time of the server's process
 	generation    int           // incremented by CloseIdle; connections of an earlier generation are not reused
@@ -65,13 +67,17 @@
 	return &Pool{dial: dial, post: post}
 }
 
-// SetEndpoint sets the address and the start time of a server. If either has changed, idle connections are closed, and
-// no request that is not written yet is written to a connection that was opened, or is being opened, before.
-func (p *Pool) SetEndpoint(index int, addr string, started float64) {
+// SetEndpoint sets the address and the start time of the server with a name. If either has changed, idle connections
+// are closed, and no request that is not written yet is written to a connection that was opened, or is being opened,
+// before.
+func (p *Pool) SetEndpoint(index int, name, addr string, started float64) {
 	for len(p.servers) <= index {
 		p.servers = append(p.servers, &server{})
 	}
 	s := p.servers[index]
+	if s.name == "" {
+		s.name = name
+	}
 	if s.addr != addr || s.startedAt != started {
 		s.addr = addr
 		s.startedAt = started
@@ -111,6 +117,10 @@
 	return stopSendingAt != 0 && time.Now().UnixNano() > stopSendingAt
 }
 
+// isStopped reports whether nothing may be written to a server any more for a reason that goes by the server's name,
+// whatever StopSendingAt has set. It is called before each write and safe for concurrent use.
+func (p *Pool) isStopped(s *server) bool { return p.IsStopped != nil && p.IsStopped(s.name) }
+
 // Remove removes a server. Its index may be reused; connections in use are closed when their exchange ends.
 func (p *Pool) Remove(index int) {
 	p.CloseIdle(index)
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -56,8 +56,8 @@
 	p.ConnectTimeout = 75 * time.Millisecond
 	p.IdleTimeout = 4 * time.Second
 	p.MaxConnections = 2
-	p.SetEndpoint(0, "one:1", 0)
-	p.SetEndpoint(1, "two:1", 0)
+	p.SetEndpoint(0, "one", "one:1", 0)
+	p.SetEndpoint(1, "two", "two:1", 0)
 	return p
 }
 
@@ -131,9 +131,9 @@
 			func(p *testPool, conn net.Conn) { conn.Close(); p.runUntilIdle() }, reopened},
 		{"closed by the server, owner unaware", func(_ *testPool, conn net.Conn) { conn.Close(); synctest.Wait() }, reopened},
 		{"response to no request", func(_ *testPool, conn net.Conn) { respond(conn, okResponse[:1]) }, reopened},
-		{"server restarted", func(p *testPool, _ net.Conn) { p.SetEndpoint(0, "one:1", 7) }, reopened},
-		{"server moved", func(p *testPool, _ net.Conn) { p.SetEndpoint(0, "one:2", 0) }, []string{"one:1", "one:2"}},
-		{"server listed again", func(p *testPool, _ net.Conn) { p.SetEndpoint(0, "one:1", 0) }, reused},
+		{"server restarted", func(p *testPool, _ net.Conn) { p.SetEndpoint(0, "one", "one:1", 7) }, reopened},
+		{"server moved", func(p *testPool, _ net.Conn) { p.SetEndpoint(0, "one", "one:2", 0) }, []string{"one:1", "one:2"}},
+		{"server listed again", func(p *testPool, _ net.Conn) { p.SetEndpoint(0, "one", "one:1", 0) }, reused},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			p := newTestPool()
@@ -170,7 +170,7 @@
 		_, got := p.attempt(0)
 		serverConn := <-p.serverConns
 		readRequest(t, serverConn)
-		p.SetEndpoint(0, "one:2", 0)
+		p.SetEndpoint(0, "one", "one:2", 0)
 		respond(serverConn, okResponse)
 		p.runUntilIdle()
 		assert.Equal(t, balance.Succeeded, (*got)[0].Outcome)
@@ -255,7 +255,7 @@
 	limit := func(r *reuseTest) { r.MaxConnections = 1 }
 	cancel := func(r *reuseTest) { r.Cancel(r.ex) }
 	cancelUnwritten := func(r *reuseTest) { r.CancelUnwritten(r.ex) }
-	move := func(r *reuseTest) { r.SetEndpoint(0, "one:2", 0) }
+	move := func(r *reuseTest) { r.SetEndpoint(0, "one", "one:2", 0) }
 	remove := func(r *reuseTest) { r.Remove(0) }
 	delayIs := func(want time.Duration) step { // checks the server's delay, also on another connection
 		return func(r *reuseTest) {
@@ -344,7 +344,7 @@
 				}
 				assert.LessOrEqual(t, r.Total(), r.MaxConnections)
 				assert.Equal(t, []int{c.unsolicited, c.unsolicited}, []int{r.Unsolicited, r.UnsolicitedFrom(0)})
-				r.SetEndpoint(0, "one:1", 1)
+				r.SetEndpoint(0, "one", "one:1", 1)
 				assert.Equal(t, delay, r.reuseDelay(r.servers[0]), "the server has restarted")
 				r.Close()
 				r.runUntilIdle()
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -58,6 +58,8 @@
 		return errTooLate
 	case c.server.sendingStopped():
 		return errDraining
+	case c.pool.isStopped(c.server):
+		return errStopped
 	case c.process != c.server.process.Load():
 		return errReplaced
 	case ex.ClientGone != nil && ex.ClientGone():
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -68,7 +68,7 @@
 		}
 		posted := make(chan func(), 2)
 		p := New(nil, func(f func()) { posted <- f })
-		p.SetEndpoint(0, "one:1", 0)
+		p.SetEndpoint(0, "one", "one:1", 0)
 		var got []Result
 		ex := &Exchange{
 			Head:     []byte("GET"),
@@ -111,11 +111,13 @@
 		{"client has gone", func(_ *Pool, ex *Exchange) { ex.ClientGone = func() bool { return true } }, false},
 		{"client is connected", func(_ *Pool, ex *Exchange) { ex.ClientGone = func() bool { return false } }, true},
 		{"server is draining", func(p *Pool, ex *Exchange) { p.StopSendingAt(0, time.Now().Add(-1)) }, false},
+		{"server is disabled", func(p *Pool, ex *Exchange) { p.IsStopped = isName("one") }, false},
+		{"another server is disabled", func(p *Pool, ex *Exchange) { p.IsStopped = isName("two") }, true},
 	} {
 		clientConn, serverConn := net.Pipe()
 		posted := make(chan func(), 3)
 		p := New(nil, func(f func()) { posted <- f })
-		p.SetEndpoint(0, "one:1", 0)
+		p.SetEndpoint(0, "one", "one:1", 0)
 		var got []Result
 		ex := &Exchange{
 			Head:     []byte("GET"),
@@ -160,6 +162,11 @@
 	assert.False(t, ex.canceled, "an exchange that is being written is not canceled")
 }
 
+// isName returns a function that reports whether its argument is a name.
+func isName(name string) func(string) bool {
+	return func(other string) bool { return other == name }
+}
+
 // Guards against parsing bytes as the response to a request that was written only after the server had sent them, if
 // the reader took them from the system just before the writer checked for unread bytes.
 func TestBytesReceivedBeforeRequestIsWritten(t *testing.T) {
@@ -175,7 +182,7 @@
 	p.IdleTimeout = time.Minute
 	p.MaxConnections = 2
 	p.ReserveMemory = func(int64) bool { return true }
-	p.SetEndpoint(0, ln.Addr().String(), 0)
+	p.SetEndpoint(0, "one", ln.Addr().String(), 0)
 	times := 0
 	p.onBytes = func() {
 		if times++; times == 2 { // the reader has the second response, but has not parsed it
--- a/lifecycle/adminstate.go
+++ b/lifecycle/adminstate.go
@@ -73,6 +73,12 @@
 	}
 }
 
+// DisabledSince returns when a server was disabled, in seconds since 1970, and whether it is disabled.
+func (a *AdminState) DisabledSince(id string) (since float64, disabled bool) {
+	s := a.Servers[id]
+	return s.Since, s.On
+}
+
 // Disabled reports whether a server is disabled, and the start time that the load balancing must assume for it. The
 // start time in the endpoint list is startedAt, in seconds since 1970; 0 means long ago.
 //
--- a/proxy/admin.go
+++ b/proxy/admin.go
@@ -56,6 +56,7 @@
 	previous := p.endpoints.adminState
 	p.endpoints.adminState = state
 	var changed List
+	var unlisted []int // indexes of servers that balancers have, though the list does not name them
 	for _, id := range slices.Sorted(maps.Keys(state.Servers)) {
 		if previous.Servers[id] == state.Servers[id] {
 			continue
@@ -65,14 +66,20 @@
 		if !ok {
 			continue
 		}
+		if state.Servers[id].On {
+			p.upstream.CloseIdle(index)
+		}
 		if entry, ok := p.endpoints.known[index]; ok {
 			changed.Entries = append(changed.Entries, entry)
+		} else if !p.endpoints.static[index] {
+			unlisted = append(unlisted, index)
 		}
 		p.updateStaticPools(index)
 	}
 	if previous.Drain.On != state.Drain.On {
 		p.log.WithField("drained", state.Drain.On).Info("drain")
 	}
+	p.stopUsingDisabled(unlisted)
 	if len(changed.Entries) > 0 {
 		changed.Version = p.endpoints.version
 		p.applyEndpointList(changed, false)
@@ -107,30 +114,23 @@
 	}
 }
 
-// withAdminState returns an entry of the endpoint list with the admin state applied, and the time at which its server
-// was disabled, in seconds since 1970 (0 if it is enabled).
-func (p *Proxy) withAdminState(entry discovery.Entry) (discovery.Entry, float64) {
-	state := &p.endpoints.adminState
-	disabled, startedAt := state.Disabled(entry.Name, entry.StartedAt)
+// withAdminState returns an entry of the endpoint list with the admin state applied: a disabled server drains.
+func (p *Proxy) withAdminState(entry discovery.Entry) discovery.Entry {
+	disabled, startedAt := p.endpoints.adminState.Disabled(entry.Name, entry.StartedAt)
 	entry.StartedAt = startedAt
-	if !disabled {
-		return entry, 0
-	}
-	if entry.State == balance.Ready {
+	if disabled && entry.State == balance.Ready {
 		entry.State = balance.Draining
 	}
-	return entry, state.Servers[entry.Name].Since
+	return entry
 }
 
-// staticWithAdminState returns configured servers of a pool with the admin state applied, and calls applyEndpointState
-// for each.
+// staticWithAdminState returns configured servers of a pool with the admin state applied.
 func (p *Proxy) staticWithAdminState(endpoints []balance.Endpoint) []balance.Endpoint {
 	out := slices.Clone(endpoints)
 	for i := range out {
 		endpoint := &out[i]
-		entry, disabledSince := p.withAdminState(p.staticEntry(endpoint))
+		entry := p.withAdminState(p.staticEntry(endpoint))
 		endpoint.State, endpoint.StartedAt = entry.State, entry.StartedAt
-		p.applyEndpointState(endpoint.Index, endpoint.State, p.now(), disabledSince)
 	}
 	return out
 }
--- a/proxy/admin_test.go
+++ b/proxy/admin_test.go
@@ -46,8 +46,7 @@
 // startedAtOf returns when a server counts as started, in seconds since 1970.
 func (env *testEnv) startedAtOf(id string) float64 {
 	index, _ := env.registry.Find(id)
-	entry, _ := env.withAdminState(env.endpoints.known[index])
-	return entry.StartedAt
+	return env.withAdminState(env.endpoints.known[index]).StartedAt
 }
 
 // A drained proxy fails its readiness check at once, serves until the load balancer in front has noticed, then closes
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -34,9 +34,10 @@
 // because there is no connection or sending would break a rule, ends with the outcome NotSent.
 func (p *Proxy) startAttempt(req *request, server int, deadline float64) {
 	now := p.now()
-	allowed := p.mayStartAttempt(req, server, now)
+	name := p.registry.Name(server)
+	allowed := p.mayStartAttempt(req, server, now) && !p.disabledPastGrace(name)
 	sendBy := p.sendBy(req)
-	att := &attempt{number: len(req.attempts), server: p.registry.Name(server), sentAt: now}
+	att := &attempt{number: len(req.attempts), server: name, sentAt: now}
 	req.attempts = append(req.attempts, att)
 	p.counters.Attempts++
 	p.prepareExchange(req, att, deadline, sendBy)
--- a/proxy/endpoints.go
+++ b/proxy/endpoints.go
@@ -18,7 +18,7 @@
 	received      bool                    // a list was applied
 	known         map[int]discovery.Entry // the listed servers, by index, as discovery sent them
 	static        map[int]bool            // indexes of servers from the operator file: no list removes them
-	stopSendAt    []float64               // drain start by index: nothing is sent after its grace; +Inf: none
+	stopSendAt    []float64               // drain start by index, by the list: nothing is sent after its grace; +Inf: none
 	adminState    lifecycle.AdminState    // admin state that was last applied to the list
 	firstReceived chan struct{}           // closed, by markReceived, when discovery has sent a list
 	markReceived  func()
@@ -95,13 +95,14 @@
 	endpoints := make([]balance.Endpoint, len(entries))
 	for i := range entries {
 		p.process.addKnownID(entries[i].Name)
-		entry, disabledSince := p.withAdminState(entries[i])
+		listedState := entries[i].State
+		entry := p.withAdminState(entries[i])
 		endpoint := p.registry.Endpoint(entry.Entry)
 		entries[i], endpoints[i] = entry, endpoint
 		if endpoint.State != balance.Removed || !p.pools.inUse(endpoint.Index) {
-			p.upstream.SetEndpoint(endpoint.Index, entry.Addr, endpoint.StartedAt)
+			p.upstream.SetEndpoint(endpoint.Index, entry.Name, entry.Addr, endpoint.StartedAt)
 		}
-		p.applyEndpointState(endpoint.Index, endpoint.State, since, disabledSince)
+		p.applyEndpointState(endpoint.Index, listedState, since)
 	}
 	return endpoints
 }
@@ -115,7 +116,7 @@
 	}
 	for index := range p.endpoints.known {
 		if !isListed[index] && !p.endpoints.static[index] {
-			p.applyEndpointState(index, balance.Removed, since, 0)
+			p.applyEndpointState(index, balance.Removed, since)
 		}
 	}
 }
@@ -137,17 +138,15 @@
 	p.registry.Forget(index)
 }
 
-// applyEndpointState sets when sending to a server stops, and closes its idle connections if it stops. Its state counts
-// as received at since; disabledSince is when it was disabled (0: it is enabled). A disabled server drains whatever its
-// state. Times are in seconds since 1970.
-func (p *Proxy) applyEndpointState(index int, state balance.EndpointState, since, disabledSince float64) {
+// applyEndpointState sets when sending to a server stops by the state that the list has of it, and closes its idle
+// connections if it stops. The state counts as received at since, in seconds since 1970. Whether the server is disabled
+// is no matter of the list, see disabledServers.
+func (p *Proxy) applyEndpointState(index int, state balance.EndpointState, since float64) {
 	list := &p.endpoints
 	for len(list.stopSendAt) <= index {
 		list.stopSendAt = append(list.stopSendAt, math.Inf(1))
 	}
 	switch {
-	case disabledSince > 0: // the owner may apply an admin call some time after it was made
-		since = disabledSince
 	case state == balance.Ready:
 		list.stopSendAt[index] = math.Inf(1)
 		p.upstream.StopSendingAt(index, time.Time{})
--- a/proxy/estimates.go
+++ b/proxy/estimates.go
@@ -94,13 +94,13 @@
 			endpoint := &pool.staticEndpoints[i]
 			entry := p.staticEntry(endpoint)
 			entry.Addr = strings.TrimPrefix(entry.Name, pool.name+"/")
-			entry, _ = p.withAdminState(entry)
+			entry = p.withAdminState(entry)
 			observation.Servers = append(observation.Servers, serverEstimate(&entry, statuses[endpoint.Index]))
 		}
 		return observation
 	}
 	for _, index := range p.endpoints.sortedIndexes() {
-		if entry, _ := p.withAdminState(p.endpoints.known[index]); pool.accepts == nil || pool.accepts(&entry) {
+		if entry := p.withAdminState(p.endpoints.known[index]); pool.accepts == nil || pool.accepts(&entry) {
 			observation.Servers = append(observation.Servers, serverEstimate(&entry, statuses[index]))
 		}
 	}
--- a/proxy/healthcheck.go
+++ b/proxy/healthcheck.go
@@ -15,13 +15,13 @@
 	loadReportField    = "X-Load" // response header field: name:value pairs, separated by commas
 )
 
-// healthCheck requests the load report of a server and passes the result to the balancer. A server that drains or is
-// gone is not checked.
+// healthCheck requests the load report of a server and passes the result to the balancer. A server that drains, is
+// disabled or is gone is not checked.
 func (p *Proxy) healthCheck(pool *serverPool, server int) {
-	if p.now() > p.endpoints.stopSendAt[server] {
+	name := p.registry.Name(server)
+	if p.now() > p.endpoints.stopSendAt[server] || p.isDisabled(name) {
 		return
 	}
-	name := p.registry.Name(server)
 	exchange := &upstream.Exchange{
 		Head:        []byte(healthCheckHead),
 		Passthrough: true,
--- a/proxy/hotrestart.go
+++ b/proxy/hotrestart.go
@@ -285,9 +285,10 @@
 	_ = ln.SetDeadline(deadline)
 }
 
-// notifyAdminChange makes the owner apply the admin state, and sends it to all other processes of this proxy except
-// one. The caller holds the lock.
+// notifyAdminChange puts the admin state in force, makes the owner apply it, and sends it to all other processes of
+// this proxy except one. The caller holds the lock.
 func (s *processState) notifyAdminChange(except *hotrestart.Link) {
+	s.disabled.store(&s.lifecycle.AdminState)
 	select {
 	case s.adminChanged <- struct{}{}:
 	default:
--- a/proxy/lifecycle.go
+++ b/proxy/lifecycle.go
@@ -25,6 +25,7 @@
 	lifecycle    lifecycle.Process
 	ids          *lifecycle.IDSet // ids of servers that were ever listed
 	adminChanged chan struct{}    // holds a value while the owner has not applied the admin state
+	disabled     disabledServers  // by the admin state of lifecycle; read without the lock
 	hotRestart
 }
 
--- a/proxy/operatorconfig.go
+++ b/proxy/operatorconfig.go
@@ -268,8 +268,8 @@
 		name := pool.name + "/" + addr
 		entry := settings.Entry{Name: name, ModelName: pool.name, Endpoint: balance.Endpoint{Pod: i}}
 		endpoint := p.registry.Endpoint(entry)
-		p.upstream.SetEndpoint(endpoint.Index, addr, 0)
-		p.applyEndpointState(endpoint.Index, balance.Ready, p.now(), 0)
+		p.upstream.SetEndpoint(endpoint.Index, name, addr, 0)
+		p.applyEndpointState(endpoint.Index, balance.Ready, p.now())
 		p.endpoints.static[endpoint.Index] = true
 		p.process.addKnownID(name)
 		endpoints = append(endpoints, endpoint)
--- a/proxy/outcome_test.go
+++ b/proxy/outcome_test.go
@@ -136,8 +136,8 @@
 			return ours, nil
 		}
 		endpoint := env.registry.Endpoint(listEntry("b1", balance.Ready).Entry)
-		env.upstream.SetEndpoint(endpoint.Index, "b1", 0)
-		env.applyEndpointState(endpoint.Index, balance.Ready, env.now(), 0)
+		env.upstream.SetEndpoint(endpoint.Index, "b1", "b1", 0)
+		env.applyEndpointState(endpoint.Index, balance.Ready, env.now())
 		req := &request{pool: env.pools.platform, class: &env.bootstrap.Classes[0], response: make(chan response),
 			deadline: env.now() + 1, requestState: requestState{handle: &recordingHandle{}}}
 		env.requests.byRef = append(env.requests.byRef, req)
--- a/proxy/pools.go
+++ b/proxy/pools.go
@@ -194,7 +194,7 @@
 	list := List{Full: true}
 	var endpoints []balance.Endpoint
 	for _, index := range p.endpoints.sortedIndexes() {
-		entry, _ := p.withAdminState(p.endpoints.known[index])
+		entry := p.withAdminState(p.endpoints.known[index])
 		list.Entries = append(list.Entries, entry)
 		endpoints = append(endpoints, p.registry.Endpoint(entry.Entry))
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -159,6 +159,7 @@
 	pool := upstream.New(dialNow, p.post)
 	pool.MaxConnections, pool.ReserveMemory = p.maxServerConns, p.memory.reserveForResponse
 	pool.ReleaseMemory = p.memory.release
+	pool.IsStopped = p.disabledPastGrace
 	pool.ConnectTimeout, pool.IdleTimeout = defaultConnectTimeout, defaultServerIdleTimeout
 	pool.ReuseDelay = serverReuseDelay
 	if timeout := p.bootstrap.ConnectTimeout; timeout > 0 {
--- a/proxy/replacedserver.go
+++ b/proxy/replacedserver.go
@@ -11,17 +11,22 @@
 // would keep the old one in use.
 func (p *Proxy) dropReplaced(list *List, since float64) {
 	for _, index := range p.replacedServers(list) {
-		p.applyEndpointState(index, balance.Draining, since, 0)
+		p.applyEndpointState(index, balance.Draining, since)
 		p.upstream.StopSendingAt(index, p.fromUnixSeconds(p.now()))
-		for _, pool := range p.pools.all {
-			if pool.decisions.HasEndpoint(index) {
-				p.removeDrained(pool, index)
-			}
-		}
+		p.dropFromPools(index)
 		delete(p.endpoints.known, index)
 	}
 }
 
+// dropFromPools removes a server from all pools whether or not removal is advisory.
+func (p *Proxy) dropFromPools(index int) {
+	for _, pool := range p.pools.all {
+		if pool.decisions.HasEndpoint(index) {
+			p.removeDrained(pool, index)
+		}
+	}
+}
+
 // removeDrained removes a server from a pool whether or not removal is advisory: a server that has drained is not used.
 func (p *Proxy) removeDrained(pool *serverPool, index int) {
 	endpoint := balance.Endpoint{Index: index, NameHash: settings.NameHash(p.registry.Name(index))}
