Pools: a server that the list moves to another kind or zone leaves its pool

Callers would see: an operator's pool of some kinds or zones goes on sending to a server whose kind or zone a change of the list has replaced, and to a removed one whose last entry has no kind.

Change: a pool drops a server whose entry belongs to it no more; an entry that removes a server goes to every pool that has the server.

--- a/proxy/pools.go
+++ b/proxy/pools.go
@@ -164,20 +164,36 @@
 		}
 		return
 	}
-	own := endpoints
-	if pool.accepts != nil {
-		own = nil
-		for i := range endpoints {
-			if pool.accepts(&list.Entries[i]) {
-				own = append(own, endpoints[i])
-			}
-		}
+	own, moved := pool.ownEndpoints(list.Entries, endpoints)
+	for _, index := range moved {
+		p.removeDrained(pool, index)
 	}
 	p.decide(pool, func(now float64) *balance.Actions {
 		return pool.decisions.EndpointsUpdated(now, list.Full, first, own)
 	})
 }
 
+// ownEndpoints returns the entries of a list that belong to the pool, and the indexes of the servers that the pool has,
+// but whose entries belong to it no more: no later entry would tell its balancer of a drain. An entry that removes a
+// server belongs to every pool that has the server. endpoints are the entries, converted for the balancers.
+func (pool *serverPool) ownEndpoints(entries []discovery.Entry, endpoints []balance.Endpoint) (
+	own []balance.Endpoint, moved []int,
+) {
+	if pool.accepts == nil {
+		return endpoints, nil
+	}
+	for i := range endpoints {
+		has := pool.decisions.HasEndpoint(endpoints[i].Index)
+		switch {
+		case pool.accepts(&entries[i]), has && endpoints[i].State == balance.Removed:
+			own = append(own, endpoints[i])
+		case has:
+			moved = append(moved, endpoints[i].Index)
+		}
+	}
+	return own, moved
+}
+
 // updateStaticPool passes a pool's configured servers, with the admin state applied, to its balancer.
 func (p *Proxy) updateStaticPool(pool *serverPool) {
 	p.decide(pool, func(now float64) *balance.Actions {
--- a/proxy/pools_test.go
+++ b/proxy/pools_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"net"
 	"slices"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lockloom/internal/config"
+	"lockloom/internal/discovery"
 )
 
 // A backup serves once its pool has had no admitted server for the configured time, and until the pool has had one
@@ -139,3 +141,49 @@
 		env.stopAndWait()
 	})
 }
+
+// Guards against a pool that goes on using a server which the list has moved to another kind: neither a drain nor an
+// admin call reached the pool's balancer any more, since the server's entry no longer belongs to the pool.
+func TestPoolDropsServersThatTheListMovesToAnother(t *testing.T) {
+	entry := func(kind, state string) string {
+		return fmt.Sprintf(`{"id":"b1","addr":"b1:1","kind":%q,"state":%q}`, kind, state)
+	}
+	change := func(servers ...string) string {
+		return fmt.Sprintf(`{"version":9,"full":false,"servers":[%s]}`, strings.Join(servers, ","))
+	}
+	for _, c := range []struct {
+		name     string
+		lists    []string
+		advisory bool
+		used     bool // the server is still used by the pool
+	}{
+		{"by a change", []string{change(entry("old", "active"))}, false, false},
+		{"by a change, advisory", []string{change(entry("old", "active"))}, true, false},
+		{"and it drains", []string{change(entry("old", "active")), change(entry("old", "leaving"))}, true, false},
+		{"as it drains", []string{change(entry("old", "leaving"))}, true, false},
+		{"removed, by an entry of another kind", []string{change(entry("old", "left"))}, false, false},
+		{"removed, by an entry of another kind, advisory", []string{change(entry("old", "left"))}, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				behaviors := map[string][]string{"b1": {okResponse}, "b1:1": {okResponse}, "b2": {okResponse}}
+				env := newEnv(t, behaviors, func(cfg *BootstrapConfig) { cfg.RemovalIsAdvisory = c.advisory })
+				env.pools.platform.accepts = func(entry *discovery.Entry) bool { return entry.ModelName != "old" }
+				env.start()
+				env.updateList(change(entry("blue", "active")))
+				env.sendRequests(20)
+				assert.Positive(t, env.requestsByServer()["b1"])
+				for _, list := range c.lists {
+					env.updateList(list)
+				}
+				env.sendRequests(20)
+				assert.Equal(t, c.used, env.requestsByServer()["b1"] > 0)
+				env.updateList(change(entry("blue", "active")))
+				time.Sleep(2 * time.Second) // until slow start is over
+				env.sendRequests(20)
+				assert.Positive(t, env.requestsByServer()["b1"], "it belongs to the pool again")
+				env.stopAndWait()
+			})
+		})
+	}
+}
