Admin: a server that is enabled while the list does not name it is tried again

Callers would see: where removal is advisory, a server that the list has dropped is used as long as it answers.

Change: the entries of servers that the list dropped without draining them are kept while they are in use or disabled. One that the list has drained, or whose address the list has given to another, is not tried. A process that takes over in an upgrade knows listed servers only, as before.

--- a/internal/cli/proxycmd/disabled_test.go
+++ b/internal/cli/proxycmd/disabled_test.go
@@ -172,6 +172,19 @@
 	return count() - before
 }
 
+// checkedStep makes a step and checks that "b1" receives nothing while it is disabled.
+func (d *disabledTest) checkedStep(name string) {
+	wasOff := d.isOff
+	d.step(name)
+	if !d.isOff {
+		return
+	}
+	if !wasOff {
+		time.Sleep(drainGrace + graceMargin)
+	}
+	assert.Zero(d.t, d.requestsTo("b1"), "disabled, after %q", name)
+}
+
 // Guards against requests to a server that an operator has disabled while the list does not name it, over real
 // connections and through upgrades: at either process, called before, while and after they run side by side.
 func TestDisabledServerGetsNothingThroughUpgrades(t *testing.T) {
@@ -203,14 +216,7 @@
 			defer clients.stopAll()
 			assert.Positive(t, d.requestsTo("b1"), "it is in use")
 			for _, step := range c.steps {
-				wasOff := d.isOff
-				d.step(step)
-				if d.isOff {
-					if !wasOff {
-						time.Sleep(drainGrace + graceMargin)
-					}
-					assert.Zero(t, d.requestsTo("b1"), "disabled, after %q", step)
-				}
+				d.checkedStep(step)
 			}
 			assert.Positive(t, d.requestsTo("b2"), "the other one is in use")
 			d.step("listed")
@@ -220,3 +226,28 @@
 		})
 	}
 }
+
+// Guards against a server that stays unused once it is enabled, since the list does not name it, though it was in use
+// before it was disabled; over real connections.
+func TestEnabledServerThatIsNotListedIsUsedAgain(t *testing.T) {
+	for _, steps := range [][]string{
+		{"removed", "disabled at the oldest", "enabled"},
+		{"disabled at the oldest", "left out", "enabled"},
+	} {
+		t.Run(strings.Join(steps, ", "), func(t *testing.T) {
+			t.Parallel()
+			s := newTestEnvironment(t, 64, 1024)
+			s.adviseRemoval()
+			d := &disabledTest{testEnvironment: s, discovery: s.startDiscovery()}
+			d.processes = []*process{s.startReady()}
+			clients := s.startClients(2, 2)
+			defer clients.stopAll()
+			assert.Positive(t, d.requestsTo("b1"), "it is in use")
+			for _, step := range steps {
+				d.checkedStep(step)
+			}
+			time.Sleep(2 * time.Second)
+			assert.Positive(t, d.requestsTo("b1"), "it is in use again")
+		})
+	}
+}
--- a/proxy/admin.go
+++ b/proxy/admin.go
@@ -56,30 +56,30 @@
 	previous := p.endpoints.adminState
 	p.endpoints.adminState = state
 	var changed List
-	var unlisted []int // indexes of servers that balancers have, though the list does not name them
+	var unlisted []string // names of changed servers that the list does not have
 	for _, id := range slices.Sorted(maps.Keys(state.Servers)) {
 		if previous.Servers[id] == state.Servers[id] {
 			continue
 		}
 		p.logServerSwitch(id, state.Servers[id].On)
 		index, ok := p.registry.Find(id)
-		if !ok {
-			continue
-		}
-		if state.Servers[id].On {
+		if ok && state.Servers[id].On {
 			p.upstream.CloseIdle(index)
 		}
-		if entry, ok := p.endpoints.known[index]; ok {
+		entry, listed := p.endpoints.known[index]
+		switch {
+		case ok && listed:
 			changed.Entries = append(changed.Entries, entry)
-		} else if !p.endpoints.static[index] {
-			unlisted = append(unlisted, index)
+		case ok && p.endpoints.static[index]:
+			p.updateStaticPools(index)
+		default:
+			unlisted = append(unlisted, id)
 		}
-		p.updateStaticPools(index)
 	}
 	if previous.Drain.On != state.Drain.On {
 		p.log.WithField("drained", state.Drain.On).Info("drain")
 	}
-	p.stopUsingDisabled(unlisted)
+	p.applyAdminStateToUnlisted(unlisted)
 	if len(changed.Entries) > 0 {
 		changed.Version = p.endpoints.version
 		p.applyEndpointList(changed, false)
--- a/proxy/disabled.go
+++ b/proxy/disabled.go
@@ -47,17 +47,3 @@
 	since, disabled := p.process.disabled.get(name)
 	return disabled && p.now() > since+p.bootstrap.DrainGrace
 }
-
-// stopUsingDisabled makes all pools drop those of the given servers that are disabled. The list does not name them, so
-// that no entry of it tells the balancers.
-func (p *Proxy) stopUsingDisabled(indexes []int) {
-	if len(indexes) == 0 {
-		return
-	}
-	for _, index := range indexes {
-		if _, disabled := p.endpoints.adminState.DisabledSince(p.registry.Name(index)); disabled {
-			p.dropFromPools(index)
-		}
-	}
-	p.forgetUnused()
-}
--- a/proxy/disabled_test.go
+++ b/proxy/disabled_test.go
@@ -271,6 +271,16 @@
 		{"listed again while it was disabled", []string{"left", "disable", "active", "enable"}, true},
 		{"listed again once it was enabled", []string{"left", "disable", "pause", "enable", "pause", "active"}, true},
 		{"enabled twice", []string{"disable", "enable", "enable"}, true},
+		{"removed before", []string{"left", "disable", "enable"}, true},
+		{"left out before", []string{"full without b1", "disable", "enable"}, true},
+		{"removed while it was disabled", []string{"disable", "left", "pause", "enable"}, true},
+		{"left out while it was disabled", []string{"disable", "full without b1", "pause", "enable"}, true},
+		{"left out again while it was disabled", []string{"left", "disable", "pause", "full without b1", "enable"}, true},
+		{"disabled twice, enabled once", []string{"left", "disable", "disable", "enable"}, true},
+		{"enabled, disabled, enabled", []string{"left", "disable", "enable", "disable", "enable"}, true},
+		{"unlisted, enabled twice", []string{"left", "disable", "enable", "enable"}, true},
+		{"listed, drained and removed while it was disabled",
+			[]string{"left", "disable", "active", "leaving", "left", "enable"}, false},
 		{"disabled again", []string{"left", "disable", "enable", "active", "disable"}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -290,6 +300,91 @@
 	}
 }
 
+// Guards against a server that stays in use for good, though the list does not name it and it does not answer: once it
+// is enabled it may be used for reenabledTrial, from then on only while it answers.
+func TestEnabledServerThatIsNotListedIsTried(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		advisory        bool
+		answers         bool // once it is enabled
+		tried, inUse    bool // within the trial, and after it
+		listedMeanwhile bool
+	}{
+		{"it answers", true, true, true, true, false},
+		{"it does not answer", true, false, true, false, false},
+		{"it does not answer, but is listed", true, false, true, true, true},
+		{"removal is binding", false, true, false, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDisabledServerTest(t, c.advisory)
+				assert.Positive(t, d.requestsToB1())
+				d.run("left")
+				d.run("disable")
+				d.run("pause")
+				if !c.answers {
+					d.mu.Lock()
+					d.behaviors["b1:1"] = []string{neverRanResponse}
+					d.mu.Unlock()
+				}
+				d.run("enable")
+				assert.Equal(t, c.tried, d.requestsToB1() > 0, "tried")
+				if c.listedMeanwhile {
+					d.run("active")
+				}
+				for range 7 {
+					time.Sleep(reenabledTrial / 6)
+					d.sendRequests(20)
+				}
+				d.updateList(`{"version":99,"full":false,"servers":[]}`)
+				d.post(func() {
+					index, found := d.registry.Find("b1")
+					assert.Equal(t, c.inUse, found && d.pools.inUse(index))
+					assert.Equal(t, c.inUse && !c.listedMeanwhile, len(d.endpoints.unlisted) > 0)
+				})
+				time.Sleep(2 * reenabledTrial)
+				d.updateList(`{"version":100,"full":false,"servers":[]}`)
+				d.post(func() {
+					index, found := d.registry.Find("b1")
+					assert.Equal(t, c.listedMeanwhile, found && d.pools.inUse(index), "it has not answered for long")
+					assert.Empty(t, d.endpoints.unlisted)
+				})
+				d.stopAndWait()
+			})
+		})
+	}
+}
+
+// A server that is enabled while the list does not name it counts as started then: it has been restarted.
+func TestEnabledServerThatIsNotListedWarmsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := startEnv(t, map[string][]string{"b1": {okResponse}, "b2": {okResponse}}, func(cfg *BootstrapConfig) {
+			cfg.RemovalIsAdvisory = true
+		})
+		warmingUp := func() (warming bool) {
+			index, found := env.registry.Find("b1")
+			for _, status := range env.serverStatuses() {
+				warming = warming || found && status.Endpoint == index && status.WarmingUp
+			}
+			return warming
+		}
+		env.sendRequests(20)
+		env.updateList(`{"version":2,"full":true,"servers":[{"id":"b2","addr":"b2","state":"active"}]}`)
+		env.sendRequests(20)
+		assert.Equal(t, 200, env.adminCall(admin.Disable, "b1"))
+		time.Sleep(time.Second)
+		assert.False(t, warmingUp())
+		assert.Equal(t, 200, env.adminCall(admin.Enable, "b1"))
+		assert.True(t, warmingUp())
+		time.Sleep(2 * time.Second)
+		assert.False(t, warmingUp())
+		env.requestsByServer()
+		env.sendRequests(20)
+		assert.Positive(t, env.requestsByServer()["b1"])
+		env.stopAndWait()
+	})
+}
+
 // A health check that is due for a server is not sent once the server is disabled, though no balancer has been told.
 func TestDisabledServerIsNotChecked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/proxy/endpoints.go
+++ b/proxy/endpoints.go
@@ -20,18 +20,20 @@
 	static        map[int]bool            // indexes of servers from the operator file: no list removes them
 	stopSendAt    []float64               // drain start by index, by the list: nothing is sent after its grace; +Inf: none
 	adminState    lifecycle.AdminState    // admin state that was last applied to the list
-	firstReceived chan struct{}           // closed, by markReceived, when discovery has sent a list
+	unlisted      unlistedServers
+	firstReceived chan struct{} // closed, by markReceived, when discovery has sent a list
 	markReceived  func()
 
 	subscription *subscription // nil: none
 	pending      *subscription // started, but not yet answered; nil: none
 }
 
-func newEndpointList() endpointList {
+func newEndpointList(removalIsAdvisory bool) endpointList {
 	received := make(chan struct{})
 	return endpointList{
 		known:         map[int]discovery.Entry{},
 		static:        map[int]bool{},
+		unlisted:      newUnlistedServers(removalIsAdvisory),
 		firstReceived: received,
 		markReceived:  sync.OnceFunc(func() { close(received) }),
 	}
@@ -40,15 +42,32 @@
 // record stores listed servers as discovery sent them: for pools that are added later, for servers that are enabled
 // again and for a successor.
 func (l *endpointList) record(full bool, entries []discovery.Entry, indexOf func(name string) (int, bool)) {
+	previous := l.known
 	if full {
-		clear(l.known)
+		l.known = make(map[int]discovery.Entry, len(entries))
 	}
 	for _, entry := range entries {
 		index, _ := indexOf(entry.Name)
-		if entry.State == balance.Removed {
-			delete(l.known, index)
-		} else {
+		if entry.State != balance.Removed {
 			l.known[index] = entry
+			continue
+		}
+		if dropped, listed := l.known[index]; listed {
+			l.unlisted.add(dropped)
+		}
+		delete(l.known, index)
+	}
+	if full {
+		l.addUnlisted(previous)
+	}
+	l.unlisted.removeListed(entries)
+}
+
+// addUnlisted adds to the unlisted servers those of a previous list that are not listed now.
+func (l *endpointList) addUnlisted(previous map[int]discovery.Entry) {
+	for index, dropped := range previous {
+		if _, listed := l.known[index]; !listed {
+			l.unlisted.add(dropped)
 		}
 	}
 }
@@ -128,6 +147,7 @@
 			p.forgetEndpoint(index)
 		}
 	}
+	p.forgetUnlisted()
 }
 
 // forgetEndpoint frees the index of a server that is gone. No action names the index any more, and exchanges in flight
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -115,7 +115,7 @@
 		bootstrap: cfg,
 		registry:  cfg.NewRegistry(),
 		process:   newProcessState(),
-		endpoints: newEndpointList(),
+		endpoints: newEndpointList(cfg.RemovalIsAdvisory),
 		requests:  requestTable{ids: newRequestIDs()},
 	}
 	p.loop.init(clk, p.log)
