Admin: a server that is in use or disabled is always known to admin calls

Callers would see: `disable` for a server that is in use is answered 404, since more than 16,384 servers were listed after it; worse, `enable` for a disabled one, which then stays disabled for good.

Change: ids of servers that balancers may use are pinned in the set; a server that an earlier call named is known.

--- a/proxy/admin.go
+++ b/proxy/admin.go
@@ -10,7 +10,6 @@
 	"lockloom/internal/admin"
 	"lockloom/internal/discovery"
 	"lockloom/internal/http1"
-	"lockloom/internal/settings"
 	"lockloom/lifecycle"
 )
 
@@ -28,7 +27,7 @@
 		}
 		return http1.StatusOK, "ready"
 	case admin.Disable, admin.Enable:
-		if !s.ids.Has(settings.NameHash(call.ID)) {
+		if !s.knowsServer(call.ID) {
 			return http1.StatusNotFound, "no backend of that id was ever listed"
 		}
 		if call.Action == admin.Disable {
--- a/proxy/admin_test.go
+++ b/proxy/admin_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"lockloom/balance"
 	"lockloom/internal/admin"
 )
 
@@ -43,6 +45,37 @@
 	})
 }
 
+// Guards against a call that is rejected since more servers were listed after its own than ids are kept: a server that
+// is in use can always be disabled, and one that is disabled can always be enabled.
+func TestServersInUseAndDisabledOnesStayKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := startEnv(t, map[string][]string{"b1": {okResponse}, "b2": {okResponse}}, nil)
+		env.updateList(listChange(2, "gone", "active", 0))
+		env.updateList(listChange(3, "disabled", "active", 0))
+		assert.Equal(t, 200, env.adminCall(admin.Disable, "disabled"))
+		env.updateList(listChange(4, "gone", "left", 0))
+		env.updateList(listChange(5, "disabled", "left", 0))
+		list := func(state balance.EndpointState) List {
+			list := List{Version: 6}
+			for i := range maxKnownIDs {
+				list.Entries = append(list.Entries, listEntry(fmt.Sprint("s", i), state))
+			}
+			return list
+		}
+		env.post(func() {
+			env.applyEndpointList(list(balance.Ready), false)
+			env.applyEndpointList(list(balance.Removed), false)
+		})
+		synctest.Wait()
+		assert.Equal(t, 404, env.adminCall(admin.Disable, "gone"), "its id was dropped")
+		assert.Equal(t, 200, env.adminCall(admin.Disable, "b1"))
+		assert.Equal(t, 200, env.adminCall(admin.Enable, "disabled"))
+		env.sendRequests(20)
+		assert.Equal(t, map[string]int{"b2": 20}, env.requestsByServer())
+		env.stopAndWait()
+	})
+}
+
 // startedAtOf returns when a server counts as started, in seconds since 1970.
 func (env *testEnv) startedAtOf(id string) float64 {
 	index, _ := env.registry.Find(id)
@@ -109,7 +142,7 @@
 
 func TestAdminCallsDoNotWaitForTheOwner(t *testing.T) {
 	env := newEnv(t, map[string][]string{"b1": {okResponse}}, nil)
-	env.process.addKnownID("b1")
+	env.process.pinKnownID("b1")
 	for range maxQueuedEvents {
 		env.loop.events <- func() {}
 	}
--- a/proxy/endpoints.go
+++ b/proxy/endpoints.go
@@ -113,7 +113,7 @@
 func (p *Proxy) applyEntries(entries []discovery.Entry, since float64) []balance.Endpoint {
 	endpoints := make([]balance.Endpoint, len(entries))
 	for i := range entries {
-		p.process.addKnownID(entries[i].Name)
+		p.process.pinKnownID(entries[i].Name)
 		listedState := entries[i].State
 		entry := p.withAdminState(entries[i])
 		endpoint := p.registry.Endpoint(entry.Entry)
@@ -155,6 +155,7 @@
 func (p *Proxy) forgetEndpoint(index int) {
 	p.endpoints.stopSendAt[index] = math.Inf(1)
 	p.upstream.Remove(index)
+	p.process.unpinKnownID(p.registry.Name(index))
 	p.registry.Forget(index)
 }
 
--- a/proxy/lifecycle.go
+++ b/proxy/lifecycle.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	maxKnownIDs        = 16 << 10               // maximum number of ids kept of servers ever listed; they take 0.6 MB
+	maxKnownIDs        = 16 << 10               // ids kept of servers ever listed, more only if more are in use
 	acceptPollInterval = 10 * time.Millisecond  // between checks of whether this process accepts connections again
 	overlapShare       = 0.5                    // share of every limit, while another process of this proxy runs
 	snapshotTimeout    = 300 * time.Millisecond // time limit for the owner to return the state to be handed over
@@ -57,11 +57,26 @@
 	return read(&s.lifecycle)
 }
 
-// addKnownID records the id of a server that was listed.
-func (s *processState) addKnownID(id string) {
+// pinKnownID records the id of a server that was listed, so that admin calls may name it. It is not dropped before
+// unpinKnownID is called for it.
+func (s *processState) pinKnownID(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ids.Add(settings.NameHash(id))
+	s.ids.Pin(settings.NameHash(id))
+}
+
+// unpinKnownID allows the id of a server that is no longer used to be dropped, once maxKnownIDs later ones are known.
+func (s *processState) unpinKnownID(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ids.Unpin(settings.NameHash(id))
+}
+
+// knowsServer reports whether an admin call may name a server: it was listed, or an earlier call named it. The caller
+// holds the lock.
+func (s *processState) knowsServer(id string) bool {
+	_, named := s.lifecycle.Servers[id]
+	return named || s.ids.Has(settings.NameHash(id))
 }
 
 // shuttingDown reports whether this process has been ordered to stop.
--- a/proxy/operatorconfig.go
+++ b/proxy/operatorconfig.go
@@ -271,7 +271,7 @@
 		p.upstream.SetEndpoint(endpoint.Index, name, addr, 0)
 		p.applyEndpointState(endpoint.Index, balance.Ready, p.now())
 		p.endpoints.static[endpoint.Index] = true
-		p.process.addKnownID(name)
+		p.process.pinKnownID(name)
 		endpoints = append(endpoints, endpoint)
 	}
 	pool.staticEndpoints = endpoints
