Control plane: a disabled server that is missing from the list is taken from subscribers

Change: disabling a server that the list does not name reports it as removed, which subscribers follow at once.

TestDisabledServerThatIsMissingFromTheListIsNotAssigned: b1 was still assigned as healthy before; passes now.

--- a/proxy/estimates.go
+++ b/proxy/estimates.go
@@ -29,16 +29,20 @@
 // addRemoved keeps the names of servers that a list removes, for the next report. Without an observer it keeps none,
 // since no report would ever clear them.
 func (e *estimateReporter) addRemoved(entries []discovery.Entry) {
-	if e.observe == nil {
-		return
-	}
 	for _, entry := range entries {
 		if entry.State == balance.Removed {
-			e.removed = append(e.removed, entry.Name)
+			e.addRemovedName(entry.Name)
 		}
 	}
 }
 
+// addRemovedName does the same for one server.
+func (e *estimateReporter) addRemovedName(name string) {
+	if e.observe != nil {
+		e.removed = append(e.removed, name)
+	}
+}
+
 // OnEstimates reports the estimates of each operator's pool to a control plane in this process: at an interval, and at
 // once when the list or the admin state changes. The owner calls observe, which must not block. Call OnEstimates before
 // Serve.
--- a/proxy/estimates_test.go
+++ b/proxy/estimates_test.go
@@ -85,3 +85,42 @@
 		assert.Empty(t, env.closedConns, "connections that servers have closed")
 	})
 }
+
+// Guards against subscribers of the control plane that go on with a disabled server: a list from which half of the
+// servers are missing is suspect, so that they are kept, and no entry of the list says that one was disabled meanwhile.
+func TestDisabledServerThatIsMissingFromTheListIsNotAssigned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newEnv(t, map[string][]string{"b1": {okResponse}, "b2": {okResponse}}, nil)
+		env.operatorConns = make(chan net.Conn, 100)
+		cfg, faults := config.Parse("f.toml", []byte("[[tariff]]\nname = \"t\"\nhard_stop = 0.5\n"+
+			"[[pool]]\nname = \"all\"\n[[route]]\nname = \"r\"\nunder = \"/\"\npool = \"all\"\n"))
+		require.Empty(t, faults)
+		require.NoError(t, env.Configure(cfg, operatorListener{env}))
+		assigned := assignment.New(assignment.Settings{})
+		env.OnEstimates(func(now float64, pools map[string]assignment.Observation) { assigned.Update(now, pools["all"]) })
+		env.start()
+		healthy := func() (names []string) {
+			done := make(chan struct{})
+			env.post(func() {
+				for _, server := range assigned.AssignmentFor("").Servers {
+					if server.Health == assignment.Healthy {
+						names = append(names, server.Name)
+					}
+				}
+				close(done)
+			})
+			<-done
+			return names
+		}
+		assert.Equal(t, []string{"b1", "b2"}, healthy())
+		env.updateList(`{"version":2,"full":true,"servers":[]}`)
+		assert.Equal(t, []string{"b1", "b2"}, healthy(), "the list is suspect")
+		assert.Equal(t, 200, env.adminCall(admin.Disable, "b1"))
+		assert.Equal(t, []string{"b2"}, healthy())
+		env.updateList(`{"version":3,"full":true,"servers":[{"id":"b1","addr":"b1:1","state":"active"}]}`)
+		assert.NotContains(t, healthy(), "b1", "the list does not lift the call")
+		assert.Equal(t, 200, env.adminCall(admin.Enable, "b1"))
+		assert.Contains(t, healthy(), "b1")
+		env.stopAndWait()
+	})
+}
--- a/proxy/unlisted.go
+++ b/proxy/unlisted.go
@@ -68,12 +68,15 @@
 }
 
 // applyAdminStateToUnlisted applies the admin state to servers that the list does not name, so that no entry of it
-// reaches the balancers. All pools drop those that are disabled.
+// reaches the balancers. All pools, and subscribers of the control plane, drop those that are disabled.
 func (p *Proxy) applyAdminStateToUnlisted(names []string) {
 	for _, name := range names {
 		if _, disabled := p.endpoints.adminState.DisabledSince(name); !disabled {
 			p.tryReenabled(name)
-		} else if index, found := p.registry.Find(name); found {
+			continue
+		}
+		p.estimates.addRemovedName(name)
+		if index, found := p.registry.Find(name); found {
 			p.dropFromPools(index)
 		}
 	}
