Tests: the list of TestEnabledServerThatIsNotListedWarmsUp is applied

Its list had an address without a port, which discovery's form rejects, so that the server stayed listed and the test did not reach the case in its name. It now checks that the server is unlisted, and passes. Lint: a comment of IDSet.

--- a/lifecycle/idset.go
+++ b/lifecycle/idset.go
@@ -1,8 +1,8 @@
 package lifecycle
 
 // IDSet holds the hashes of the server ids that have been in the endpoint list, so that an admin call for an unknown id
-// can be rejected. When it is full, it drops the hash that was added first of those that are not pinned. Admin calls for
-// that server are then rejected as unknown. It grows beyond its capacity only if more hashes than that are pinned.
+// can be rejected. When it is full, it drops the hash that was added first of those that are not pinned, and admin
+// calls for that server are rejected as unknown. It grows beyond its capacity only if more hashes are pinned.
 type IDSet struct {
 	capacity int
 	members  map[uint64]bool
--- a/proxy/disabled_test.go
+++ b/proxy/disabled_test.go
@@ -58,15 +58,21 @@
 	return counts["b1"] + counts["b9"]
 }
 
-// newDisabledServerTest starts a proxy with the listed servers "b1" and "b2". Both answer all requests.
+// newDisabledServerTest starts a proxy without slow start.
 func newDisabledServerTest(t *testing.T, advisory bool) *disabledServerTest {
+	t.Helper()
+	return newSlowStartTest(t, advisory, 0)
+}
+
+// newSlowStartTest starts a proxy with the listed servers "b1" and "b2". Both answer all requests.
+func newSlowStartTest(t *testing.T, advisory bool, slowStart float64) *disabledServerTest {
 	t.Helper()
 	behaviors := map[string][]string{}
 	for _, addr := range []string{"b1", "b1:1", "b9:1", "b2", "b2:1"} {
 		behaviors[addr] = []string{okResponse}
 	}
 	env := startEnv(t, behaviors, func(cfg *BootstrapConfig) {
-		cfg.RemovalIsAdvisory, cfg.SlowStartDuration = advisory, 0
+		cfg.RemovalIsAdvisory, cfg.SlowStartDuration = advisory, slowStart
 	})
 	d := &disabledServerTest{testEnv: env, version: 1}
 	d.run("full with b1")
@@ -358,30 +364,29 @@
 // A server that is enabled while the list does not name it counts as started then: it has been restarted.
 func TestEnabledServerThatIsNotListedWarmsUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		env := startEnv(t, map[string][]string{"b1": {okResponse}, "b2": {okResponse}}, func(cfg *BootstrapConfig) {
-			cfg.RemovalIsAdvisory = true
-		})
+		const slowStart = 0.5 // s
+		d := newSlowStartTest(t, true, slowStart)
 		warmingUp := func() (warming bool) {
-			index, found := env.registry.Find("b1")
-			for _, status := range env.serverStatuses() {
+			index, found := d.registry.Find("b1")
+			for _, status := range d.serverStatuses() {
 				warming = warming || found && status.Endpoint == index && status.WarmingUp
 			}
 			return warming
 		}
-		env.sendRequests(20)
-		env.updateList(`{"version":2,"full":true,"servers":[{"id":"b2","addr":"b2","state":"active"}]}`)
-		env.sendRequests(20)
-		assert.Equal(t, 200, env.adminCall(admin.Disable, "b1"))
-		time.Sleep(time.Second)
+		d.post(func() { assert.Empty(t, d.endpoints.unlisted) })
+		d.requestsToB1()
+		d.run("full without b1")
+		d.post(func() { assert.Len(t, d.endpoints.unlisted, 1) })
+		d.requestsToB1()
+		d.run("disable")
+		d.run("pause")
 		assert.False(t, warmingUp())
-		assert.Equal(t, 200, env.adminCall(admin.Enable, "b1"))
+		d.run("enable")
 		assert.True(t, warmingUp())
-		time.Sleep(2 * time.Second)
+		time.Sleep(seconds(2 * slowStart))
+		assert.Positive(t, d.requestsToB1())
 		assert.False(t, warmingUp())
-		env.requestsByServer()
-		env.sendRequests(20)
-		assert.Positive(t, env.requestsByServer()["b1"])
-		env.stopAndWait()
+		d.stopAndWait()
 	})
 }
 
