--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -30,6 +30,7 @@
 	fields["connections"], fields["opened"] = p.upstream.Total(), p.upstream.Opened
 	fields["retired"], fields["lost_idle"] = p.upstream.Retired, p.upstream.Lost
 	fields["no_connection"], fields["unsolicited"] = p.upstream.RejectedFull, p.upstream.Unsolicited
+	fields["unlisted"], fields["disabled"] = len(p.endpoints.unlisted), p.process.disabled.count()
 	if p.bootstrap.HealthChecks {
 		fields["health_checks"] = p.counters.HealthChecks
 	}
--- a/proxy/disabled.go
+++ b/proxy/disabled.go
@@ -34,6 +34,14 @@
 	return since, disabled
 }
 
+// count returns the number of disabled servers.
+func (d *disabledServers) count() int {
+	if servers := d.since.Load(); servers != nil {
+		return len(*servers)
+	}
+	return 0
+}
+
 // isDisabled reports whether a server is disabled. Any goroutine may call it.
 func (p *Proxy) isDisabled(name string) bool {
 	_, disabled := p.process.disabled.get(name)
