Reload: a request whose route its pool lost meanwhile is answered

Cause: a request carries its route's name and its pool from its head on. The pool's FairLimiter knew routes by number, and a reload that changed the routes replaced it: the old route's name had no number, 0 was taken, and with no route left the index was out of range. The owner recovers from the panic, but the request's timer is set only later. Where another route was left, the request was counted as that one's.

Change: FairLimiter knows routes by name, and a reload configures it in place: requests in flight count on, a request of a former route is counted under its own name, and former routes are forgotten with their last request.

--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -125,7 +125,6 @@
 	keys        []limits.LimitKey
 	permit      limits.Permit       // acquired from limits for keys
 	route       string              // name
-	routeNumber int                 // number of the route in the pool's fair limiter
 	fairLimiter *limits.FairLimiter // the limiter that counts the request; nil: none
 }
 
@@ -154,8 +153,7 @@
 		quota.permit = permit
 	}
 	if limiter := req.pool.fairLimiter; limiter != nil {
-		quota.routeNumber = req.pool.routeNumbers[quota.route]
-		if !limiter.Acquire(p.now(), quota.routeNumber) {
+		if !limiter.Acquire(p.now(), quota.route) {
 			quota.limits.Release(&quota.permit)
 			p.rejectBeforeDecision(req, response{status: http1.StatusServiceUnavailable, body: []byte("the pool is full\n")})
 			return false
@@ -182,7 +180,7 @@
 	quota := &req.quota
 	quota.limits.Release(&quota.permit)
 	if quota.fairLimiter != nil {
-		quota.fairLimiter.Release(quota.routeNumber)
+		quota.fairLimiter.Release(quota.route)
 		quota.fairLimiter = nil
 	}
 }
--- a/proxy/operatorconfig.go
+++ b/proxy/operatorconfig.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"maps"
 	"net"
 	"reflect"
 	"slices"
@@ -223,27 +222,28 @@
 	if poolConfig.Backup == "" {
 		pool.failedOver = false
 	}
-	numbers := map[string]int{}
-	rc.numberRoutes(numbers, poolConfig.Name, rc.config.Routes)
-	limiter, capacity := pool.fairLimiter, poolConfig.Capacity
+	weights := map[string]float64{}
+	addRouteWeights(weights, poolConfig.Name, rc.config.Routes)
 	switch {
-	case capacity == 0:
+	case poolConfig.Capacity == 0:
 		pool.fairLimiter = nil
-	case limiter == nil || limiter.Capacity != capacity || !maps.Equal(pool.routeNumbers, numbers):
-		pool.fairLimiter = limits.NewFairLimiter(capacity, slices.Repeat([]float64{1}, len(numbers)))
+	case pool.fairLimiter == nil:
+		pool.fairLimiter = limits.NewFairLimiter(poolConfig.Capacity, weights)
+	default:
+		pool.fairLimiter.Configure(poolConfig.Capacity, weights)
 	}
-	pool.routeNumbers = numbers
 }
 
-// numberRoutes gives each route that forwards to a pool, nested ones included, the next number, by route name.
-func (rc *routingConfig) numberRoutes(numbers map[string]int, pool string, routes []config.Route) {
+// addRouteWeights adds the weight of each route that forwards to a pool, nested ones included, by route name. All have
+// the same.
+func addRouteWeights(weights map[string]float64, pool string, routes []config.Route) {
 	toPool := func(weighted config.WeightedPool) bool { return weighted.Pool == pool }
 	for i := range routes {
 		route := &routes[i]
 		if route.Pool == pool || slices.ContainsFunc(route.Split, toPool) {
-			numbers[route.Name] = len(numbers)
+			weights[route.Name] = 1
 		}
-		rc.numberRoutes(numbers, pool, route.Routes)
+		addRouteWeights(weights, pool, route.Routes)
 	}
 }
 
--- a/proxy/operatorconfig_test.go
+++ b/proxy/operatorconfig_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -80,3 +81,57 @@
 		assert.ErrorContains(t, env.ReloadConfig(cfg), "has ended")
 	})
 }
+
+// Guards against a request without any answer: its head was read under one operator file and its body ended under
+// another, in which its pool no longer had its route. What it held of limits must be given back too.
+func TestReloadWhileRequestIsRead(t *testing.T) {
+	const narrow = "[[route]]\nname = \"narrow\"\nunder = \"/narrow\"\npool = \"second\""
+	for _, c := range []struct {
+		name   string
+		change []string // of the operator file
+	}{
+		{"nothing has changed", nil},
+		{"the route has another pool", []string{narrow, strings.Replace(narrow, "second", "first", 1)}},
+		{"the route has another name", []string{narrow, strings.Replace(narrow, "\"narrow\"", "\"renamed\"", 1)}},
+		{"the pool has no route", []string{`pool = "second"`, `pool = "first"`}},
+		{"the pool has less room", []string{"room = 2", "room = 1"}},
+		{"the pool has more room", []string{"room = 2", "room = 200"}},
+		{"the pool has any room", []string{"room = 2", ""}},
+		{"the limit is higher", []string{"in_hand = 1", "in_hand = 2"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := startOperatorEnv(t, map[string][]string{"b1:80": {okResponse}, "b2:80": {okResponse},
+					"b3:80": {okResponse}, "c1:80": {okResponse}, "f1:80": {okResponse}})
+				reload := func(change ...string) {
+					cfg, faults := config.Parse("f.toml", []byte(strings.NewReplacer(change...).Replace(operatorFile)))
+					require.Empty(t, faults)
+					require.NoError(t, env.ReloadConfig(cfg))
+				}
+				for range 3 {
+					conns := make([]net.Conn, 2)
+					for i := range conns {
+						var proxyEnd net.Conn
+						conns[i], proxyEnd = net.Pipe()
+						env.operatorConns <- proxyEnd
+						write(conns[i], plainRequest("POST", "/narrow", "Content-Length: 5\r\n\r\nab"))
+					}
+					synctest.Wait()
+					reload(c.change...)
+					for _, conn := range conns {
+						conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+						go write(conn, "c")
+						status, _, _, err := readResponse(conn)
+						assert.NoError(t, err)
+						assert.Equal(t, 200, status, "answered, and its place in the limit is given back")
+						conn.Close()
+						synctest.Wait()
+					}
+					reload()
+				}
+				assert.Equal(t, "200 body", env.operatorRoundTrip(plainRequest("GET", "/narrow", "")))
+				env.stopAndWait()
+			})
+		})
+	}
+}
--- a/proxy/pools.go
+++ b/proxy/pools.go
@@ -81,9 +81,8 @@
 
 // poolCapacity limits the requests that routes send to a pool, and their retries.
 type poolCapacity struct {
-	fairLimiter  *limits.FairLimiter            // nil: no limit
-	routeNumbers map[string]int                 // number in fairLimiter by route name
-	budgets      map[string]*limits.RetryBudget // retry budgets by name of the retry rule
+	fairLimiter *limits.FairLimiter            // nil: no limit
+	budgets     map[string]*limits.RetryBudget // retry budgets by name of the retry rule
 }
 
 // poolFailover is the backup of a pool, which serves in its place while the pool has no admitted server.
