Admission: a request whose admission ends in a panic is answered

After the panic that the reload led to, nothing answered the request and its place in a limit was lost, since its timer is set only behind that step; where the balancer's call panics, the timer has no handle to call.

Change: such a request is rejected at once, and its quota given back. Nothing was sent for it.

TestPanicInAdmissionIsAnswered: both rows red before (no answer, no place), pass now in both builds.

--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -78,6 +78,7 @@
 // admit passes a request to the balancer. With shed set, it rejects the request without the balancer: its connection is
 // over maxServed, or the process admits no more requests. It is called by the owner.
 func (p *Proxy) admit(req *request, info balance.RequestInfo, shed bool) {
+	defer p.rejectAfterPanic(req)
 	if shed {
 		p.countShed()
 		p.respond(req, balance.Rejected, p.bootstrap.MaxRetryAfter)
@@ -113,6 +114,18 @@
 	})
 }
 
+// rejectAfterPanic rejects a request whose admission ended in a panic, and gives back its quota. Nothing was sent for
+// it, since the balancer's actions were not carried out, and its timer cannot answer it without a handle. The request
+// keeps its ref and its id: the balancer may have registered it.
+func (p *Proxy) rejectAfterPanic(req *request) {
+	if req.answered || req.handle != nil {
+		return
+	}
+	p.loop.timers.cancel(&req.timer)
+	req.releaseQuota()
+	p.respond(req, balance.Rejected, p.bootstrap.MaxRetryAfter)
+}
+
 // countShed counts a request that is rejected because a limit was reached. It is called by the owner.
 func (p *Proxy) countShed() {
 	p.counters.Requests++
--- a/proxy/admission_test.go
+++ b/proxy/admission_test.go
@@ -7,8 +7,67 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"lockloom/balance"
+	"lockloom/limits"
 )
 
+// panickingDecider panics when a request arrives.
+type panickingDecider struct{ Decider }
+
+func (panickingDecider) RequestArrived(float64, balance.RequestInfo, string) (RequestHandle, *balance.Actions) {
+	panic("planted")
+}
+
+// Guards against a request without any answer, and a lost place in a limit, after a panic while it is admitted: its
+// timer is not set yet then, or has no handle to call.
+func TestPanicInAdmissionIsAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		plant func(pool *serverPool)
+	}{
+		{"in the quota", func(pool *serverPool) { pool.fairLimiter = &limits.FairLimiter{} }}, // its map is nil
+		{"in the balancer", func(pool *serverPool) { pool.decisions = panickingDecider{pool.decisions} }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := startOperatorEnv(t, map[string][]string{"b1:80": {okResponse}, "b2:80": {okResponse},
+					"b3:80": {okResponse}, "c1:80": {okResponse}, "f1:80": {okResponse}})
+				req := &request{
+					pool:      env.routing.Load().pools["second"],
+					id:        "planted",
+					arrivedAt: env.now(),
+					deadline:  env.now() + 1,
+					retryRule: &limits.RetryRule{},
+					response:  make(chan response, 1),
+				}
+				req.class = &req.pool.classes[0]
+				req.quota = requestQuota{
+					limits: env.routing.Load().config.Limits,
+					keys:   []limits.LimitKey{{Limit: env.routing.Load().limitIndexes["one-in-hand"]}},
+					route:  "narrow",
+				}
+				env.post(func() {
+					defer func() { assert.NotNil(t, recover(), "it panics") }() // as the owner's loop does
+					decisions, limiter := req.pool.decisions, req.pool.fairLimiter
+					defer func() { req.pool.decisions, req.pool.fairLimiter = decisions, limiter }()
+					c.plant(req.pool)
+					env.admit(req, balance.RequestInfo{Tenant: noTenant, Deadline: req.deadline}, false)
+				})
+				synctest.Wait()
+				if assert.Len(t, req.response, 1, "answered at once") {
+					assert.Equal(t, 503, (<-req.response).status, "nothing was sent for it")
+				}
+				permit, rejection := req.quota.limits.Acquire(env.now(), req.quota.keys)
+				assert.Nil(t, rejection, "its place in the limit is free")
+				req.quota.limits.Release(&permit)
+				assert.Equal(t, "200 body", env.operatorRoundTrip(plainRequest("GET", "/narrow", "")))
+				env.stopAndWait()
+			})
+		})
+	}
+}
+
 // Guards against two requests with one id in flight: servers would see one request that runs twice.
 func TestIDInUse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
